Set up the package, its records, loop, HTTP and feed modules

Ruled out: circuits.web for callers and endpoints (it answers ambiguous lengths and has a fixed status table); h11 is taken as its nearest kin. Conclusion: the base is ready for the parts.

--- /dev/null
+++ b/src/cardamomgrade/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager for a fixed estate of VMs."""
--- /dev/null
+++ b/src/cardamomgrade/client.py
@@ -0,0 +1,199 @@
+"""HTTP/1.1 client side: one request in flight on a connection."""
+
+from collections import deque
+
+import attrs
+import h11
+
+from .net import parse_address
+from .wire import BODY_LIMIT_BYTES, HttpResponse, request_bytes
+
+
+@attrs.frozen
+class Failure:
+    """A request without a whole answer.
+
+    ``sent`` tells whether any byte of the request was handed to a connection.
+    """
+
+    sent: bool
+    detail: str
+
+    def __bool__(self):
+        return False
+
+
+class ClientConn:
+    """A connection to one server.
+
+    ``on_idle_close`` is called when the server closes while nothing is in flight.
+    """
+
+    def __init__(self, conn, body_limit=BODY_LIMIT_BYTES):
+        self._conn = conn
+        self._limit = body_limit
+        self._http = None
+        self._on_done = None
+        self._head = None
+        self._body = []
+        self._size = 0
+        self.on_idle_close = None
+        conn.on_data = self._on_data
+        conn.on_close = self._on_close
+
+    @property
+    def usable(self):
+        """Whether the connection is open and nothing is in flight."""
+        return not self._conn.closed and self._on_done is None
+
+    def send(self, req, on_done):
+        """Send a request; call ``on_done(HttpResponse | Failure)`` once.
+
+        Raises WireError, with nothing sent, when the request is not valid HTTP.
+        """
+        self._http, data = request_bytes(req)
+        self._on_done = on_done
+        self._head, self._body, self._size = None, [], 0
+        self._conn.write(data)
+
+    def abort(self):
+        """Close at once; a request in flight gets no answer any more."""
+        self._on_done = None
+        self._conn.abort()
+
+    def _on_close(self):
+        if self._on_done is not None:
+            self._finish(Failure(True, "closed before the answer was whole"))
+        elif self.on_idle_close is not None:
+            self.on_idle_close()
+
+    def _on_data(self, data):
+        if self._on_done is None:
+            self._conn.abort()
+            if self.on_idle_close is not None:
+                self.on_idle_close()
+            return
+        try:
+            self._http.receive_data(data)
+            self._pump()
+        except h11.RemoteProtocolError as exc:
+            self._fail(f"answer is not valid HTTP: {exc}")
+
+    def _fail(self, detail):
+        self._conn.abort()
+        self._finish(Failure(True, detail))
+
+    def _pump(self):
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.Response):
+                self._head = event
+            elif isinstance(event, h11.Data):
+                self._body.append(bytes(event.data))
+                self._size += len(event.data)
+                if self._size > self._limit:
+                    self._fail("answer too large")
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._complete()
+                return
+            elif event in (h11.NEED_DATA, h11.PAUSED):
+                return
+
+    def _complete(self):
+        head = self._head
+        response = HttpResponse(
+            head.status_code, tuple(head.headers), b"".join(self._body)
+        )
+        reusable = (
+            self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+            and not self._http.trailing_data[0]
+        )
+        if not reusable:
+            self._conn.abort()
+        self._finish(response)
+
+    def _finish(self, result):
+        on_done, self._on_done = self._on_done, None
+        self._http = None
+        on_done(result)
+
+
+class Requester:
+    """Sends requests to one server in turn, each with a timeout in seconds."""
+
+    def __init__(self, loop, net, address, body_limit=BODY_LIMIT_BYTES):
+        self._loop = loop
+        self._net = net
+        self._host, self._port = parse_address(address)
+        self._limit = body_limit
+        self._conn = None
+        self._queue = deque()
+        self._busy = None
+
+    def close(self):
+        """Drop the connection and what waits."""
+        self._queue.clear()
+        self._busy = None
+        if self._conn is not None:
+            self._conn.abort()
+
+    def request(self, req, on_done, timeout):
+        """Call ``on_done(HttpResponse | Failure)`` within ``timeout`` seconds."""
+        call = _Call(req, on_done)
+        call.timer = self._loop.call_later(timeout, lambda: self._expire(call))
+        self._queue.append(call)
+        self._next()
+
+    def _next(self):
+        while self._busy is None and self._queue:
+            call = self._queue.popleft()
+            if call.done:
+                continue
+            self._busy = call
+            if self._conn is not None and self._conn.usable:
+                self._send(call)
+            else:
+                self._dial(call)
+
+    def _dial(self, call):
+        def opened(conn):
+            self._conn = ClientConn(conn, self._limit)
+            if call.done:
+                return
+            self._send(call)
+
+        def failed(exc):
+            self._finish(call, Failure(False, str(exc)))
+
+        self._net.dial(self._host, self._port, opened, failed)
+
+    def _send(self, call):
+        call.sent = True
+        self._conn.send(call.req, lambda result: self._finish(call, result))
+
+    def _expire(self, call):
+        if call.sent and self._conn is not None:
+            self._conn.abort()
+        self._finish(call, Failure(call.sent, "timed out"))
+
+    def _finish(self, call, result):
+        if self._busy is call:
+            self._busy = None
+        if not call.done:
+            call.done = True
+            call.timer.cancel()
+            call.on_done(result)
+        self._next()
+
+
+@attrs.define(eq=False)
+class _Call:
+    """A request that waits or is in flight."""
+
+    req: object
+    on_done: object
+    timer: object = None
+    sent: bool = False
+    done: bool = False
--- /dev/null
+++ b/src/cardamomgrade/feed.py
@@ -0,0 +1,206 @@
+"""Client of the platform's log service.
+
+Protocol: ``GET /streams/NAME?from=F&limit=L&wait_ms=W`` answers a CBOR map ``tail``
+(next offset), ``earliest``, ``records`` (arrays of offset, time in ms, bytes); 410
+when ``from`` is no longer retained. ``POST /streams/NAME`` takes a CBOR array of
+byte strings and answers a CBOR map ``first`` with the offset of the first of them.
+"""
+
+import random
+from collections import deque
+
+import attrs
+import cbor2
+
+from .client import Requester
+from .errors import RecordError
+from .records import decode_record, encode_record, Logged, UnknownRecord
+from .refusal import Reason, Refusal
+from .wire import HttpRequest, HttpResponse
+
+READ_LIMIT_RECORDS = 500
+READ_WAIT_MS = 1000
+READ_TIMEOUT_S = 3.0
+APPEND_TIMEOUT_S = 2.0
+APPEND_BATCH_RECORDS = 200
+APPEND_DELAY_S = 0.005
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 2.0
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
+
+
+@attrs.frozen
+class Appended:
+    """The offset that the log gave to an appended record."""
+
+    offset: int
+
+
+@attrs.frozen
+class FeedStatus:
+    """What the last read showed; ``earliest`` is the first retained offset."""
+
+    tail: int
+    earliest: int
+
+
+@attrs.define
+class Backoff:
+    """Delays between tries, in seconds, doubled up to a bound, with full jitter."""
+
+    rng: random.Random
+    low: float = RETRY_MIN_S
+    high: float = RETRY_MAX_S
+    _tries: int = 0
+
+    def next(self):
+        """Return the delay before the next try."""
+        bound = min(self.high, self.low * 2**self._tries)
+        self._tries = min(self._tries + 1, 16)
+        return self.low / 2 + self.rng.random() * bound
+
+    def reset(self):
+        """Start again from the shortest delay."""
+        self._tries = 0
+
+
+def log_request(stream, start, limit=READ_LIMIT_RECORDS, wait_ms=0):
+    """Return the request that reads a stream."""
+    target = f"/streams/{stream}?from={start}&limit={limit}&wait_ms={wait_ms}"
+    return HttpRequest("GET", target, ((b"host", b"log"),))
+
+
+def append_request(stream, records):
+    """Return the request that appends records to a stream."""
+    body = cbor2.dumps([encode_record(record) for record in records])
+    return HttpRequest("POST", f"/streams/{stream}", ((b"host", b"log"),), body)
+
+
+def parse_read(response):
+    """Return (FeedStatus, raw records) of a read's response body."""
+    page = cbor2.loads(response.body)
+    return FeedStatus(page["tail"], page["earliest"]), page["records"]
+
+
+def parse_append(response):
+    """Return the offset of the first appended record."""
+    return cbor2.loads(response.body)["first"]
+
+
+class Feed:
+    """Reads one stream in order from an offset and appends to it.
+
+    ``on_records(list of Logged)`` gets each record once, in offset order, whether it
+    was read here or handed on with ``accept``. ``on_fresh(sent_s)`` is called when a
+    read that was sent at ``sent_s`` has shown the tail and all before it has been
+    delivered. ``on_lost(earliest)`` is called when the next offset is not retained.
+    """
+
+    def __init__(self, loop, net, address, stream, on_records, **hooks):
+        self._loop = loop
+        self._stream = stream
+        self._on_records = on_records
+        self._on_fresh = hooks.get("on_fresh") or (lambda sent_s: None)
+        self._on_lost = hooks.get("on_lost") or (lambda earliest: None)
+        self._on_bad = hooks.get("on_bad") or (lambda offset, detail: None)
+        rng = hooks.get("rng") or random.Random()
+        self._reader = Requester(loop, net, address, BODY_LIMIT_BYTES)
+        self._writer = Requester(loop, net, address)
+        self._backoff = Backoff(rng)
+        self._queue = deque()
+        self._appending = False
+        self.next_offset = 0
+        self.status = FeedStatus(0, 0)
+        self.reachable = False
+
+    def start(self, offset=0):
+        """Begin reading at ``offset``."""
+        self.next_offset = offset
+        self._read()
+
+    def _read(self):
+        sent = self._loop.now()
+        wait = READ_WAIT_MS if self.reachable else 0
+        req = log_request(self._stream, self.next_offset, wait_ms=wait)
+        self._reader.request(
+            req, lambda res: self._read_done(res, sent), READ_TIMEOUT_S
+        )
+
+    def _read_done(self, result, sent):
+        status = result.status if isinstance(result, HttpResponse) else 0
+        if status == 410:
+            self._on_lost(cbor2.loads(result.body)["earliest"])
+        if status != 200:
+            self.reachable = False
+            self._loop.call_later(self._backoff.next(), self._read)
+            return
+        self.reachable = True
+        self._backoff.reset()
+        self.status, raw = parse_read(result)
+        self.accept(raw)
+        if self.next_offset >= self.status.tail:
+            self._on_fresh(sent)
+        self._loop.call_later(0, self._read)
+
+    def accept(self, raw):
+        """Take raw records [offset, time in ms, bytes]; skip what is known."""
+        batch = []
+        for offset, time_ms, data in raw:
+            if offset != self.next_offset:
+                continue
+            self.next_offset = offset + 1
+            record = self._decode(offset, data)
+            if record is not None:
+                batch.append(Logged(offset, time_ms, record))
+        if batch:
+            self._on_records(batch)
+
+    def _decode(self, offset, data):
+        try:
+            record = decode_record(data)
+        except RecordError as exc:
+            self._on_bad(offset, str(exc))
+            return None
+        if isinstance(record, UnknownRecord):
+            self._on_bad(offset, f"version {record.version} kind {record.kind}")
+        return record
+
+    def append(self, record, on_done=None):
+        """Append a record once; ``on_done(Appended | Refusal)`` tells the outcome.
+
+        ``Reason.UNAVAILABLE``: the log does not hold the record. ``Reason.UNKNOWN``:
+        it may hold it, and only reading can tell.
+        """
+        self._queue.append((record, on_done or (lambda result: None)))
+        if not self._appending:
+            self._appending = True
+            self._loop.call_later(APPEND_DELAY_S, self._append_next)
+
+    def _append_next(self):
+        if not self._queue:
+            self._appending = False
+            return
+        count = min(len(self._queue), APPEND_BATCH_RECORDS)
+        batch = [self._queue.popleft() for _ in range(count)]
+        req = append_request(self._stream, [record for record, _ in batch])
+        self._writer.request(
+            req, lambda result: self._append_done(batch, result), APPEND_TIMEOUT_S
+        )
+
+    def _append_done(self, batch, result):
+        if isinstance(result, HttpResponse) and result.status == 200:
+            first = parse_append(result)
+            outcomes = [Appended(first + index) for index in range(len(batch))]
+        else:
+            outcomes = [_append_refusal(result)] * len(batch)
+        for (_, on_done), outcome in zip(batch, outcomes, strict=True):
+            on_done(outcome)
+        self._append_next()
+
+
+def _append_refusal(result):
+    if isinstance(result, HttpResponse):
+        return Refusal(Reason.UNAVAILABLE, f"log answered {result.status}")
+    if result.sent:
+        return Refusal(Reason.UNKNOWN, result.detail)
+    return Refusal(Reason.UNAVAILABLE, result.detail)
--- /dev/null
+++ b/src/cardamomgrade/loop.py
@@ -0,0 +1,95 @@
+"""The one loop of a process: circuits' poller, timers and signals."""
+
+import heapq
+import itertools
+import signal
+import time
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+
+class Timer:
+    """A pending call; ``cancel`` drops it."""
+
+    __slots__ = ("due", "callback")
+
+    def __init__(self, due, callback):
+        self.due = due
+        self.callback = callback
+
+    def cancel(self):
+        """Make the timer do nothing when it is due."""
+        self.callback = None
+
+
+class Loop(BaseComponent):
+    """Root component with an epoll poller and a heap of timers.
+
+    Times are seconds of the monotonic clock.
+    """
+
+    channel = "loop"
+
+    def __init__(self):
+        super().__init__()
+        self.poller = EPoll().register(self)
+        self._heap = []
+        self._order = itertools.count()
+        self._on_stop = None
+        self._stopping = False
+
+    @staticmethod
+    def now():
+        """Return the monotonic time in seconds."""
+        return time.monotonic()
+
+    def call_later(self, delay, callback):
+        """Call ``callback`` after ``delay`` seconds and return its Timer."""
+        timer = Timer(self.now() + delay, callback)
+        heapq.heappush(self._heap, (timer.due, next(self._order), timer))
+        return timer
+
+    def call_every(self, interval, callback):
+        """Call ``callback`` every ``interval`` seconds until the loop ends."""
+
+        def again():
+            self.call_later(interval, again)
+            callback()
+
+        return self.call_later(interval, again)
+
+    @handler("generate_events", channel="*", priority=1)
+    def _on_generate_events(self, event):
+        while self._heap and self._heap[0][0] <= self.now():
+            callback = heapq.heappop(self._heap)[2].callback
+            if callback is not None:
+                callback()
+        if self._heap:
+            event.reduce_time_left(max(0.0, self._heap[0][0] - self.now()))
+
+    def on_stop(self, callback):
+        """Call ``callback`` at the first SIGTERM or SIGINT, to leave in order.
+
+        The callback ends the loop with ``finish``; a second signal ends it at once.
+        """
+        self._on_stop = callback
+
+    def _on_signal(self, signo, frame):
+        if self._stopping or self._on_stop is None:
+            raise SystemExit(1)
+        self._stopping = True
+        self.call_later(0, self._on_stop)
+        self.poller.resume()
+
+    def finish(self):
+        """End ``run`` normally."""
+        self.stop()
+
+    def run(self, socket=None):
+        """Run until ``finish`` is called."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        self._running = True
+        while self._running:
+            self.tick()
--- /dev/null
+++ b/src/cardamomgrade/net.py
@@ -0,0 +1,237 @@
+"""TCP connections on the loop, addressed by IP number and port."""
+
+import errno
+import socket
+
+from circuits import BaseComponent, handler
+
+from .errors import ConnectError
+
+READ_BYTES = 65536
+BACKLOG_CONNS = 512
+CONNECT_TIMEOUT_S = 1.0
+WRITE_BUFFER_LIMIT_BYTES = 4 * 1024 * 1024
+_IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK)
+
+
+def parse_address(text):
+    """Return (ip, port) of ``ip:port``."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+class Conn:
+    """One TCP connection.
+
+    The owner sets ``on_data(data)`` and ``on_close()``; ``on_close`` is called once,
+    unless the owner closed the connection itself.
+    """
+
+    def __init__(self, net, sock, peer):
+        self._net = net
+        self._sock = sock
+        self._out = bytearray()
+        self._closing = False
+        self.peer = peer
+        self.closed = False
+        self.on_data = None
+        self.on_close = None
+
+    @property
+    def pending(self):
+        """Bytes written that the kernel has not taken yet."""
+        return len(self._out)
+
+    def write(self, data):
+        """Send ``data``; a reader that is too slow loses the connection."""
+        if self.closed or self._closing:
+            return
+        if not self._out:
+            data = self._send(data)
+        if self.closed or not data:
+            return
+        self._out += data
+        if len(self._out) > WRITE_BUFFER_LIMIT_BYTES:
+            self.abort()
+            return
+        self._net.watch_writes(self._sock, True)
+
+    def _send(self, data):
+        try:
+            return data[self._sock.send(data) :]
+        except BlockingIOError:
+            return data
+        except OSError:
+            self._lose()
+            return b""
+
+    def close(self):
+        """Close after what was written has been sent."""
+        self._closing = True
+        if not self._out:
+            self.abort()
+
+    def abort(self):
+        """Close at once; ``on_close`` is not called."""
+        self.on_close = None
+        self._lose()
+
+    def pause_reads(self, paused):
+        """Stop or resume reading, so that the peer's sending blocks."""
+        if not self.closed:
+            self._net.watch_reads(self._sock, not paused)
+
+    def _lose(self):
+        if self.closed:
+            return
+        self.closed = True
+        self._net.forget(self._sock)
+        self._sock.close()
+        callback, self.on_close = self.on_close, None
+        if callback is not None:
+            callback()
+
+    def readable(self):
+        """Take what the kernel holds; called by Net."""
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self._lose()
+        elif self.on_data is not None:
+            self.on_data(data)
+
+    def writable(self):
+        """Send what is pending; called by Net."""
+        self._out = bytearray(self._send(bytes(self._out)))
+        if self.closed or self._out:
+            return
+        self._net.watch_writes(self._sock, False)
+        if self._closing:
+            self.abort()
+
+
+class Net(BaseComponent):
+    """Listens and dials for one process."""
+
+    channel = "net"
+
+    def __init__(self, loop):
+        super().__init__()
+        self._loop = loop
+        self._poller = loop.poller
+        self._conns = {}
+        self._dials = {}
+        self._listeners = {}
+        self.register(loop)
+
+    def listen(self, host, port, on_conn):
+        """Call ``on_conn(conn)`` for each connection; return the bound port."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(BACKLOG_CONNS)
+        sock.setblocking(False)
+        self._listeners[sock] = on_conn
+        self._poller.addReader(self, sock)
+        return sock.getsockname()[1]
+
+    def close_listeners(self):
+        """Stop accepting."""
+        for sock in self._listeners:
+            self._poller.discard(sock)
+            sock.close()
+        self._listeners.clear()
+
+    def dial(self, host, port, on_open, on_fail, timeout=CONNECT_TIMEOUT_S):
+        """Connect; call ``on_open(conn)`` or ``on_fail(ConnectError)`` later."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex((host, port))
+        if code not in (0, *_IN_PROGRESS):
+            sock.close()
+            exc = ConnectError(f"{host}:{port}: {errno.errorcode.get(code, code)}")
+            self._loop.call_later(0, lambda: on_fail(exc))
+            return
+        timer = self._loop.call_later(
+            timeout, lambda: self._dial_failed(sock, "timed out")
+        )
+        self._dials[sock] = ((host, port), on_open, on_fail, timer)
+        self._poller.addWriter(self, sock)
+
+    def _dial_failed(self, sock, detail):
+        peer, _, on_fail, timer = self._dials.pop(sock)
+        timer.cancel()
+        self._poller.discard(sock)
+        sock.close()
+        on_fail(ConnectError(f"{peer[0]}:{peer[1]}: {detail}"))
+
+    def _dial_done(self, sock):
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._dial_failed(sock, errno.errorcode.get(code, str(code)))
+            return
+        peer, on_open, _, timer = self._dials.pop(sock)
+        timer.cancel()
+        self._poller.removeWriter(sock)
+        on_open(self._adopt(sock, peer))
+
+    def _adopt(self, sock, peer):
+        conn = Conn(self, sock, peer)
+        self._conns[sock] = conn
+        self._poller.addReader(self, sock)
+        return conn
+
+    def _accept(self, listener):
+        while True:
+            try:
+                sock, peer = listener.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._listeners[listener](self._adopt(sock, peer))
+
+    def watch_writes(self, sock, wanted):
+        """Start or stop waiting for room to write."""
+        if wanted and not self._poller.isWriting(sock):
+            self._poller.addWriter(self, sock)
+        elif not wanted and self._poller.isWriting(sock):
+            self._poller.removeWriter(sock)
+
+    def watch_reads(self, sock, wanted):
+        """Start or stop waiting for data."""
+        if wanted and not self._poller.isReading(sock):
+            self._poller.addReader(self, sock)
+        elif not wanted and self._poller.isReading(sock):
+            self._poller.removeReader(sock)
+
+    def forget(self, sock):
+        """Stop watching a socket that is about to be closed."""
+        self._conns.pop(sock, None)
+        self._poller.discard(sock)
+
+    @handler("_read")
+    def _on_read(self, sock):
+        if sock in self._listeners:
+            self._accept(sock)
+        elif sock in self._conns:
+            self._conns[sock].readable()
+
+    @handler("_write")
+    def _on_write(self, sock):
+        if sock in self._dials:
+            self._dial_done(sock)
+        elif sock in self._conns:
+            self._conns[sock].writable()
+
+    @handler("_disconnect")
+    def _on_disconnect(self, sock):
+        if sock in self._dials:
+            self._dial_done(sock)
+        elif sock in self._conns:
+            self._conns[sock].readable()
--- /dev/null
+++ b/src/cardamomgrade/server.py
@@ -0,0 +1,256 @@
+"""HTTP/1.1 server side: whole requests in, whole responses out, in order."""
+
+import attrs
+import h11
+
+from .errors import WireError
+from .wire import (
+    BODY_LIMIT_BYTES,
+    check_head,
+    has_body,
+    HEAD_END,
+    HEAD_LIMIT_BYTES,
+    HttpRequest,
+    HttpResponse,
+    response_headers,
+)
+
+MESSAGE_TIMEOUT_S = 10.0
+IDLE_TIMEOUT_S = 60.0
+CONNECTION_LIMIT = 2000
+
+
+@attrs.frozen
+class ServerLimits:
+    """Bounds of a server; sizes in bytes, times in seconds."""
+
+    body_bytes: int = BODY_LIMIT_BYTES
+    connections: int = CONNECTION_LIMIT
+    message_s: float = MESSAGE_TIMEOUT_S
+    idle_s: float = IDLE_TIMEOUT_S
+
+
+def plain_response(status, text, headers=()):
+    """Return a response with a plain text body."""
+    return HttpResponse(
+        status, ((b"content-type", b"text/plain"), *headers), text.encode() + b"\n"
+    )
+
+
+class Exchange:
+    """One request and the duty to answer it once.
+
+    ``on_gone`` is called when the caller closes before the answer was given.
+    """
+
+    def __init__(self, session, req, peer):
+        self._session = session
+        self.req = req
+        self.peer = peer
+        self.answered = False
+        self.on_gone = None
+
+    def respond(self, response):
+        """Answer the request; later calls do nothing."""
+        if self.answered:
+            return
+        self.answered = True
+        self._session.answer(self, response)
+
+    def gone(self):
+        """Tell the owner that the caller has left; called by the session."""
+        if not self.answered:
+            self.answered = True
+            if self.on_gone is not None:
+                self.on_gone()
+
+
+class _Session:
+    """A caller's connection; one request at a time, pipelined ones wait."""
+
+    def __init__(self, server, conn):
+        self._server = server
+        self._conn = conn
+        self._buffer = b""
+        self._http = None
+        self._exchange = None
+        self._head = None
+        self._body = []
+        self._size = 0
+        self._timer = None
+        conn.on_data = self._on_data
+        conn.on_close = self._on_close
+        self._arm(server.limits.idle_s, self._drop)
+
+    def _arm(self, delay, callback):
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._server.loop.call_later(delay, callback)
+
+    def _drop(self):
+        self._conn.abort()
+        self._on_close()
+
+    def _on_close(self):
+        self._timer.cancel()
+        self._server.sessions.discard(self)
+        if self._exchange is not None:
+            self._exchange.gone()
+
+    def close_idle(self):
+        """Close now unless a request is being read or answered."""
+        if self._exchange is None and self._http is None and not self._buffer:
+            self._drop()
+
+    def _on_data(self, data):
+        if self._exchange is not None:
+            self._buffer += data
+            if len(self._buffer) > self._server.limits.body_bytes:
+                self._conn.pause_reads(True)
+            return
+        if self._http is None:
+            self._start(self._buffer + data)
+        else:
+            self._feed(data)
+
+    def _start(self, data):
+        if not self._buffer:
+            self._arm(self._server.limits.message_s, self._too_slow)
+        self._buffer = data.lstrip(b"\r\n") if data[:2] == b"\r\n" else data
+        if HEAD_END not in self._buffer:
+            if len(self._buffer) > HEAD_LIMIT_BYTES:
+                self._refuse(431, "head too large")
+            return
+        bad = check_head(self._buffer)
+        if bad is not None:
+            self._refuse(bad.status, bad.detail)
+            return
+        data, self._buffer = self._buffer, b""
+        self._http = h11.Connection(h11.SERVER, HEAD_LIMIT_BYTES)
+        self._head, self._body, self._size = None, [], 0
+        self._feed(data)
+
+    def _too_slow(self):
+        self._refuse(408, "request not received in time")
+
+    def _refuse(self, status, detail):
+        headers = (("connection", "close"),)
+        response = self._server.refusal(status, detail)
+        raw = h11.Connection(h11.SERVER)
+        event = h11.Response(
+            status_code=response.status,
+            headers=[*response_headers(response), *headers],
+        )
+        self._conn.write(raw.send(event) + response.body)
+        self._conn.on_data = None
+        self._conn.close()
+        self._on_close()
+
+    def _feed(self, data):
+        try:
+            self._http.receive_data(data)
+            self._pump()
+        except h11.RemoteProtocolError as exc:
+            self._refuse(exc.error_status_hint, str(exc))
+
+    def _pump(self):
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.Request):
+                self._head = event
+                if event.method == b"CONNECT":
+                    self._refuse(501, "CONNECT is not supported")
+                    return
+            elif isinstance(event, h11.Data):
+                self._body.append(bytes(event.data))
+                self._size += len(event.data)
+                if self._size > self._server.limits.body_bytes:
+                    self._refuse(413, "body too large")
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._complete()
+                return
+            else:
+                self._continue()
+                return
+
+    def _continue(self):
+        if self._http.they_are_waiting_for_100_continue:
+            event = h11.InformationalResponse(status_code=100, headers=())
+            self._conn.write(self._http.send(event))
+
+    def _complete(self):
+        self._timer.cancel()
+        self._buffer = self._http.trailing_data[0]
+        head = self._head
+        req = HttpRequest(
+            head.method.decode("ascii"),
+            head.target.decode("ascii"),
+            tuple(head.headers),
+            b"".join(self._body),
+        )
+        self._exchange = Exchange(self, req, self._conn.peer)
+        self._server.on_request(self._exchange)
+
+    def answer(self, exchange, response):
+        """Write the response and go on with the next pipelined request."""
+        if self._conn.closed:
+            return
+        http, self._http, self._exchange = self._http, None, None
+        headers = response_headers(response)
+        if self._server.draining:
+            headers.append((b"connection", b"close"))
+        try:
+            out = http.send(h11.Response(status_code=response.status, headers=headers))
+            if response.body and has_body(exchange.req.method, response.status):
+                out += http.send(h11.Data(data=response.body))
+            out += http.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as exc:
+            self._drop()
+            raise WireError(f"response is not valid HTTP: {exc}") from exc
+        self._conn.write(out)
+        if http.our_state is h11.MUST_CLOSE or self._conn.closed:
+            self._conn.close()
+            self._on_close()
+            return
+        self._arm(self._server.limits.idle_s, self._drop)
+        self._conn.pause_reads(False)
+        if self._buffer:
+            data, self._buffer = self._buffer, b""
+            self._server.loop.call_later(0, lambda: self._resume(data))
+
+    def _resume(self, data):
+        if not self._conn.closed:
+            self._on_data(data)
+
+
+class HttpServer:
+    """Serves ``on_request(exchange)`` on one or more addresses.
+
+    ``refusal(status, detail)`` makes the response to a request that is no valid HTTP.
+    """
+
+    def __init__(self, loop, net, on_request, limits=None, refusal=plain_response):
+        self.loop = loop
+        self.on_request = on_request
+        self.limits = limits or ServerLimits()
+        self.refusal = refusal
+        self.sessions = set()
+        self.draining = False
+        self._net = net
+
+    def listen(self, host, port):
+        """Start listening and return the bound port."""
+        return self._net.listen(host, port, self._on_conn)
+
+    def drain(self):
+        """Close idle connections now and the others after their answer."""
+        self.draining = True
+        for session in list(self.sessions):
+            session.close_idle()
+
+    def _on_conn(self, conn):
+        if len(self.sessions) >= self.limits.connections or self.draining:
+            conn.abort()
+            return
+        self.sessions.add(_Session(self, conn))
