--- a/src/cardamomgrade/records.py
+++ b/src/cardamomgrade/records.py
@@ -321,9 +321,25 @@
     if not isinstance(fields, list) or len(fields) != len(attrs.fields(cls)):
         raise RecordError(f"{cls.__name__}: wrong number of fields")
     try:
-        return cls(*fields)
+        record = cls(*fields)
     except (TypeError, ValueError, IndexError) as exc:
         raise RecordError(f"{cls.__name__}: {exc}") from exc
+    for field in attrs.fields(cls):
+        if not _has_type(getattr(record, field.name), field):
+            raise RecordError(f"{cls.__name__}: {field.name} has the wrong type")
+    return record
+
+
+def _has_type(value, field):
+    if field.name == "sections":
+        texts = [text for item in value for pair in item.options for text in pair]
+        texts += [item.name for item in value]
+        return all(isinstance(text, str) for text in texts)
+    if field.type is tuple:
+        return all(isinstance(item, str) for item in value)
+    if field.type is float:
+        return isinstance(value, (int, float))
+    return isinstance(value, field.type)
 
 
 def _unpack(data):
