Add the stand-ins of the platform and the endpoints

Cause: the whole path needs a log, a VM list, reboots and endpoints to run against. Ruled out: circuits.web for the stand-ins; a long poll and a lost answer need a held and a dropped exchange, which our HTTP server has. Change: cardamom-standin with log, lagging VM list, fenced reboots, endpoints with counts, and faults over POST /faults and /__faults. Conclusion: the programs can be run against it.

--- a/src/cardamomgrade/server.py
+++ b/src/cardamomgrade/server.py
@@ -57,6 +57,16 @@
         self.answered = True
         self._session.answer(self, response)
 
+    def drop(self):
+        """Close the caller's connection without an answer."""
+        self.answered = True
+        self._session.close_now()
+
+    def respond_half(self, response):
+        """Send the head and half of the body, then close; for stand-ins."""
+        self.answered = True
+        self._session.answer_half(response)
+
     def gone(self):
         """Tell the owner that the caller has left; called by the session."""
         if not self.answered:
@@ -97,6 +107,24 @@
         if self._exchange is not None:
             self._exchange.gone()
 
+    def serves(self, exchange):
+        """Return whether ``exchange`` belongs to this connection."""
+        return self._exchange is exchange
+
+    def close_now(self):
+        """Close without an answer to what is being read or answered."""
+        self._drop()
+
+    def answer_half(self, response):
+        """Send half of the body under its whole length, then close."""
+        raw = h11.Connection(h11.SERVER)
+        event = h11.Response(
+            status_code=response.status, headers=response_headers(response)
+        )
+        self._conn.write(raw.send(event) + response.body[: len(response.body) // 2])
+        self._conn.close()
+        self._on_close()
+
     def close_idle(self):
         """Close now unless a request is being read or answered."""
         if self._exchange is None and self._http is None and not self._buffer:
@@ -249,6 +277,12 @@
         for session in list(self.sessions):
             session.close_idle()
 
+    def drop_others(self, exchange):
+        """Close every connection but the one of ``exchange``."""
+        for session in list(self.sessions):
+            if not session.serves(exchange):
+                session.close_now()
+
     def _on_conn(self, conn):
         if len(self.sessions) >= self.limits.connections or self.draining:
             conn.abort()
--- /dev/null
+++ b/src/cardamomgrade/standin.py
@@ -0,0 +1,131 @@
+"""Program ``cardamom-standin``: the platform's and the endpoints' stand-ins.
+
+Settings: ``[standin] listen`` serves the log service, the VM interface and
+``POST /faults``; ``[vms]`` lists ``name = kind zone rack ip:port`` for the platform;
+``[endpoints]`` lists ``name = ip:port`` of the endpoints that this process runs.
+"""
+
+import json
+import sys
+
+import attrs
+
+from .errors import SettingsError
+from .loop import Loop
+from .net import Net, parse_address
+from .server import HttpServer, ServerLimits
+from .settings import address, name, read_ini
+from .standend import EndpointStandin
+from .standlog import LogStandin
+from .standvms import json_response, KIND_ENDPOINT, KIND_ENTRY, ListedVm, VmStandin
+
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
+SECTIONS = ("standin", "vms", "endpoints")
+
+
+@attrs.frozen
+class StandinSettings:
+    """What one stand-in process serves; ``listen`` is empty without a platform."""
+
+    listen: str
+    vms: tuple
+    endpoints: tuple
+
+
+def load_standin(path):
+    """Return the settings of a stand-in, or raise SettingsError."""
+    parser = read_ini(path)
+    for section in parser.sections():
+        if section not in SECTIONS:
+            allowed = ", ".join(SECTIONS)
+            raise SettingsError(f"{path}: unknown [{section}]; allowed: {allowed}")
+    try:
+        listen = parser.get("standin", "listen", fallback="")
+        return StandinSettings(
+            address(listen) if listen else "",
+            tuple(_listed(key, text) for key, text in _items(parser, "vms")),
+            tuple(
+                (name(key), address(text)) for key, text in _items(parser, "endpoints")
+            ),
+        )
+    except ValueError as exc:
+        raise SettingsError(f"{path}: {exc}") from exc
+
+
+def _items(parser, section):
+    return parser[section].items() if parser.has_section(section) else ()
+
+
+def _listed(key, text):
+    parts = text.split()
+    if len(parts) != 4 or parts[0] not in (KIND_ENDPOINT, KIND_ENTRY):
+        raise ValueError(f"[vms] {key} = {text!r}; allowed: kind zone rack ip:port")
+    return ListedVm(name(key), parts[0], parts[1], parts[2], address(parts[3]))
+
+
+class PlatformStandin:
+    """Serves the log, the VM list and the switch of faults on one address."""
+
+    def __init__(self, loop, net, listed):
+        self.log = LogStandin(loop)
+        self.vms = VmStandin(loop, net, listed)
+        self._server = HttpServer(
+            loop, net, self._on_request, ServerLimits(body_bytes=BODY_LIMIT_BYTES)
+        )
+
+    def listen(self, host, port):
+        """Start serving and return the bound port."""
+        return self._server.listen(host, port)
+
+    def _on_request(self, exchange):
+        path = exchange.req.path
+        if path.startswith("/streams/"):
+            self.log.handle(exchange)
+        elif path.startswith("/vms"):
+            self.vms.handle(exchange)
+        elif path == "/faults":
+            self._set_faults(exchange)
+        else:
+            exchange.respond(json_response({"error": "unknown path"}, 404))
+
+    def _set_faults(self, exchange):
+        wanted = json.loads(exchange.req.body or b"{}")
+        known = {}
+        for faults in (self.log.faults, self.vms.faults):
+            for field in attrs.fields(type(faults)):
+                if field.name in wanted:
+                    setattr(faults, field.name, wanted.pop(field.name))
+                known[field.name] = getattr(faults, field.name)
+        self.log.trim()
+        if wanted:
+            view = {"unknown": sorted(wanted), "allowed": sorted(known)}
+            exchange.respond(json_response(view, 400))
+            return
+        known["appends"] = self.log.appends
+        exchange.respond(json_response(known))
+
+
+def main():
+    """Run the stand-ins that the settings file names."""
+    if len(sys.argv) != 2:
+        sys.exit("usage: cardamom-standin SETTINGS.ini")
+    try:
+        cfg = load_standin(sys.argv[1])
+    except SettingsError as exc:
+        sys.exit(str(exc))
+    loop = Loop()
+    net = Net(loop)
+    if cfg.listen:
+        platform = PlatformStandin(loop, net, cfg.vms)
+        platform.listen(*parse_address(cfg.listen))
+    endpoints = [
+        EndpointStandin(loop, net, key, parse_address(text))
+        for key, text in cfg.endpoints
+    ]
+    loop.on_stop(loop.finish)
+    loop.run()
+    endpoints.clear()
+
+
+if __name__ == "__main__":
+    main()
