--- a/src/cardamomgrade/loop.py
+++ b/src/cardamomgrade/loop.py
@@ -83,8 +83,8 @@
         self.poller.resume()
 
     def finish(self):
-        """End ``run`` normally."""
-        self.stop()
+        """End ``run`` after the current tick."""
+        self._running = False
 
     def run(self, socket=None):
         """Run until ``finish`` is called."""
--- a/src/cardamomgrade/standend.py
+++ b/src/cardamomgrade/standend.py
@@ -35,7 +35,10 @@
 
 @attrs.define
 class EndpointCounts:
-    """Counts since the process began; ``runs`` is by request id and by key."""
+    """Counts since the process began.
+
+    ``runs`` is by ``Load-Id`` or request id, ``keys`` by idempotency key.
+    """
 
     runs: Counter = attrs.field(factory=Counter)
     keys: Counter = attrs.field(factory=Counter)
@@ -116,7 +119,8 @@
             exchange.respond(HttpResponse(500, (), b"failed\n"))
             return
         counts, generation = self.counts, self._generation
-        counts.runs[exchange.req.header("request-id")] += 1
+        request_id = exchange.req.header("request-id")
+        counts.runs[exchange.req.header("load-id", request_id)] += 1
         key = exchange.req.header("idempotency-key")
         if key:
             counts.keys[key] += 1
--- /dev/null
+++ b/tests/environment.py
@@ -0,0 +1,12 @@
+"""Makes tests/harness.py importable and ends what a scenario left running."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+import harness  # noqa: E402
+
+
+def after_scenario(context, scenario):
+    harness.end_processes()
--- /dev/null
+++ b/tests/steps/server.py
@@ -0,0 +1,161 @@
+"""Steps for the HTTP server and client modules."""
+
+from behave import given, then, when
+from hypothesis import given as generated, settings, strategies as st
+
+from cardamomgrade.client import ClientConn
+from cardamomgrade.server import HttpServer, ServerLimits
+from cardamomgrade.wire import HttpRequest, HttpResponse
+from harness import Rig
+
+HOST = "127.0.0.1"
+FIXED = settings(max_examples=150, derandomize=True, deadline=None, database=None)
+PIECES = st.sampled_from(
+    [
+        b"GET / HTTP/1.1\r\n",
+        b"POST /x HTTP/1.1\r\n",
+        b"Host: a\r\n",
+        b"Content-Length: 3\r\n",
+        b"Content-Length: 0x3\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"Connection: close\r\n",
+        b"Expect: 100-continue\r\n",
+        b"Upgrade: websocket\r\n",
+        b"\r\n",
+        b"abc",
+        b"3\r\nabc\r\n0\r\n\r\n",
+        b"\x00\xff",
+        b"\n",
+    ]
+)
+
+
+def serve(context, on_request, limits=None):
+    context.rig = Rig()
+    context.server = HttpServer(context.rig.loop, context.rig.net, on_request, limits)
+    context.port = context.server.listen(HOST, 0)
+
+
+def ok(exchange):
+    exchange.respond(HttpResponse(200, (), b"fine\n"))
+
+
+def raw_bytes(text):
+    """Read ~ as CRLF, ^ as a bare LF and a last *N as N filling bytes."""
+    text, _, count = text.partition("*")
+    data = text.replace("~", "\r\n").replace("^", "\n").encode()
+    return data + b"x" * int(count or 0)
+
+
+class RawCaller:
+    """Sends bytes and keeps what comes back."""
+
+    def __init__(self, rig, port, data):
+        self.got = b""
+        self.closed = False
+        self.conn = None
+        rig.net.dial(HOST, port, lambda conn: self._opened(conn, data), print)
+
+    def _opened(self, conn, data):
+        self.conn = conn
+        conn.on_data = self._more
+        conn.on_close = self._end
+        conn.write(data)
+
+    def _more(self, data):
+        self.got += data
+
+    def _end(self):
+        self.closed = True
+
+
+@given("a server that answers every request with 200")
+def step_server(context):
+    serve(context, ok)
+
+
+@given("a server that echoes the path after a delay that shrinks")
+def step_echo_server(context):
+    delays = [0.03, 0.02, 0.01]
+
+    def echo(exchange):
+        response = HttpResponse(200, (), exchange.req.path.encode())
+        context.rig.loop.call_later(delays.pop(0), lambda: exchange.respond(response))
+
+    serve(context, echo)
+
+
+@given("a server that waits {seconds:g} s for a whole request")
+def step_impatient_server(context, seconds):
+    serve(context, ok, ServerLimits(message_s=seconds))
+
+
+@given("a server that answers {method} with {status:d}")
+def step_status_server(context, method, status):
+    serve(
+        context, lambda exchange: exchange.respond(HttpResponse(status, (), b"12345"))
+    )
+
+
+@when('the raw request "{text}" arrives')
+def step_raw_request(context, text):
+    context.caller = RawCaller(context.rig, context.port, raw_bytes(text))
+
+
+@when("a client sends {method}")
+def step_client_sends(context, method):
+    context.results = []
+
+    def opened(conn):
+        req = HttpRequest(method, "/", ((b"host", b"a"),))
+        ClientConn(conn).send(req, context.results.append)
+
+    context.rig.net.dial(HOST, context.port, opened, context.results.append)
+    context.rig.run_until(lambda: context.results)
+
+
+@then("the server answers {status:d} and closes")
+def step_answers_and_closes(context, status):
+    context.rig.run_until(lambda: context.caller.closed)
+    assert context.caller.got.startswith(f"HTTP/1.1 {status} ".encode()), (
+        context.caller.got
+    )
+
+
+@then("the server answers {status:d} and stays open")
+def step_answers_and_stays(context, status):
+    context.rig.run_until(lambda: context.caller.got)
+    assert context.caller.got.startswith(f"HTTP/1.1 {status} ".encode())
+    assert not context.caller.closed
+
+
+@then('the bodies arrive in the order "{paths}"')
+def step_bodies_in_order(context, paths):
+    context.rig.run_until(lambda: context.caller.closed)
+    found = [context.caller.got.index(path.encode()) for path in paths.split()]
+    assert found == sorted(found), context.caller.got
+
+
+@then("the client gets {status:d} with a body of {size:d} bytes")
+def step_client_gets(context, status, size):
+    result = context.results[0]
+    assert result.status == status, result
+    assert len(result.body) == size, result
+
+
+@then("generated raw requests are answered or closed and the server goes on")
+def step_generated_requests(context):
+    rig = context.rig
+
+    @FIXED
+    @generated(st.lists(PIECES, min_size=1, max_size=8))
+    def check(pieces):
+        caller = RawCaller(rig, context.port, b"".join(pieces))
+        rig.run_for(0.003)
+        if caller.conn is not None:
+            caller.conn.abort()
+        good = RawCaller(rig, context.port, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        rig.run_until(lambda: b"fine" in good.got)
+        good.conn.abort()
+
+    check()
