--- a/src/cardamomgrade/batch.py
+++ b/src/cardamomgrade/batch.py
@@ -9,7 +9,7 @@
 
 from .budget import check_budget
 from .chart import load_chart
-from .inventory import RoundDone
+from .inventory import RoundDone, VmState
 from .refusal import Reason, Refusal
 
 LEASE_MS = 5000
@@ -159,15 +159,33 @@
     return attrs.evolve(batch, phase=phase)
 
 
-def _put(state, batch, **changes):
-    return attrs.evolve(
-        state, batches={**state.batches, batch.offset: batch}, **changes
-    )
+@attrs.frozen
+class _Step:
+    """A batch and one of its VMs after a trigger on both."""
+
+    batch: Batch
+    vm: VmState
 
 
-def _remove(state, batch, **changes):
-    batches = dict(state.batches)
-    del batches[batch.offset]
+def _step_vm(state, record, trigger):
+    """Return the _Step of a record on one VM, or a Refusal."""
+    batch = _find(state, record, trigger)
+    if isinstance(batch, Refusal):
+        return batch
+    vm = state.vms.get(record.vm)
+    if vm is None or vm.batch != batch.offset:
+        return Refusal(Reason.UNKNOWN, f"{record.vm} is not in the batch")
+    phase = VM_CHART.next(vm.phase, trigger)
+    if isinstance(phase, Refusal):
+        return phase
+    return _Step(batch, attrs.evolve(vm, phase=phase, since_ms=state.time_ms))
+
+
+def _put(state, batch, **changes):
+    """Return the state with a batch, which is dropped in a final state."""
+    batches = {**state.batches, batch.offset: batch}
+    if not BATCH_CHART.transitions[batch.phase]:
+        del batches[batch.offset]
     return attrs.evolve(state, batches=batches, **changes)
 
 
@@ -234,53 +252,41 @@
 
 def order_reboot(state, record, offset):
     """Fold RebootOrdered; the offset becomes the fence of the VM."""
-    batch = _find(state, record, "reboot_ordered")
-    if isinstance(batch, Refusal):
-        return batch
-    vm = state.vms.get(record.vm)
-    if vm is None or vm.batch != batch.offset:
-        return Refusal(Reason.UNKNOWN, f"{record.vm} is not in the batch")
-    phase = VM_CHART.next(vm.phase, "reboot_ordered")
-    if isinstance(phase, Refusal):
-        return phase
+    step = _step_vm(state, record, "reboot_ordered")
+    if isinstance(step, Refusal):
+        return step
+    batch, vm = step.batch, step.vm
     valid_ms = reboot_after_ms(state, batch)
     if state.time_ms < valid_ms:
         missing = ", ".join(missing_confirms(state, batch)) or "former members"
         return Refusal(
             Reason.NOT_CONFIRMED, f"{missing}; wait {valid_ms - state.time_ms} ms"
         )
-    vm = attrs.evolve(vm, phase=phase, fence=offset, since_ms=state.time_ms)
+    vm = attrs.evolve(vm, fence=offset)
     return attrs.evolve(state, vms=state.vms.replace([vm]))
 
 
 def join_vm(state, record, offset):
     """Fold VmJoined: the VM serves in its pool; the last one closes the batch."""
-    batch = _find(state, record, "vm_joined")
-    if isinstance(batch, Refusal):
-        return batch
-    vm = state.vms.get(record.vm)
-    if vm is None or vm.batch != batch.offset:
-        return Refusal(Reason.UNKNOWN, f"{record.vm} is not in the batch")
-    phase = VM_CHART.next(vm.phase, "vm_joined")
-    if isinstance(phase, Refusal):
-        return phase
+    step = _step_vm(state, record, "vm_joined")
+    if isinstance(step, Refusal):
+        return step
+    batch, vm = step.batch, step.vm
     if record.fence != vm.fence:
         return Refusal(Reason.OUTDATED, f"the last order is at offset {vm.fence}")
     vm = attrs.evolve(
         vm,
         pool=batch.pool or vm.pool,
-        phase=phase,
-        since_ms=state.time_ms,
         batch=None,
         failed=False,
         rounds=_rounds(state, vm, batch),
     )
-    vms = state.vms.replace([vm])
-    batch = attrs.evolve(batch, joined=batch.joined | {vm.name})
-    if len(batch.joined) < len(batch.vms):
-        return _put(state, batch, vms=vms)
-    BATCH_CHART.next(batch.phase, "last_vm_joined")
-    return _remove(state, batch, vms=vms)
+    joined = batch.joined | {vm.name}
+    phase = batch.phase
+    if len(joined) == len(batch.vms):
+        phase = BATCH_CHART.next(phase, "last_vm_joined")
+    batch = attrs.evolve(batch, joined=joined, phase=phase)
+    return _put(state, batch, vms=state.vms.replace([vm]))
 
 
 def _rounds(state, vm, batch):
@@ -303,4 +309,4 @@
     vms = _step_vms(state, batch.vms, "batch_aborted", batch=None)
     if isinstance(vms, Refusal):
         return vms
-    return _remove(state, batch, vms=vms)
+    return _put(state, batch, vms=vms)
--- a/src/cardamomgrade/bundle.py
+++ b/src/cardamomgrade/bundle.py
@@ -129,7 +129,7 @@
 
 @attrs.frozen
 class Wave:
-    """A maintenance wave: every VM of its pools is rebooted once a round."""
+    """A maintenance wave: every VM of its pools is rebooted once in a round above 0."""
 
     name: str
     pools: tuple = _names()
--- a/src/cardamomgrade/inventory.py
+++ b/src/cardamomgrade/inventory.py
@@ -41,11 +41,11 @@
         return not self.failed and self.phase in ("serving", "noticed")
 
     def round_done(self, wave):
-        """Return the last round of ``wave`` in which it was rebooted, or -1."""
+        """Return the last round of ``wave`` in which it was rebooted, or 0."""
         for item in self.rounds:
             if item.wave == wave:
                 return item.round
-        return -1
+        return 0
 
 
 @attrs.frozen(eq=False)
