--- /dev/null
+++ b/src/cardamomgrade/metrics.py
@@ -0,0 +1,64 @@
+"""Counters and timings of one process; timings are HDR histograms."""
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 3600 * 1000 * 1000
+SIGNIFICANT_DIGITS = 2
+US_PER_S = 1_000_000
+
+
+@attrs.frozen
+class TimingView:
+    """Percentiles of one timing in microseconds."""
+
+    count: int
+    p50_us: int
+    p90_us: int
+    p99_us: int
+    max_us: int
+
+
+@attrs.frozen
+class MetricsView:
+    """Counters and timings by name."""
+
+    counters: dict
+    timings: dict
+
+
+def _timing_view(histogram):
+    return TimingView(
+        histogram.get_total_count(),
+        histogram.get_value_at_percentile(50),
+        histogram.get_value_at_percentile(90),
+        histogram.get_value_at_percentile(99),
+        histogram.get_max_value(),
+    )
+
+
+class Metrics:
+    """Counters and timings, created at their first use."""
+
+    def __init__(self):
+        self._counters = {}
+        self._timings = {}
+
+    def count(self, name, amount=1):
+        """Add ``amount`` to a counter."""
+        self._counters[name] = self._counters.get(name, 0) + amount
+
+    def time(self, name, seconds):
+        """Record a duration in seconds."""
+        histogram = self._timings.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self._timings[name] = histogram
+        value = max(LOWEST_US, min(int(seconds * US_PER_S), HIGHEST_US))
+        histogram.record_value(value)
+
+    def view(self):
+        """Return a MetricsView of what was recorded so far."""
+        timings = {name: _timing_view(item) for name, item in self._timings.items()}
+        return MetricsView(dict(self._counters), timings)
--- a/src/cardamomgrade/settings.py
+++ b/src/cardamomgrade/settings.py
@@ -13,13 +13,17 @@
 from .errors import SettingsError
 
 PEERS_SECTION = "peers"
+HIDDEN = "(hidden)"
 
 
-def option(section, convert, allowed, default=attrs.NOTHING):
-    """Return an attrs field read from ``[section]``; ``allowed`` is for people."""
+def option(section, convert, allowed, default=attrs.NOTHING, secret=False):
+    """Return an attrs field read from ``[section]``; ``allowed`` is for people.
+
+    The value of a secret option is never shown.
+    """
+    metadata = {"section": section, "convert": convert, "allowed": allowed}
     return attrs.field(
-        default=default,
-        metadata={"section": section, "convert": convert, "allowed": allowed},
+        default=default, repr=not secret, metadata={**metadata, "secret": secret}
     )
 
 
@@ -121,7 +125,8 @@
         return field.metadata["convert"](text)
     except ValueError as exc:
         allowed = field.metadata["allowed"]
-        shown = text if isinstance(text, str) else dict(text)
+        shown = HIDDEN if field.metadata["secret"] else text
+        shown = shown if isinstance(shown, str) else dict(shown)
         raise SettingsError(
             f"{path}: [{section}] {field.name} = {shown!r}: {exc}; allowed: {allowed}"
         ) from exc
@@ -139,5 +144,6 @@
         if section == PEERS_SECTION:
             lines.extend(f"{key} = {item}" for key, item in value)
         else:
-            lines.append(f"{field.name} = {value}")
+            shown = HIDDEN if field.metadata["secret"] else value
+            lines.append(f"{field.name} = {shown}")
     return "\n".join(lines) + "\n"
--- /dev/null
+++ b/tests/steps/estate.py
@@ -0,0 +1,78 @@
+"""Steps for the client of the platform's VM interface."""
+
+import json
+
+from behave import given as given_step, then
+from hypothesis import given, settings, strategies as st
+from loops import ask, new_loop
+
+from cardamomgrade.errors import PlatformError
+from cardamomgrade.estate import Estate, KINDS, parse_list, RebootTaken, STATES
+from cardamomgrade.net import Net
+from cardamomgrade.refusal import Reason
+from cardamomgrade.server import HttpServer, plain_response
+
+FIXED = settings(max_examples=300, derandomize=True, deadline=None, database=None)
+SCALARS = st.one_of(st.none(), st.booleans(), st.integers(0, 9), st.text(max_size=3))
+NAMES = ("vm", "zone", "rack", "address")
+ITEMS = st.fixed_dictionaries(
+    {name: st.text(max_size=3) | SCALARS for name in NAMES}
+    | {"kind": st.sampled_from([*KINDS, "other"])}
+    | {"state": st.sampled_from([*STATES, "odd"]), "fence": SCALARS}
+)
+
+
+@then("generated JSON is a VM list or a platform error")
+def step_parse(context):
+    @FIXED
+    @given(st.lists(ITEMS | SCALARS, max_size=3) | SCALARS)
+    def check(value):
+        try:
+            listed = parse_list(json.dumps(value).encode())
+        except PlatformError:
+            return
+        assert len(listed) == len(value)
+        for item in value:
+            found = listed[item["vm"]]
+            assert (found.state, found.fence) == (item["state"], item["fence"])
+            assert found.kind in KINDS and found.state in STATES
+
+    check()
+
+
+@given_step("a platform that answers 200, 409, 503 and then nothing")
+def step_platform(context):
+    context.loop = new_loop()
+    context.net = Net(context.loop)
+    statuses = iter((200, 409, 503))
+    context.fences = []
+
+    def answer(exchange):
+        context.fences.append(json.loads(exchange.req.body)["fence"])
+        status = next(statuses, None)
+        if status is not None:
+            exchange.respond(plain_response(status, "{}"))
+
+    server = HttpServer(context.loop, context.net, answer)
+    context.address = f"127.0.0.1:{server.listen('127.0.0.1', 0)}"
+
+
+@then("reboots are taken, outdated, unavailable and unknown in turn")
+def step_reboots(context):
+    estate = Estate(context.loop, context.net, context.address)
+    results = [
+        ask(context.loop, lambda done, fence=fence: estate.reboot("a1", fence, done))
+        for fence in (1, 2, 3, 4)
+    ]
+    assert results[0] == RebootTaken("a1", 1)
+    reasons = [result.reason for result in results[1:]]
+    assert reasons == [Reason.OUTDATED, Reason.UNAVAILABLE, Reason.UNKNOWN], reasons
+    assert context.fences == [1, 2, 3, 4], "a call was repeated or lost"
+
+
+@then("a platform that is gone did nothing")
+def step_gone(context):
+    context.net.close_listeners()
+    estate = Estate(context.loop, context.net, context.address)
+    result = ask(context.loop, lambda done: estate.reboot("a1", 5, done))
+    assert result.reason is Reason.UNAVAILABLE
