--- /dev/null
+++ b/src/cardamomgrade/ctl.py
@@ -0,0 +1,400 @@
+"""Program ``cardamomctl``: publishes, signs off, rolls and explains.
+
+Exit codes: 0 done, 1 refused, 2 bad input, 3 log unavailable, 4 outcome unknown.
+"""
+
+import json
+import sys
+from functools import wraps
+from pathlib import Path
+
+import attrs
+import click
+
+from .bundle import diff_sections, parse_bundle
+from .errors import BundleError, FeedError, PeerError
+from .explain import bundles_view, explain_vm, fleet_view, wave_views
+from .ops import to_json
+from .records import BundleProposed, BundleRolled, BundleSigned
+from .refusal import Reason, Refusal
+from .session import ask_ops, LogSession
+
+EXIT_REFUSED = 1
+EXIT_BAD_INPUT = 2
+EXIT_LOG_UNAVAILABLE = 3
+EXIT_UNKNOWN = 4
+DIGEST_MIN_CHARS = 6
+INDENT = "  "
+EPILOGS = {
+    "validate": "cardamomctl bundle validate examples/agence/bundle.ini",
+    "diff": "cardamomctl --log 127.0.0.1:21000 bundle diff bundle.ini",
+    "publish": "cardamomctl --log 127.0.0.1:21000 --operator n-benali "
+    "bundle publish bundle.ini",
+    "sign-off": "cardamomctl --log 127.0.0.1:21000 --operator s-alami "
+    "bundle sign-off 1f6a0c2b",
+    "roll": "cardamomctl --log 127.0.0.1:21000 --operator s-alami bundle roll 1f6a0c2b",
+    "bundle status": "cardamomctl --log 127.0.0.1:21000 bundle status --json",
+    "fleet status": "cardamomctl --log 127.0.0.1:21000 fleet status",
+    "wave status": "cardamomctl --log 127.0.0.1:21000 wave status "
+    "--ops 127.0.0.1:21050 --key KEY",
+    "explain": "cardamomctl --log 127.0.0.1:21000 explain fines-3",
+}
+
+
+@attrs.frozen
+class Access:
+    """Where the log is and who asks."""
+
+    log: str
+    operator: str
+
+
+@attrs.frozen
+class CheckedBundle:
+    """A bundle file that is valid."""
+
+    path: str
+    version: int
+    digest: str
+    pools: int
+    services: int
+    vms: int
+    waves: int
+
+
+@attrs.frozen
+class Accepted:
+    """A record that the fold took."""
+
+    record: str
+    digest: str
+    offset: int
+
+
+@attrs.frozen
+class NodePage:
+    """A page of one node; ``error`` tells why there is none."""
+
+    address: str
+    page: object = None
+    error: str = ""
+
+
+@attrs.frozen
+class Refused:
+    """An operation that was refused, with the reason."""
+
+    refused: Refusal
+
+
+def render(value, depth=0):
+    """Return plain data as indented ``name: value`` lines."""
+    pad = INDENT * depth
+    if isinstance(value, dict):
+        return "".join(_render_item(pad, *pair, depth) for pair in value.items())
+    if isinstance(value, list):
+        return "".join(
+            f"{pad}-\n{render(item, depth + 1)}"
+            if isinstance(item, (dict, list))
+            else f"{pad}- {item}\n"
+            for item in value
+        )
+    return f"{pad}{value}\n"
+
+
+def _render_item(pad, name, value, depth):
+    if isinstance(value, list) and not any(
+        isinstance(item, (dict, list)) for item in value
+    ):
+        return f"{pad}{name}: {', '.join(map(str, value)) or '-'}\n"
+    if isinstance(value, (dict, list)) and value:
+        return f"{pad}{name}:\n{render(value, depth + 1)}"
+    return f"{pad}{name}: {'-' if value in (None, {}) else value}\n"
+
+
+def show(value, as_json):
+    """Print an attrs instance, or a list of them, as JSON or as text."""
+    data = to_json(value)
+    text = json.dumps(data, indent=2) + "\n" if as_json else render(data)
+    click.echo(text, nl=False)
+
+
+def fail(status, text):
+    """Print an error and exit."""
+    click.echo(text, err=True)
+    sys.exit(status)
+
+
+def _guarded(function):
+    """Turn the package's errors into exit codes."""
+
+    @wraps(function)
+    def call(*args, **kwargs):
+        try:
+            return function(*args, **kwargs)
+        except BundleError as exc:
+            fail(EXIT_BAD_INPUT, str(exc))
+        except FeedError as exc:
+            fail(EXIT_LOG_UNAVAILABLE, str(exc))
+
+    return call
+
+
+def _command(group, title, key=None):
+    """Return a decorator that adds a command with ``--json`` and an example."""
+
+    def decorate(function):
+        epilog = f"Example: {EPILOGS[key or title]}"
+        command = group.command(title, epilog=epilog)(_guarded(function))
+        option = click.Option(["--json", "as_json"], is_flag=True, help="Print JSON.")
+        command.params.append(option)
+        return command
+
+    return decorate
+
+
+def _log(access):
+    """Return a LogSession that has caught up."""
+    if not access.log:
+        fail(EXIT_BAD_INPUT, "the log's address is missing: --log or CARDAMOM_LOG")
+    session = LogSession(access.log)
+    session.catch_up()
+    return session
+
+
+def _operator(access):
+    if not access.operator:
+        fail(EXIT_BAD_INPUT, "who asks? --operator or CARDAMOM_OPERATOR")
+    return access.operator
+
+
+def _read_bundle(path):
+    try:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise BundleError(f"{path}: {exc}") from exc
+    return parse_bundle(text, path)
+
+
+def _finish(record, verdict, as_json):
+    """Print the verdict on a record and exit with its code."""
+    kind = type(record).__name__
+    if isinstance(verdict, Refusal):
+        unknown = verdict.reason is Reason.UNKNOWN
+        status = EXIT_UNKNOWN if unknown else EXIT_LOG_UNAVAILABLE
+        fail(status, f"{kind}: {verdict}")
+    if verdict.refusal is not None:
+        if as_json:
+            show(Refused(verdict.refusal), as_json)
+        fail(EXIT_REFUSED, f"{kind} refused: {verdict.refusal}")
+    show(Accepted(kind, record.digest.hex(), verdict.logged.offset), as_json)
+
+
+def _resolve(state, prefix):
+    """Return the digest of the one proposal that a prefix names."""
+    prefix = prefix.lower()
+    digests = list(state.proposals)
+    if state.bundle is not None:
+        digests.append(state.bundle.digest)
+    found = [digest for digest in digests if digest.hex().startswith(prefix)]
+    if len(prefix) < DIGEST_MIN_CHARS or len(found) > 1:
+        fail(EXIT_BAD_INPUT, f"{prefix}: more digits of the digest are needed")
+    if not found:
+        fail(EXIT_REFUSED, f"{prefix}: no such proposal; see bundle status")
+    return found[0]
+
+
+@click.group()
+@click.option("--log", envvar="CARDAMOM_LOG", default="", help="ip:port of the log.")
+@click.option("--operator", envvar="CARDAMOM_OPERATOR", default="", help="Your name.")
+@click.pass_context
+def main(ctx, log, operator):
+    """Drive a fleet through bundles, and see what it does.
+
+    Exit codes: 0 done, 1 refused, 2 bad input, 3 log unavailable, 4 outcome unknown.
+    """
+    ctx.obj = Access(log, operator)
+
+
+@main.group()
+def bundle():
+    """Check, publish, sign off and roll bundles."""
+
+
+@main.group()
+def fleet():
+    """See the fleet."""
+
+
+@main.group()
+def wave():
+    """See maintenance waves."""
+
+
+@_command(bundle, "validate")
+@click.argument("path", type=click.Path(dir_okay=False))
+def validate(path, as_json):
+    """Check a bundle file."""
+    item = _read_bundle(path)
+    sizes = map(len, (item.pools, item.services, item.vms, item.waves))
+    show(CheckedBundle(path, item.version, item.digest.hex(), *sizes), as_json)
+
+
+@_command(bundle, "diff")
+@click.argument("path", type=click.Path(dir_okay=False))
+@click.pass_obj
+def diff(access, path, as_json):
+    """Show what a bundle file would change in the bundle in force."""
+    item = _read_bundle(path)
+    state = _log(access).state
+    difference = diff_sections(_sections(state), item.sections)
+    if as_json:
+        show(difference, as_json)
+    else:
+        click.echo(_diff_text(state, difference), nl=False)
+
+
+def _sections(state):
+    return state.bundle.sections if state.bundle else ()
+
+
+def _diff_text(state, difference):
+    """Return a Difference as lines with ``-`` and ``+``."""
+    old = {section.name: dict(section.options) for section in _sections(state)}
+    lines = [f"-[{title}]" for title in difference.removed]
+    for section in difference.changed:
+        before, after = old.get(section.name), dict(section.options)
+        mark = "+" if before is None else " "
+        lines.append(f"{mark}[{section.name}]")
+        before = before or {}
+        for key in sorted(before.keys() | after.keys()):
+            if before.get(key) != after.get(key):
+                lines += [f"-{key} = {before[key]}"] if key in before else []
+                lines += [f"+{key} = {after[key]}"] if key in after else []
+    return "".join(f"{line}\n" for line in lines) or "no difference\n"
+
+
+@_command(bundle, "publish")
+@click.argument("path", type=click.Path(dir_okay=False))
+@click.pass_obj
+def publish(access, path, as_json):
+    """Propose a bundle as its difference from the bundle in force."""
+    operator, item = _operator(access), _read_bundle(path)
+    if item.author != operator:
+        fail(EXIT_REFUSED, f"the bundle's author is {item.author}, not {operator}")
+    session = _log(access)
+    record = _proposal(session.state, item)
+    _finish(record, session.submit(record), as_json)
+
+
+def _proposal(state, item):
+    parent = state.bundle.digest if state.bundle else b""
+    difference = diff_sections(_sections(state), item.sections)
+    return BundleProposed(
+        item.version,
+        parent,
+        item.digest,
+        item.author,
+        difference.changed,
+        difference.removed,
+    )
+
+
+@_command(bundle, "sign-off")
+@click.argument("digest")
+@click.pass_obj
+def sign_off(access, digest, as_json):
+    """Sign off a proposed bundle that somebody else wrote."""
+    operator, session = _operator(access), _log(access)
+    record = BundleSigned(_resolve(session.state, digest), operator)
+    _finish(record, session.submit(record), as_json)
+
+
+@_command(bundle, "roll")
+@click.argument("digest")
+@click.pass_obj
+def roll(access, digest, as_json):
+    """Put a signed-off bundle in force everywhere."""
+    operator, session = _operator(access), _log(access)
+    record = BundleRolled(_resolve(session.state, digest), operator)
+    _finish(record, session.submit(record), as_json)
+
+
+def _ops_options(function):
+    key = click.option("--key", envvar="CARDAMOM_KEY", default="", help="Shared key.")
+    ops = click.option(
+        "--ops", multiple=True, help="An operators' ip:port; may be repeated."
+    )
+    return ops(key(function))
+
+
+def _pages(addresses, key, target):
+    if not key:
+        fail(EXIT_BAD_INPUT, "the shared key is missing: --key or CARDAMOM_KEY")
+    return [
+        NodePage(address, error=str(value))
+        if isinstance(value, PeerError)
+        else NodePage(address, value)
+        for address, value in ask_ops(addresses, key, target)
+    ]
+
+
+@attrs.frozen
+class NodesView:
+    """What the log tells, and the pages of the nodes that were asked."""
+
+    log: object
+    nodes: list
+
+
+def _show_with_nodes(value, ops, key, as_json):
+    if ops:
+        value = NodesView(value, _pages(ops, key, "/status"))
+    show(value, as_json)
+
+
+@_command(bundle, "status", "bundle status")
+@_ops_options
+@click.pass_obj
+def bundle_status(access, ops, key, as_json):
+    """Show the bundle in force and the proposals; with --ops, nodes' too."""
+    _show_with_nodes(bundles_view(_log(access).state), ops, key, as_json)
+
+
+@_command(fleet, "status", "fleet status")
+@_ops_options
+@click.pass_obj
+def fleet_status(access, ops, key, as_json):
+    """Show the members, VMs and open batches; with --ops, nodes' views too."""
+    _show_with_nodes(fleet_view(_log(access).state), ops, key, as_json)
+
+
+@_command(wave, "status", "wave status")
+@_ops_options
+@click.pass_obj
+def wave_status(access, ops, key, as_json):
+    """Show each wave's progress; with --ops of a control, why it waits."""
+    _show_with_nodes(wave_views(_log(access).state), ops, key, as_json)
+
+
+@_command(main, "explain")
+@click.argument("subject")
+@_ops_options
+@click.pass_obj
+def explain(access, subject, ops, key, as_json):
+    """Tell the story of a VM from the log, or of a request from the entries."""
+    if ops:
+        pages = _pages(ops, key, f"/explain?id={subject}")
+        show([page for page in pages if not page.error] or pages, as_json)
+        if all(page.error for page in pages):
+            sys.exit(EXIT_REFUSED)
+        return
+    session = _log(access)
+    result = explain_vm(session.state, session.history, subject)
+    if isinstance(result, Refusal):
+        fail(EXIT_REFUSED, f"{result}; for a request, name the entries with --ops")
+    show(result, as_json)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cardamomgrade/loop.py
+++ b/src/cardamomgrade/loop.py
@@ -38,6 +38,7 @@
         self._order = itertools.count()
         self._on_stop = None
         self._stopping = False
+        self._done = lambda: False
 
     @staticmethod
     def now():
@@ -65,7 +66,9 @@
             callback = heapq.heappop(self._heap)[2].callback
             if callback is not None:
                 callback()
-        if self._heap:
+        if self._done():
+            event.reduce_time_left(0)
+        elif self._heap:
             event.reduce_time_left(max(0.0, self._heap[0][0] - self.now()))
 
     def on_stop(self, callback):
@@ -93,3 +96,15 @@
         self._running = True
         while self._running:
             self.tick()
+
+    def run_until(self, done, timeout):
+        """Run until ``done()`` holds or ``timeout`` seconds passed; return it."""
+        end = self.now() + timeout
+        wake = self.call_later(timeout, lambda: None)
+        self._done = done
+        self._running = True
+        while not done() and self.now() < end:
+            self.tick()
+        self._done = lambda: False
+        wake.cancel()
+        return done()
--- a/tests/steps/estate.py
+++ b/tests/steps/estate.py
@@ -4,13 +4,14 @@
 
 from behave import given as given_step, then
 from hypothesis import given, settings, strategies as st
-from loops import ask, new_loop
 
 from cardamomgrade.errors import PlatformError
 from cardamomgrade.estate import Estate, KINDS, parse_list, RebootTaken, STATES
+from cardamomgrade.loop import Loop
 from cardamomgrade.net import Net
 from cardamomgrade.refusal import Reason
 from cardamomgrade.server import HttpServer, plain_response
+from loops import ask
 
 FIXED = settings(max_examples=300, derandomize=True, deadline=None, database=None)
 SCALARS = st.one_of(st.none(), st.booleans(), st.integers(0, 9), st.text(max_size=3))
@@ -42,7 +43,7 @@
 
 @given_step("a platform that answers 200, 409, 503 and then nothing")
 def step_platform(context):
-    context.loop = new_loop()
+    context.loop = Loop()
     context.net = Net(context.loop)
     statuses = iter((200, 409, 503))
     context.fences = []
--- a/tests/steps/ops.py
+++ b/tests/steps/ops.py
@@ -2,13 +2,14 @@
 
 from behave import given as given_step, then, when
 from hypothesis import given, settings, strategies as st
-from loops import ask, new_loop
 
 from cardamomgrade.auth import authorization, NonceBook
+from cardamomgrade.loop import Loop
 from cardamomgrade.metrics import Metrics
 from cardamomgrade.net import Net
 from cardamomgrade.ops import OpsClient, OpsServer
 from cardamomgrade.refusal import Reason, Refusal
+from loops import ask
 
 FIXED = settings(max_examples=200, derandomize=True, deadline=None, database=None)
 KEY = "operators-key-1234"
@@ -64,7 +65,7 @@
 
 @given_step("an operators' server")
 def step_server(context):
-    context.loop = new_loop()
+    context.loop = Loop()
     context.net = Net(context.loop)
     views = {
         "/echo": lambda query: {"id": query.get("id")},
