End a run of the loop without waiting for the poller

Cause: finish, called from a timer, ended the run only at the next event of the poller or the next timer. A test whose only timer was its 20 s limit waited out the 20 s; a program with no timers near would leave late.

Ruled out: a shorter poll, which would wake an idle process for nothing.

Change: the poller does not wait once the run is finished (shared foundation, one line).

--- a/src/cardamomgrade/loop.py
+++ b/src/cardamomgrade/loop.py
@@ -66,7 +66,7 @@
             callback = heapq.heappop(self._heap)[2].callback
             if callback is not None:
                 callback()
-        if self._done():
+        if self._done() or not self._running:
             event.reduce_time_left(0)
         elif self._heap:
             event.reduce_time_left(max(0.0, self._heap[0][0] - self.now()))
--- /dev/null
+++ b/tests/loop.feature
@@ -0,0 +1,8 @@
+Feature: loop
+
+  Scenario: an end of the run is not held up by the poller
+    Given a loop whose next timer is far away
+    When its run is finished from a callback
+    Then the poller waits 0 seconds
+    When its awaited condition holds
+    Then the poller waits 0 seconds
--- /dev/null
+++ b/tests/steps/loop.py
@@ -0,0 +1,41 @@
+"""Steps for the loop."""
+
+from threading import Lock
+
+from behave import given, then, when
+from circuits.core.events import generate_events
+
+from cardamomgrade.loop import Loop
+
+FAR_S = 100.0
+
+
+@given("a loop whose next timer is far away")
+def step_loop(context):
+    context.loop = Loop()
+    context.loop.call_later(FAR_S, lambda: None)
+
+
+def _poll(context):
+    """Handle one generate_events as a tick does, and keep how long it may wait."""
+    event = generate_events(Lock(), -1)
+    context.loop._on_generate_events(event)
+    context.waits = event.time_left
+
+
+@when("its run is finished from a callback")
+def step_finish(context):
+    context.loop.call_later(0, context.loop.finish)
+    context.loop._running = True
+    _poll(context)
+
+
+@when("its awaited condition holds")
+def step_condition(context):
+    context.loop._running, context.loop._done = True, lambda: True
+    _poll(context)
+
+
+@then("the poller waits 0 seconds")
+def step_waits(context):
+    assert context.waits == 0, context.waits
