--- /dev/null
+++ b/src/cardamomgrade/claim.py
@@ -0,0 +1,119 @@
+"""Claims of idempotency keys, folded from the ``claims`` stream.
+
+The first claim of a key by offset owns it for a time of the log's clock; later ones
+are duplicates until the claim is released or expires.
+"""
+
+import hashlib
+import struct
+
+import attrs
+
+from .records import KeyClaimed, KeyReleased
+from .refusal import Reason, Refusal
+
+KEY_BYTES = 16
+KEY_LIMIT_CHARS = 255
+_HASH_BYTES = 8
+_ENTRY = struct.Struct(f">Q{_HASH_BYTES}s")
+
+
+def claim_key(service, key):
+    """Return the 16-byte digest that stands for a service's idempotency key."""
+    text = f"{len(service)}:{service}{key}".encode()
+    return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
+
+
+def _request_hash(request):
+    return hashlib.blake2b(request.encode(), digest_size=_HASH_BYTES).digest()
+
+
+@attrs.frozen
+class Claim:
+    """A live claim: log time in ms and a hash of the owning request's id."""
+
+    time_ms: int
+    request_hash: bytes
+
+    def belongs_to(self, request):
+        """Return whether ``request`` is the id of the owner."""
+        return self.request_hash == _request_hash(request)
+
+
+class ClaimState:
+    """The live claims, in two generations so that expiry costs no search.
+
+    Claims move to the old generation when the younger one spans the time that keys
+    are remembered, and the old one is dropped as a whole; each claim's own time
+    decides. A claim is packed into 16 bytes.
+    """
+
+    def __init__(self):
+        self._young = {}
+        self._old = {}
+        self._young_since = 0
+        self.next_offset = 0
+        self.time_ms = 0
+        self.known_since_ms = None
+
+    def __len__(self):
+        return len(self._young) + len(self._old)
+
+    def lose(self, earliest):
+        """Go on at ``earliest``: the records before it are no longer retained."""
+        self.next_offset = earliest
+        self.known_since_ms = -1
+
+    def complete(self, time_ms, memory_ms):
+        """Return whether every claim that is live at ``time_ms`` is known."""
+        if self.known_since_ms is None:
+            return True
+        known = self.known_since_ms
+        return known >= 0 and known + memory_ms <= time_ms
+
+    def find(self, key, time_ms, memory_ms):
+        """Return the Claim of ``key`` that is live at ``time_ms``, or None."""
+        packed = self._young.get(key) or self._old.get(key)
+        if packed is None:
+            return None
+        claim = Claim(*_ENTRY.unpack(packed))
+        return claim if time_ms < claim.time_ms + memory_ms else None
+
+    def fold(self, logged, memory_ms):
+        """Apply a record; return True, or a Refusal that says why it is void.
+
+        A record below ``next_offset`` was applied before and changes nothing.
+        """
+        if logged.offset < self.next_offset:
+            return Refusal(Reason.ALREADY_DONE)
+        self.next_offset = logged.offset + 1
+        self._advance(logged.time_ms, memory_ms)
+        if isinstance(logged.record, KeyClaimed):
+            return self._claim(logged.record, memory_ms)
+        if isinstance(logged.record, KeyReleased):
+            return self._release(logged.record, memory_ms)
+        return Refusal(Reason.UNKNOWN, "no record of claims")
+
+    def _advance(self, time_ms, memory_ms):
+        self.time_ms = max(self.time_ms, time_ms)
+        if self.known_since_ms == -1:
+            self.known_since_ms = self.time_ms
+        if self.time_ms - self._young_since >= memory_ms:
+            self._old, self._young = self._young, {}
+            self._young_since = self.time_ms
+
+    def _claim(self, record, memory_ms):
+        if self.find(record.key, self.time_ms, memory_ms) is not None:
+            return Refusal(Reason.DUPLICATE)
+        self._old.pop(record.key, None)
+        packed = _ENTRY.pack(self.time_ms, _request_hash(record.request))
+        self._young[record.key] = packed
+        return True
+
+    def _release(self, record, memory_ms):
+        claim = self.find(record.key, self.time_ms, memory_ms)
+        if claim is None or not claim.belongs_to(record.request):
+            return Refusal(Reason.OUTDATED)
+        self._young.pop(record.key, None)
+        self._old.pop(record.key, None)
+        return True
