--- a/src/cardamomgrade/share.py
+++ b/src/cardamomgrade/share.py
@@ -1,20 +1,22 @@
-"""A fixed share of each endpoint's slots, for entries that do not share them."""
+"""A fixed share of each endpoint's slots, for entries that do not exchange them."""
 
 
 class FixedShare:
-    """Grants up to a fixed number of slots of each endpoint."""
+    """Grants an equal share of the slots of each endpoint to every seat."""
 
     def __init__(self):
-        self._limits = {}
+        self._shares = {}
         self._taken = {}
 
-    def update(self, limits):
-        """Set the share of each endpoint, a dict of counts by VM."""
-        self._limits = limits
+    def configure(self, endpoints, seats, longest_deadline_s):
+        """Take the slots of a bundle, a dict of counts by endpoint."""
+        self._shares = {
+            name: max(1, slots // len(seats)) for name, slots in endpoints.items()
+        }
 
     def available(self, endpoint):
         """Return how many more requests may be sent to an endpoint."""
-        return self._limits.get(endpoint, 0) - self._taken.get(endpoint, 0)
+        return self._shares.get(endpoint, 0) - self._taken.get(endpoint, 0)
 
     def take(self, endpoint):
         """Take a slot; return whether there was one."""
@@ -26,5 +28,6 @@
     def give_back(self, endpoint):
         """Return a slot that was taken."""
         self._taken[endpoint] -= 1
-        if not self._taken[endpoint]:
-            del self._taken[endpoint]
+
+    def want(self, endpoints, count):
+        """Take note of lacking slots; a fixed share does not grow."""
--- /dev/null
+++ b/tests/backlog.feature
@@ -0,0 +1,19 @@
+Feature: backlog
+
+  Scenario: every queued request leaves once
+    Then generated arrivals, picks and removals lose and repeat nothing
+
+  Scenario: urgent requests go first and batch requests are not starved
+    Given a backlog with 70 urgent and 10 batch requests
+    Then every 8th of 64 picks is a batch request and the others are urgent
+
+  Scenario: one caller cannot shut out others
+    Given a backlog whose bound of 20 is filled by the caller "rabat"
+    When the caller "souissi" offers 5 requests
+    Then they are queued and the last 5 of "rabat" are given up
+    And "souissi" has 5 of the first 10 picks
+
+  Scenario: a request that cannot be served in time is shed at once
+    Given a backlog with 40 urgent and 0 batch requests
+    Then with 4 at once in 100 ms a request of another caller may wait 300 ms
+    And one of the same caller is shed when it may wait 1000 ms
--- /dev/null
+++ b/tests/claim.feature
@@ -0,0 +1,12 @@
+Feature: claims of idempotency keys
+
+  Scenario: the first claim by offset owns a key
+    Then generated claims and releases agree with a plain model
+    And folding generated claims twice has the effect of folding them once
+
+  Scenario: claims that ran out of the log are not guessed
+    Given claims whose records before offset 50 are no longer retained
+    Then keys are not known to be free before the time of a key has passed
+
+  Scenario: a claim takes little memory
+    Then 20000 live claims take less than 250 bytes each
