--- a/src/cardamomgrade/entry.py
+++ b/src/cardamomgrade/entry.py
@@ -55,7 +55,7 @@
         self._loop = loop
         self._net = Net(loop)
         self._cfg = cfg
-        self._recent = Recent()
+        self.recent = Recent()
         seat = Seat(cfg.name, cfg.zone, cfg.listen)
         self.member = Member(
             loop,
@@ -67,10 +67,10 @@
             held=self._held,
         )
         self._keys = Keys(
-            loop, self._net, cfg.log, seat, self._memory_ms, self._recent.decide
+            loop, self._net, cfg.log, seat, self._memory_ms, self.recent.decide
         )
         self.dispatcher = Dispatcher(
-            loop, self._net, self.member, FixedShare(), self._recent, self._keys
+            loop, self._net, self.member, FixedShare(), self.recent, self._keys
         )
         limits = ServerLimits(cfg.body_bytes, cfg.connections)
         self._server = HttpServer(
--- a/src/cardamomgrade/entry_events.py
+++ b/src/cardamomgrade/entry_events.py
@@ -47,7 +47,7 @@
 class FreshnessLost:
     """The last read of the fleet's tail is older than the lease."""
 
-    age_s: float
+    offset: int
 
 
 @event(306)
--- /dev/null
+++ b/tests/entry.feature
@@ -0,0 +1,124 @@
+Feature: entry
+
+  Scenario: a request is served under the bundle in force
+    Given two entries, 2 endpoints and a bundle
+    When a caller sends POST /notices/7 with the body "pay"
+    Then the answer is 200 and ends with "pay"
+    And it names the request and the endpoint ran it once
+
+  Scenario: nothing runs before a bundle is in force
+    Given an entry without a bundle
+    When a caller sends POST /notices/7 with the body "pay"
+    Then the caller is told not-run at once with a time to come back
+
+  Scenario Outline: unacceptable requests are refused
+    Given two entries, 1 endpoints and a bundle
+    When a caller sends the raw request <request>
+    Then the raw answer has the status <status> and the outcome refused
+    And no endpoint ran anything
+
+    Examples:
+      | request                                                                      | status |
+      | GET /else HTTP/1.1\r\nHost: e\r\n\r\n                                        | 404    |
+      | GET /noticesx HTTP/1.1\r\nHost: e\r\n\r\n                                    | 404    |
+      | GET /notices HTTP/1.1\r\nHost: e\r\nDeadline-Ms: -5\r\n\r\n                  | 400    |
+      | GET /notices HTTP/1.1\r\nHost: e\r\nIdempotency-Key: \r\n\r\n                | 400    |
+      | GET /notices HTTP/1.1\r\nHost: e\r\nContent-Length: -1\r\n\r\n               | 400    |
+      | POST /notices HTTP/1.1\r\nHost: e\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nab | 400 |
+      | POST /notices HTTP/1.1\r\nHost: e\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nab | 400 |
+      | GET /notices HTTP/1.1\r\nHost: e\r\nA: b\r\n c\r\n\r\n                       | 400    |
+      | POST /notices HTTP/1.1\r\nHost: e\r\nContent-Length: 9999999\r\n\r\n         | 413    |
+
+  Scenario Outline: any final status passes through whole
+    Given two entries, 1 endpoints and a bundle
+    When a caller sends <method> /notices with the status <status> wanted
+    Then the answer has the status <status> and the endpoint's <body>
+
+    Examples:
+      | method | status | body  |
+      | POST   | 299    | body  |
+      | POST   | 421    | body  |
+      | POST   | 425    | body  |
+      | POST   | 500    | body  |
+      | POST   | 599    | body  |
+      | POST   | 204    | empty |
+      | GET    | 304    | empty |
+      | HEAD   | 200    | empty |
+
+  Scenario Outline: one endpoint fails a request that must run once
+    Given an entry and an endpoint that <fault>
+    When a caller sends POST /notices/7 with the body "pay"
+    Then the caller is told <outcome>
+    And the endpoint was given the request <count> times
+
+    Examples:
+      | fault                         | outcome | count |
+      | refuses connections           | not-run | 0     |
+      | closes before its answer      | unknown | 1     |
+      | closes within its answer      | unknown | 1     |
+      | never answers                 | unknown | 1     |
+      | echoes another id             | unknown | 1     |
+      | answers without a length      | unknown | 1     |
+      | answers with two lengths      | unknown | 1     |
+      | answers no HTTP               | unknown | 1     |
+
+  Scenario Outline: an idempotent request is tried at another endpoint
+    Given an entry, an endpoint that <fault> and a sound one
+    When a caller sends GET /notices/7 until the faulty endpoint was tried
+    Then every answer was 200
+
+    Examples:
+      | fault                    |
+      | refuses connections      |
+      | closes before its answer |
+      | closes within its answer |
+      | never answers            |
+      | echoes another id        |
+
+  Scenario: a late answer reaches nobody
+    Given an entry and an endpoint that answers after the deadline
+    When a caller sends POST /notices/7 with the body "pay"
+    Then the caller is told unknown
+    When the late answer has come and the endpoint answers in time
+    And a caller sends POST /notices/8 with the body "pay"
+    Then the answer is 200 and carries its own request's id
+
+  Scenario: no more requests run on an endpoint than the entry's share of slots
+    Given two entries, 2 endpoints and a bundle
+    When 60 requests of 20 ms arrive at once at each entry
+    Then every request has one answer and is answered or not-run
+    And no endpoint ever ran more than 4 at once
+    And what was told not-run did not run and the rest ran once
+
+  Scenario: a caller that leaves
+    Given two entries, 1 endpoints and a bundle
+    When 2 callers send requests of 200 ms and 8 more wait
+    And all callers leave
+    Then only the 2 running requests ran and the entry holds nothing
+
+  Scenario: pipelined requests are answered in order
+    Given two entries, 1 endpoints and a bundle
+    When a caller sends 5 pipelined requests
+    Then 5 answers come in the order of the requests
+
+  Scenario: a caller that waits for 100-continue
+    Given two entries, 1 endpoints and a bundle
+    When a caller expects 100-continue for the body "pay"
+    Then it is told to continue and its answer ends with "pay"
+
+  Scenario: a draining endpoint gets nothing new and is confirmed when idle
+    Given two entries, 2 endpoints and a bundle
+    When a request of 600 ms runs on each endpoint
+    And a batch with the first endpoint is opened
+    Then both entries acknowledge the batch
+    When the drain starts
+    Then 20 requests all run on the second endpoint
+    And no entry has confirmed while its request runs
+    And both entries confirm the drain after it has ended
+
+  Scenario: an entry whose reads are old spares the endpoints that may drain
+    Given two entries, 2 endpoints and a bundle
+    When a batch with the first endpoint is opened
+    Then both entries acknowledge the batch
+    When the log hangs for longer than the lease
+    Then 20 requests all run on the second endpoint
--- /dev/null
+++ b/tests/steps/entry.py
@@ -0,0 +1,381 @@
+"""Steps for the entry program and its shells."""
+
+import json
+
+from behave import given, then, when
+from entry_world import Client, free_port, World
+
+from cardamomgrade import records
+
+ANSWER = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\ndone"
+LEASE_WAIT_S = 5.5
+
+
+def answer_whole(conn, request_id):
+    conn.write(ANSWER % request_id)
+
+
+def write_and_close(text):
+    def script(conn, request_id):
+        conn.write(text)
+        conn.close()
+
+    return script
+
+
+def write_only(text):
+    return lambda conn, request_id: conn.write(text)
+
+
+FAULTS = {
+    "closes before its answer": write_and_close(b""),
+    "closes within its answer": write_and_close((ANSWER % b"x")[:-2]),
+    "never answers": write_only(b""),
+    "echoes another id": write_only(ANSWER % b"other"),
+    "answers without a length": write_and_close(b"HTTP/1.1 200 OK\r\n\r\ndone"),
+    "answers with two lengths": write_only(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\ndone!"
+    ),
+    "answers no HTTP": write_only(b"220 ready\r\n\r\n"),
+}
+
+
+def add_faulty(world, fault):
+    if fault == "refuses connections":
+        world.ports["bad"] = free_port()
+    else:
+        world.scripted("bad", FAULTS[fault])
+
+
+@given("two entries, {count:d} endpoints and a bundle")
+def two_entries(context, count):
+    world = context.world = World()
+    for number in range(count):
+        world.endpoint(f"vm{number}")
+    world.roll()
+    world.entry("e1")
+    world.entry("e2")
+
+
+@given("an entry without a bundle")
+def no_bundle(context):
+    context.world = World()
+    context.world.entry(wait=False)
+    context.world.until(context.world.entries["e1"].member.is_member)
+
+
+@given("an entry and an endpoint that answers after the deadline")
+def answers_late(context):
+    world = context.world = World()
+    context.late = []
+    world.scripted("slow", lambda conn, ident: context.late.append((conn, ident)))
+    world.roll()
+    world.entry()
+
+
+@given("an entry and an endpoint that {fault}")
+def one_faulty(context, fault):
+    world = context.world = World()
+    add_faulty(world, fault)
+    world.roll()
+    world.entry()
+
+
+@given("an entry, an endpoint that {fault} and a sound one")
+def faulty_and_sound(context, fault):
+    world = context.world = World()
+    add_faulty(world, fault)
+    world.scripted("good", answer_whole)
+    world.roll()
+    world.entry()
+
+
+@when('a caller sends {method} {path} with the body "{body}"')
+def caller_sends(context, method, path, body):
+    context.answer = context.world.ask(method, path, body=body.encode())
+
+
+@when("a caller sends {method} /notices with the status {status:d} wanted")
+def wants_status(context, method, status):
+    context.answer = context.world.ask(method, "/notices", status=status)
+
+
+@when("a caller sends GET /notices/7 until the faulty endpoint was tried")
+def sends_until_tried(context):
+    world = context.world
+    recent = world.entries["e1"].recent
+    context.answers = []
+    for _ in range(40):
+        answer = world.ask("GET", "/notices/7")
+        context.answers.append(answer)
+        found = recent.find(answer.header("cardamom-request"))
+        if any(getattr(item, "vm", "") == "bad" for item in found):
+            return
+    raise AssertionError("the faulty endpoint was never chosen")
+
+
+@when("the late answer has come and the endpoint answers in time")
+def late_answer(context):
+    world = context.world
+    for conn, ident in context.late:
+        conn.write(ANSWER % ident)
+    world.endpoints["slow"].script = answer_whole
+    world.run_for(0.1)
+
+
+@then('the answer is 200 and ends with "{text}"')
+def ends_with(context, text):
+    assert context.answer.status == 200
+    assert context.answer.body.endswith(text.encode())
+
+
+@then("it names the request and the endpoint ran it once")
+def ran_once(context):
+    ident = context.answer.header("cardamom-request")
+    assert ident == context.answer.header("request-id")
+    world = context.world
+    assert sum(item.counts.runs[ident] for item in world.endpoints.values()) == 1
+
+
+@then("the answer is 200 and carries its own request's id")
+def own_id(context):
+    answer = context.answer
+    assert answer.status == 200, answer
+    assert answer.header("cardamom-request") == answer.header("request-id")
+
+
+@then("every answer was 200")
+def all_200(context):
+    assert [item.status for item in context.answers] == [200] * len(context.answers)
+
+
+@then("the caller is told {outcome}")
+def told(context, outcome):
+    answer = context.answer
+    assert answer.header("cardamom-outcome") == outcome, answer
+    body = json.loads(answer.body)
+    assert body["outcome"] == outcome
+    assert body["id"] == answer.header("cardamom-request")
+
+
+@then("the caller is told not-run at once with a time to come back")
+def told_at_once(context):
+    told(context, "not-run")
+    assert context.answer.status == 503
+    assert int(context.answer.header("retry-after")) >= 1
+
+
+@then("the endpoint was given the request {count:d} times")
+def given_times(context, count):
+    bad = context.world.endpoints.get("bad")
+    assert (len(bad.requests) if bad else 0) == count
+
+
+@when("a caller sends the raw request {text}")
+def sends_raw(context, text):
+    world = context.world
+    context.client = Client(world, world.ports_of["e1"])
+    context.client.conn.write(text.encode().decode("unicode_escape").encode())
+    world.until(lambda: b"\r\n\r\n" in context.client.data)
+
+
+@then("the raw answer has the status {status:d} and the outcome refused")
+def raw_status(context, status):
+    head = context.client.data.partition(b"\r\n\r\n")[0].lower()
+    assert head.startswith(b"http/1.1 %d" % status), head
+    assert b"cardamom-outcome: refused" in head
+
+
+@then("no endpoint ran anything")
+def nothing_ran(context):
+    assert not any(item.counts.started for item in context.world.endpoints.values())
+
+
+@then("the answer has the status {status:d} and the endpoint's {body}")
+def status_and_body(context, status, body):
+    assert context.answer.status == status
+    assert context.answer.header("endpoint") == "vm0"
+    assert context.answer.body.startswith(b"vm0 ran") == (body == "body")
+    assert body == "body" or not context.answer.body
+
+
+@when("{count:d} requests of {ms:d} ms arrive at once at each entry")
+def arrive_at_once(context, count, ms):
+    world = context.world
+    context.answers = [
+        world.send("POST", f"/notices/{number}", entry, work_ms=ms)
+        for number in range(count)
+        for entry in ("e1", "e2")
+    ]
+    world.until(lambda: all(context.answers))
+
+
+@then("every request has one answer and is answered or not-run")
+def one_answer(context):
+    assert all(len(answers) == 1 for answers in context.answers)
+    told = {answers[0].header("cardamom-outcome") for answers in context.answers}
+    assert told == {"", "not-run"}, told
+
+
+@then("no endpoint ever ran more than {count:d} at once")
+def never_more(context, count):
+    endpoints = context.world.endpoints.values()
+    assert max(item.counts.most_in_flight for item in endpoints) <= count
+
+
+@then("what was told not-run did not run and the rest ran once")
+def counts_agree(context):
+    endpoints = context.world.endpoints.values()
+    for answers in context.answers:
+        ident = answers[0].header("cardamom-request")
+        runs = sum(item.counts.runs[ident] for item in endpoints)
+        assert runs == (0 if answers[0].header("cardamom-outcome") else 1)
+
+
+@when("2 callers send requests of 200 ms and 8 more wait")
+def callers_wait(context):
+    world = context.world
+    context.clients = [Client(world, world.ports_of["e1"]) for _ in range(10)]
+    for client in context.clients:
+        client.conn.write(b"GET /notices HTTP/1.1\r\nHost: e\r\nWork-Ms: 200\r\n\r\n")
+    dispatcher = world.entries["e1"].dispatcher
+    world.until(lambda: dispatcher.open_requests == 10)
+    world.until(lambda: world.endpoints["vm0"].counts.started == 2)
+
+
+@when("all callers leave")
+def callers_leave(context):
+    for client in context.clients:
+        client.conn.abort()
+
+
+@then("only the 2 running requests ran and the entry holds nothing")
+def only_running(context):
+    world = context.world
+    entry = world.entries["e1"]
+    world.until(lambda: not entry.dispatcher.open_requests)
+    world.until(lambda: not entry.dispatcher.held("vm0"))
+    assert world.endpoints["vm0"].counts.started == 2
+    assert world.endpoints["vm0"].counts.finished == 2
+
+
+@when("a caller sends 5 pipelined requests")
+def pipelines(context):
+    world = context.world
+    client = context.client = Client(world, world.ports_of["e1"])
+    client.conn.write(
+        b"".join(
+            b"POST /notices HTTP/1.1\r\nHost: e\r\nWork-Ms: %d\r\n"
+            b"Content-Length: 6\r\n\r\nbody-%d" % (50 - 10 * number, number)
+            for number in range(5)
+        )
+    )
+    world.until(lambda: client.data.count(b"body-") == 5)
+
+
+@then("5 answers come in the order of the requests")
+def in_order(context):
+    data = context.client.data
+    places = [data.index(b"body-%d" % number) for number in range(5)]
+    assert places == sorted(places)
+    assert data.count(b"HTTP/1.1 200") == 5
+
+
+@when('a caller expects 100-continue for the body "{body}"')
+def expects(context, body):
+    world = context.world
+    client = context.client = Client(world, world.ports_of["e1"])
+    client.conn.write(
+        b"POST /notices HTTP/1.1\r\nHost: e\r\nExpect: 100-continue\r\n"
+        b"Content-Length: %d\r\n\r\n" % len(body)
+    )
+    world.until(lambda: b"\r\n\r\n" in client.data)
+    assert client.data.startswith(b"HTTP/1.1 100")
+    client.conn.write(body.encode())
+    world.until(lambda: b"HTTP/1.1 200" in client.data)
+
+
+@then('it is told to continue and its answer ends with "{body}"')
+def continued(context, body):
+    context.world.until(lambda: context.client.data.endswith(body.encode()))
+
+
+@when("a request of 600 ms runs on each endpoint")
+def runs_on_each(context):
+    world = context.world
+    context.running = [
+        world.send("GET", "/notices", entry, work_ms=600) for entry in ("e1", "e2") * 2
+    ]
+    world.until(lambda: all(item.counts.in_flight for item in world.endpoints.values()))
+
+
+@when("a batch with the first endpoint is opened")
+def batch_opened(context):
+    world = context.world
+    builds_on = world.read[-1].offset
+    opened = records.BatchOpened("weekly", 0, ("vm0",), "", builds_on, "c1")
+    world.append(opened)
+    context.batch = next(one.offset for one in world.read if one.record == opened)
+
+
+def said_by_all(context, cls):
+    said = {
+        one.record.entry
+        for one in context.world.read
+        if isinstance(one.record, cls) and one.record.batch == context.batch
+    }
+    return said == {"e1", "e2"}
+
+
+@then("both entries acknowledge the batch")
+def all_acked(context):
+    context.world.until(lambda: said_by_all(context, records.BatchAcked))
+
+
+@when("the drain starts")
+def drain_starts(context):
+    world = context.world
+    world.append(records.DrainStarted(context.batch, "c1"))
+    world.until(
+        lambda: all(
+            entry.member.state.batches[context.batch].draining
+            for entry in world.entries.values()
+        )
+    )
+
+
+@then("{count:d} requests all run on the second endpoint")
+def all_on_second(context, count):
+    world = context.world
+    for number in range(count):
+        answer = world.ask("GET", "/notices", f"e{number % 2 + 1}")
+        assert answer.header("endpoint") == "vm1", answer
+
+
+@then("no entry has confirmed while its request runs")
+def none_confirmed(context):
+    world = context.world
+    assert world.endpoints["vm0"].counts.in_flight
+    held = [
+        name for name, entry in world.entries.items() if entry.dispatcher.held("vm0")
+    ]
+    confirmed = [
+        one.record.entry
+        for one in world.read
+        if isinstance(one.record, records.DrainConfirmed)
+    ]
+    assert held and not set(held) & set(confirmed)
+
+
+@then("both entries confirm the drain after it has ended")
+def all_confirmed(context):
+    context.world.until(lambda: said_by_all(context, records.DrainConfirmed))
+    assert not context.world.endpoints["vm0"].counts.in_flight
+
+
+@when("the log hangs for longer than the lease")
+def log_hangs(context):
+    context.world.log.faults.log = "hang"
+    context.world.run_for(LEASE_WAIT_S)
+    members = [entry.member for entry in context.world.entries.values()]
+    assert not any(member.follower.fresh() for member in members)
--- /dev/null
+++ b/tests/steps/entry_world.py
@@ -0,0 +1,226 @@
+"""A log, endpoints and entries on one loop, for the steps of the entry."""
+
+import random
+import re
+import socket
+
+from cardamomgrade import records
+from cardamomgrade.bundle import parse_bundle
+from cardamomgrade.client import ClientConn
+from cardamomgrade.entry import Entry, EntrySettings
+from cardamomgrade.feed import Feed
+from cardamomgrade.loop import Loop
+from cardamomgrade.net import Net
+from cardamomgrade.standend import EndpointStandin
+from cardamomgrade.standin import PlatformStandin
+from cardamomgrade.wire import HttpRequest
+
+HOST = "127.0.0.1"
+LIMIT_S = 10.0
+BUNDLE = """
+[bundle]
+version = 1
+author = amina
+seats = e1, e2
+key_memory_s = 60
+[pool notices]
+slots = 4
+connections = 64
+[service notices]
+pool = notices
+path = /notices
+deadline_ms = {deadline_ms}
+min_serving = 0
+queue = 20
+[service reminders]
+pool = notices
+path = /reminders
+urgency = batch
+deadline_ms = {deadline_ms}
+min_serving = 0
+[wave weekly]
+pools = notices
+"""
+VM = """
+[vm {name}]
+pool = notices
+zone = {zone}
+rack = r1
+address = 127.0.0.1:{port}
+"""
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+class ScriptedEndpoint:
+    """Answers each whole request by ``script(conn, request id)``."""
+
+    def __init__(self, net, script):
+        self.script = script
+        self.requests = []
+        self.port = net.listen(HOST, 0, self._on_conn)
+
+    def _on_conn(self, conn):
+        buffer = bytearray()
+
+        def on_data(data):
+            buffer.extend(data)
+            head, end, body = bytes(buffer).partition(b"\r\n\r\n")
+            length = re.search(rb"content-length: (\d+)", head.lower())
+            if end and len(body) >= int(length[1] if length else 0):
+                buffer.clear()
+                request_id = re.search(rb"request-id: (\S+)", head.lower())[1]
+                self.requests.append(request_id)
+                self.script(conn, request_id)
+
+        conn.on_data = on_data
+
+
+class Client:
+    """A caller's connection to an entry, with the bytes that came back."""
+
+    def __init__(self, world, port):
+        self.data = b""
+        self.closed = False
+        self.conn = None
+        world.net.dial(HOST, port, self._opened, self._failed)
+        world.until(lambda: self.conn is not None)
+
+    def _opened(self, conn):
+        self.conn = conn
+        conn.on_data = self._on_data
+        conn.on_close = self._on_close
+
+    def _failed(self, exc):
+        raise exc
+
+    def _on_data(self, data):
+        self.data += data
+
+    def _on_close(self):
+        self.closed = True
+
+
+class World:
+    """Everything on one loop; ``until`` runs it."""
+
+    def __init__(self, deadline_ms=1000):
+        self.loop = Loop()
+        self.loop._running = True
+        self.net = Net(self.loop)
+        self.rng = random.Random(7)
+        self.deadline_ms = deadline_ms
+        self.platform = PlatformStandin(self.loop, self.net, ())
+        self.log_port = self.platform.listen(HOST, 0)
+        self.log = self.platform.log
+        self.endpoints = {}
+        self.entries = {}
+        self.ports = {}
+        self.read = []
+        address = f"{HOST}:{self.log_port}"
+        self.fleet = Feed(
+            self.loop, self.net, address, records.STREAM_FLEET, self.read.extend
+        )
+        self.fleet.start()
+
+    def until(self, done, limit_s=LIMIT_S):
+        """Run the loop until ``done()``; fail after ``limit_s`` seconds."""
+        end = self.loop.now() + limit_s
+        while not done():
+            assert self.loop.now() < end, "the wait took too long"
+            self.loop.call_later(0.01, lambda: None)
+            self.loop.tick()
+
+    def run_for(self, seconds):
+        end = self.loop.now() + seconds
+        self.until(lambda: self.loop.now() >= end)
+
+    def endpoint(self, name):
+        """Add a stand-in endpoint; return it."""
+        port = free_port()
+        item = EndpointStandin(self.loop, self.net, name, (HOST, port))
+        self.endpoints[name] = item
+        self.ports[name] = port
+        return item
+
+    def scripted(self, name, script):
+        """Add an endpoint that answers by a script; return it."""
+        item = self.endpoints[name] = ScriptedEndpoint(self.net, script)
+        self.ports[name] = item.port
+        return item
+
+    def append(self, *items):
+        """Append to the fleet stream and wait until it was read back."""
+        for item in items:
+            self.fleet.append(item)
+        self.until(
+            lambda: all(any(one.record == item for one in self.read) for item in items)
+        )
+
+    def roll(self):
+        """Put a bundle with the endpoints so far in force."""
+        text = BUNDLE.format(deadline_ms=self.deadline_ms)
+        for number, (name, port) in enumerate(self.ports.items()):
+            text += VM.format(name=name, port=port, zone=f"z{number % 2}")
+        bundle = parse_bundle(text)
+        digest = bundle.digest
+        self.append(
+            records.BundleProposed(1, b"", digest, "amina", bundle.sections),
+            records.BundleSigned(digest, "omar"),
+            records.BundleRolled(digest, "omar"),
+        )
+
+    def settings(self, name):
+        return EntrySettings(
+            name=name,
+            zone="z0",
+            listen=f"{HOST}:{free_port()}",
+            log=f"{HOST}:{self.log_port}",
+        )
+
+    def entry(self, name="e1", wait=True):
+        """Start an entry; wait until it is a member."""
+        cfg = self.settings(name)
+        entry = self.entries[name] = Entry(self.loop, cfg)
+        self.ports_of = getattr(self, "ports_of", {})
+        self.ports_of[name] = entry.start()
+        if wait:
+            self.until(entry.member.is_member)
+            self.until(lambda: entry.member.state.bundle is not None)
+        return entry
+
+    def send(self, method, path, entry="e1", body=b"", **headers):
+        """Send a request to an entry; its answer is appended to the list returned."""
+        pairs = [(b"host", b"entry")]
+        for key, value in headers.items():
+            pairs.append((key.replace("_", "-").encode(), str(value).encode()))
+        req = HttpRequest(method, path, tuple(pairs), body)
+        answers = []
+
+        def opened(raw):
+            conn = ClientConn(raw)
+            conn.send(req, lambda result: self._answered(conn, answers, result))
+
+        self.net.dial(HOST, self.ports_of[entry], opened, answers.append)
+        return answers
+
+    @staticmethod
+    def _answered(conn, answers, result):
+        answers.append(result)
+        conn.abort()
+
+    def ask(self, method, path, entry="e1", body=b"", **headers):
+        """Return the answer to a request."""
+        answers = self.send(method, path, entry, body, **headers)
+        self.until(lambda: answers)
+        return answers[0]
+
+    def close(self):
+        """End everything."""
+        self.net.close_listeners()
+        self.loop._running = False
+        self.loop.poller.stop() if hasattr(self.loop.poller, "stop") else None
