--- a/src/cardamomgrade/entry.py
+++ b/src/cardamomgrade/entry.py
@@ -66,11 +66,11 @@
             on_replaced=self.stop,
             held=self._held,
         )
-        self._keys = Keys(
+        self.keys = Keys(
             loop, self._net, cfg.log, seat, self._memory_ms, self.recent.decide
         )
         self.dispatcher = Dispatcher(
-            loop, self._net, self.member, FixedShare(), self.recent, self._keys
+            loop, self._net, self.member, FixedShare(), self.recent, self.keys
         )
         limits = ServerLimits(cfg.body_bytes, cfg.connections)
         self._server = HttpServer(
@@ -82,7 +82,7 @@
         """Listen for callers and begin to read the log; return the port."""
         port = self._server.listen(*parse_address(self._cfg.listen))
         self.member.start()
-        self._keys.start()
+        self.keys.start()
         self._loop.call_every(SWEEP_S, self.dispatcher.sweep)
         self._loop.on_stop(self.stop)
         note(EntryStarted(self._cfg.listen, self.member.seat.incarnation))
--- a/src/cardamomgrade/keys.py
+++ b/src/cardamomgrade/keys.py
@@ -34,6 +34,7 @@
     """Claims keys for requests of one seat and releases those that did not run.
 
     ``memory_ms()`` tells how long a key is remembered. ``decide(event)`` logs.
+    ``caught_up`` tells whether the tail of the stream was seen.
     """
 
     def __init__(self, loop, net, log, seat, memory_ms, decide):
@@ -45,7 +46,7 @@
         self._pending = {}
         self._owed = {}
         self._incarnations = set()
-        self._caught_up = False
+        self.caught_up = False
         self._lost_at = None
         self._read_at = 0.0
         self._feed = Feed(
@@ -66,6 +67,14 @@
         self._feed.start()
         self._loop.call_every(TICK_S, self._tick)
 
+    def ready(self):
+        """Return whether keys can be claimed now."""
+        return self._feed.reachable and self._complete(self._memory_ms())
+
+    def find(self, key):
+        """Return the live Claim of a key that this entry knows of, or None."""
+        return self._claims.find(key, self._now_ms(), self._memory_ms())
+
     def claim(self, key, request, on_done):
         """Ask for a key; ``on_done(True | Refusal)`` is called once, maybe now.
 
@@ -81,18 +90,17 @@
         self._feed.append(record, lambda result: self._appended(request, result))
 
     def _objection(self, key):
-        memory_ms = self._memory_ms()
         if not self._feed.reachable:
             return Refusal(Reason.UNAVAILABLE, "the log is not reachable")
-        if not self._complete(memory_ms):
+        if not self.ready():
             return Refusal(Reason.UNAVAILABLE, "not all claims were read yet")
-        if self._claims.find(key, self._now_ms(), memory_ms) is not None:
+        if self.find(key) is not None:
             return Refusal(Reason.DUPLICATE, "the key was used by another request")
         return None
 
     def _complete(self, memory_ms):
         """Return whether every claim that may still be live is known."""
-        if not self._caught_up:
+        if not self.caught_up:
             return False
         if self._claims.complete(self._now_ms(), memory_ms):
             return True
@@ -159,7 +167,7 @@
         self.release(logged.record.key, request)
 
     def _on_fresh(self, sent_s):
-        self._caught_up = True
+        self.caught_up = True
         for request, pending in list(self._pending.items()):
             since = pending.unsure_since
             if since is not None and sent_s > since:
@@ -171,7 +179,7 @@
         self._claims.lose(earliest)
         self._lost_at = self._loop.now()
         self._feed.next_offset = earliest
-        self._caught_up = False
+        self.caught_up = False
 
     def _tick(self):
         if not self._feed.reachable:
