Keep an entry whole when sends fail at once and when all that waits is late

Cause: two faults, each shown by a scenario that failed first. A reset noticed by the first send called back before the attempt was noted, so that it was finished twice. 1500 requests that were all late recursed in the queue (RecursionError), and the rest were never answered. Ruled out: raising the recursion limit. Change: a call's result never comes within its start; late requests are ended in a loop. Conclusion: the entry holds nothing after either.

--- a/src/cardamomgrade/dispatch.py
+++ b/src/cardamomgrade/dispatch.py
@@ -145,16 +145,15 @@
         before = lane.backlog.size
         while (item := lane.backlog.peek()) is not None:
             job = item.payload
-            late = self._loop.now() >= job.deadline
-            choice = None if late else self._lanes.choose(job)
-            if not late and not choice:
+            if self._loop.now() >= job.deadline:
+                self._end_late(job)
+                continue
+            choice = self._lanes.choose(job)
+            if not choice:
                 break
             lane.backlog.pick()
             job.waiting = None
-            if late:
-                self._expire(job)
-            else:
-                self._start(job, choice)
+            self._start(job, choice)
         if lane.backlog.size != before:
             self._lanes.want(pool)
 
@@ -266,9 +265,11 @@
 
     def _expire(self, job):
         """Answer a request whose deadline has passed."""
-        if job.done:
-            return
-        pool = job.service.pool
+        if not job.done:
+            self._end_late(job)
+            self._pump(job.service.pool)
+
+    def _end_late(self, job):
         if job.attempt is not None:
             self._abandon(job.attempt)
         if job.answer is not None:
@@ -277,7 +278,6 @@
             self._finish(job, may_have_run("no answer before the deadline"))
         else:
             self._finish(job, not_run(Refusal(Reason.EXPIRED, "the deadline passed")))
-        self._pump(pool)
 
     def _caller_left(self, job):
         """Let a running request end by itself; take a waiting one back."""
--- a/src/cardamomgrade/endpoint.py
+++ b/src/cardamomgrade/endpoint.py
@@ -20,6 +20,8 @@
     request_id: str
     on_done: object
     conn: ClientConn = None
+    sending: bool = False
+    over: bool = False
 
     @property
     def sent(self):
@@ -66,7 +68,7 @@
     def abort(self, call):
         """Give a request up; its answer reaches nobody."""
         call.on_done = None
-        if call.conn is not None:
+        if call.conn is not None and not call.over:
             self._drop(call.conn)
 
     def sweep(self):
@@ -109,15 +111,18 @@
     def _send(self, call, conn):
         conn.on_idle_close = None
         call.conn = conn
+        call.sending = True
         try:
             conn.send(call.req, lambda result: self._done(call, result))
         except WireError as exc:
             call.conn = None
             self._keep(conn)
             self._finish(call, Failure(False, str(exc)))
+        call.sending = False
 
     def _done(self, call, result):
         conn = call.conn
+        call.over = True
         if isinstance(result, HttpResponse):
             echo = result.header(REQUEST_ID_HEADER)
             if echo and echo != call.request_id:
@@ -129,6 +134,9 @@
         self._finish(call, result)
 
     def _finish(self, call, result):
+        if call.sending:
+            self._loop.call_later(0, lambda: self._finish(call, result))
+            return
         on_done, call.on_done = call.on_done, None
         if on_done is not None:
             on_done(result)
--- a/src/cardamomgrade/member.py
+++ b/src/cardamomgrade/member.py
@@ -34,18 +34,26 @@
 NS_PER_MS = 10**6
 
 
+def _time_ms():
+    return time.time_ns() // NS_PER_MS
+
+
 @attrs.define
 class Seat:
-    """The name, place and current incarnation of an entry; 0 is none yet."""
+    """The name, place and current incarnation of an entry.
+
+    An incarnation is the time in ms at which it was taken, or one more than the
+    last one that is known.
+    """
 
     name: str
     zone: str
     address: str
-    incarnation: int = 0
+    incarnation: int = attrs.field(factory=_time_ms)
 
     def renew(self, seen):
-        """Take an incarnation above ``seen`` and those of earlier processes."""
-        self.incarnation = max(seen + 1, time.time_ns() // NS_PER_MS)
+        """Take an incarnation above ``seen``."""
+        self.incarnation = max(seen + 1, _time_ms())
 
 
 def owed_records(state, seat, held):
@@ -94,6 +102,7 @@
         self._was_member = False
         self._bundle = None
         self._again_at = {}
+        self._caught_up = False
         self._leaving = False
 
     @property
@@ -124,7 +133,7 @@
     def tick(self):
         """Notice changes of freshness and append what is owed."""
         self._note_freshness()
-        if self.seat.incarnation and not self._leaving:
+        if self._caught_up and not self._leaving:
             self._settle()
 
     def _note_freshness(self):
@@ -157,9 +166,11 @@
         self.follower.submit(record, done)
 
     def _on_fresh(self):
-        if not self.seat.incarnation:
+        if not self._caught_up and not self.follower.replica.waiting:
+            self._caught_up = True
             member = self.state.members.get(self.seat.name)
-            self.seat.renew(member.incarnation if member else 0)
+            if member is not None and member.incarnation >= self.seat.incarnation:
+                self.seat.renew(member.incarnation)
         self.tick()
 
     def _on_results(self, results):
@@ -171,7 +182,7 @@
         self.tick()
 
     def _check_seat(self):
-        if not self.seat.incarnation or self._leaving:
+        if not self._caught_up or self._leaving:
             return
         member = self.state.members.get(self.seat.name)
         if self.is_member() and not self._was_member:
--- a/tests/entry.feature
+++ b/tests/entry.feature
@@ -122,3 +122,15 @@
     Then both entries acknowledge the batch
     When the log hangs for longer than the lease
     Then 20 requests all run on the second endpoint
+
+  Scenario: a pooled connection is reset as the next request is sent on it
+    Given an entry and an endpoint that answers whole
+    When a request has been answered and its connection is reset unseen
+    And a request that must run once is handed to the entry
+    Then it is told unknown and the entry holds nothing after the deadline
+    And the entry answers the next request
+
+  Scenario: an entry wakes when all that waits is too late
+    Given an entry and an endpoint that never answers
+    When 1500 callers' requests wait and the entry sleeps past their deadline
+    Then each has one answer, unknown or not-run, and the entry holds nothing
--- a/tests/steps/entry.py
+++ b/tests/steps/entry.py
@@ -1,11 +1,15 @@
 """Steps for the entry program and its shells."""
 
 import json
+import socket
+import struct
+import time
 
 from behave import given, then, when
 from entry_world import Client, World
 
 from cardamomgrade import records
+from cardamomgrade.wire import HttpRequest
 from harness import free_port
 
 ANSWER = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\ndone"
@@ -29,6 +33,7 @@
 
 
 FAULTS = {
+    "answers whole": answer_whole,
     "closes before its answer": write_and_close(b""),
     "closes within its answer": write_and_close((ANSWER % b"x")[:-2]),
     "never answers": write_only(b""),
@@ -382,3 +387,86 @@
     context.world.run_for(LEASE_WAIT_S)
     members = [entry.member for entry in context.world.entries.values()]
     assert not any(member.follower.fresh() for member in members)
+
+
+class FakeExchange:
+    """An exchange that keeps its answers."""
+
+    def __init__(self, method="POST", path="/notices"):
+        self.req = HttpRequest(method, path)
+        self.peer = ("127.0.0.1", 1)
+        self.answers = []
+        self.on_gone = None
+
+    def respond(self, response):
+        self.answers.append(response)
+
+
+def told_by(exchange):
+    return exchange.answers[0].header("cardamom-outcome") or "answered"
+
+
+@when("a request has been answered and its connection is reset unseen")
+def reset_unseen(context):
+    world = context.world
+    conns = []
+    world.endpoints["bad"].script = lambda conn, ident: (
+        conns.append(conn),
+        answer_whole(conn, ident),
+    )
+    assert world.ask("POST", "/notices").status == 200
+    world.run_for(0.05)
+    linger = struct.pack("ii", 1, 0)
+    conns[0]._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    conns[0].abort()
+
+
+@when("a request that must run once is handed to the entry")
+def handed(context):
+    context.exchange = FakeExchange()
+    context.world.entries["e1"].dispatcher.handle(context.exchange)
+    assert not context.exchange.answers
+
+
+@then("it is told unknown and the entry holds nothing after the deadline")
+def unknown_then_free(context):
+    world = context.world
+    dispatcher = world.entries["e1"].dispatcher
+    world.run_until(lambda: context.exchange.answers)
+    assert told_by(context.exchange) == "unknown"
+    world.run_for(2.5 * world.deadline_ms / 1000)
+    assert not dispatcher.open_requests
+    assert dispatcher.held("bad") == 0
+    assert len(context.exchange.answers) == 1
+
+
+@then("the entry answers the next request")
+def answers_next(context):
+    assert context.world.ask("POST", "/notices").status == 200
+
+
+@when("1500 callers' requests wait and the entry sleeps past their deadline")
+def sleeps(context):
+    world = context.world
+    dispatcher = world.entries["e1"].dispatcher
+    service = world.entries["e1"].member.state.bundle.services["notices"]
+    object.__setattr__(service, "queue", 5000)
+    context.exchanges = [FakeExchange() for _ in range(1500)]
+    for exchange in context.exchanges:
+        dispatcher.handle(exchange)
+    world.run_for(0.1)
+    assert dispatcher.open_requests == 1500
+    time.sleep(1.1 * world.deadline_ms / 1000)
+
+
+@then("each has one answer, unknown or not-run, and the entry holds nothing")
+def one_answer_each(context):
+    world = context.world
+    dispatcher = world.entries["e1"].dispatcher
+    world.run_until(lambda: not dispatcher.open_requests)
+    world.run_for(1.1 * world.deadline_ms / 1000)
+    assert dispatcher.held("bad") == 0
+    assert {len(exchange.answers) for exchange in context.exchanges} == {1}
+    told = [told_by(exchange) for exchange in context.exchanges]
+    assert set(told) == {"unknown", "not-run"}
+    assert told.count("unknown") == len(world.endpoints["bad"].requests)
