--- /dev/null
+++ b/src/cardamomgrade/member.py
@@ -0,0 +1,212 @@
+"""An entry's part in the fleet: its seat and the records it owes the log."""
+
+import time
+
+import attrs
+
+from .entry_events import (
+    AppendFailed,
+    AppendOwed,
+    BadLogRecord,
+    BundleInForce,
+    EntryMember,
+    FreshnessLost,
+    FreshnessRegained,
+    LogTruncated,
+    SeatTaken,
+)
+from .feed import Appended
+from .fleet import batches_to_ack, drains_to_confirm, is_member, may_send
+from .follower import Follower
+from .journal import note
+from .records import (
+    BatchAcked,
+    DrainConfirmed,
+    MemberJoined,
+    MemberLeft,
+    STREAM_FLEET,
+)
+from .refusal import Reason, Refusal
+
+TICK_S = 0.1
+APPEND_AGAIN_S = 1.0
+LEAVE_TIMEOUT_S = 3.0
+NS_PER_MS = 10**6
+
+
+def _time_ms():
+    return time.time_ns() // NS_PER_MS
+
+
+@attrs.define
+class Seat:
+    """The name, place and current incarnation of an entry.
+
+    An incarnation is the time in ms at which it was taken, or one more than the
+    last one that is known.
+    """
+
+    name: str
+    zone: str
+    address: str
+    incarnation: int = attrs.field(factory=_time_ms)
+
+    def renew(self, seen):
+        """Take an incarnation above ``seen``."""
+        self.incarnation = max(seen + 1, _time_ms())
+
+
+def owed_records(state, seat, held):
+    """Return the records that a seat owes the log by a folded state.
+
+    ``held(vm)`` tells how many requests the entry has in flight on a VM.
+    """
+    member = state.members.get(seat.name)
+    if member is None or member.incarnation < seat.incarnation:
+        return [MemberJoined(seat.name, seat.incarnation, seat.zone, seat.address)]
+    who = (seat.name, seat.incarnation)
+    owed = [BatchAcked(*who, offset) for offset in batches_to_ack(state, *who)]
+    owed.extend(
+        DrainConfirmed(*who, offset)
+        for offset in drains_to_confirm(state, *who)
+        if not any(held(vm) for vm in state.batches[offset].vms)
+    )
+    return owed
+
+
+class Member:
+    """Follows the fleet stream and keeps the entry's duties towards it.
+
+    ``on_change()`` is called when the state has changed, ``on_replaced()`` when a
+    later incarnation has taken the seat, ``held(vm)`` counts requests in flight.
+    """
+
+    def __init__(self, loop, net, log, seat, **hooks):
+        self._loop = loop
+        self.seat = seat
+        self._on_change = hooks["on_change"]
+        self._on_replaced = hooks["on_replaced"]
+        self._held = hooks["held"]
+        self.follower = Follower(
+            loop,
+            net,
+            log,
+            self._on_results,
+            on_fresh=self._on_fresh,
+            on_lost=lambda earliest: note(LogTruncated(STREAM_FLEET, earliest)),
+            on_bad=lambda offset, detail: note(
+                BadLogRecord(STREAM_FLEET, offset, detail)
+            ),
+        )
+        self._was_fresh = False
+        self._was_member = False
+        self._bundle = None
+        self._again_at = {}
+        self._caught_up = False
+        self._leaving = False
+
+    @property
+    def state(self):
+        """The folded FleetState."""
+        return self.follower.state
+
+    @property
+    def leaving(self):
+        """Whether the entry has begun to leave its seat."""
+        return self._leaving
+
+    def start(self):
+        """Begin to read; the seat is taken once the tail was seen."""
+        self.follower.start()
+        self._loop.call_every(TICK_S, self.tick)
+
+    def is_member(self):
+        """Return whether the folded state holds this incarnation as a member."""
+        return is_member(self.state, self.seat.name, self.seat.incarnation)
+
+    def may_send(self, vm):
+        """Return True when requests may be sent to a VM now, else a Refusal."""
+        if not self.is_member():
+            return Refusal(Reason.NOT_ACKNOWLEDGED, "the entry is no member")
+        return may_send(self.state, vm, self.follower.fresh())
+
+    def tick(self):
+        """Notice changes of freshness and append what is owed."""
+        self._note_freshness()
+        if self._caught_up and not self._leaving:
+            self._settle()
+
+    def _note_freshness(self):
+        fresh = self.follower.fresh()
+        if fresh != self._was_fresh:
+            event = FreshnessRegained if fresh else FreshnessLost
+            note(event(self.state.offset))
+        self._was_fresh = fresh
+
+    def _settle(self):
+        now = self._loop.now()
+        owed = owed_records(self.state, self.seat, self._held)
+        self._again_at = {
+            record: due for record, due in self._again_at.items() if record in owed
+        }
+        for record in owed:
+            if self._again_at.get(record, now) <= now:
+                self._again_at[record] = float("inf")
+                self._append(record)
+
+    def _append(self, record):
+        name = type(record).__name__
+        note(AppendOwed(name, getattr(record, "batch", -1)))
+
+        def done(verdict):
+            if isinstance(verdict, Refusal):
+                note(AppendFailed(name, str(verdict)))
+            self._again_at[record] = self._loop.now() + APPEND_AGAIN_S
+
+        self.follower.submit(record, done)
+
+    def _on_fresh(self):
+        if not self._caught_up and not self.follower.replica.waiting:
+            self._caught_up = True
+            member = self.state.members.get(self.seat.name)
+            if member is not None and member.incarnation >= self.seat.incarnation:
+                self.seat.renew(member.incarnation)
+        self.tick()
+
+    def _on_results(self, results):
+        if self.state.bundle is not self._bundle:
+            self._bundle = self.state.bundle
+            note(BundleInForce(self._bundle.version, self.state.bundle_offset))
+        self._check_seat()
+        self._on_change()
+        self.tick()
+
+    def _check_seat(self):
+        if not self._caught_up or self._leaving:
+            return
+        member = self.state.members.get(self.seat.name)
+        if self.is_member() and not self._was_member:
+            note(EntryMember(self.seat.incarnation))
+        removed = self._was_member and member is None
+        self._was_member = self.is_member()
+        if removed:
+            self.seat.renew(self.seat.incarnation)
+        elif member is not None and member.incarnation > self.seat.incarnation:
+            note(SeatTaken(self.seat.incarnation, member.incarnation))
+            self._on_replaced()
+
+    def leave(self, on_done):
+        """Append that the entry left; ``on_done(bool)`` tells if the log took it."""
+        self._leaving = True
+        if not self.is_member():
+            on_done(False)
+            return
+        calls = [on_done]
+
+        def done(result):
+            if calls:
+                calls.pop()(isinstance(result, Appended))
+
+        self._loop.call_later(LEAVE_TIMEOUT_S, lambda: done(None))
+        record = MemberLeft(self.seat.name, self.seat.incarnation)
+        self.follower.feed.append(record, done)
