--- /dev/null
+++ b/tests/steps/slots.py
@@ -0,0 +1,420 @@
+"""Steps for the slots module: ledgers over a network that loses and repeats."""
+
+import attrs
+from behave import given, then, when
+from hypothesis import given as generate, settings, strategies as st
+from hypothesis.stateful import (
+    invariant,
+    rule,
+    RuleBasedStateMachine,
+    run_state_machine_as_test,
+)
+
+from cardamomgrade import slots, tokens
+
+DEADLINE_S = 3.0
+SEATS = ("a", "b", "c")
+SLOTS = {"x": 4, "y": 5}
+SLICE_S = 0.25
+REPEATED = 0.3
+ANY = tuple(sorted(SLOTS))
+FIXED = settings(max_examples=200, derandomize=True, deadline=None, database=None)
+LONG = settings(FIXED, max_examples=150, stateful_step_count=60)
+seat_names = st.sampled_from(SEATS)
+endpoint_names = st.sampled_from(sorted(SLOTS))
+
+
+@attrs.define(eq=False)
+class Node:
+    """One incarnation with the start times of its running requests."""
+
+    ledger: slots.SlotLedger
+    running: list = attrs.field(factory=list)
+    frozen: float | None = None
+
+
+class Cluster:
+    """Ledgers of all incarnations and the messages between them."""
+
+    def __init__(self, seats=SEATS, endpoints=SLOTS):
+        self.now = 0.0
+        self.seats, self.endpoints = seats, endpoints
+        self.flying, self.gone, self.nodes = [], [], {}
+        self.zombie = None
+        self.born = 0
+        for seat in seats:
+            self.start(seat)
+
+    def start(self, seat, first=False):
+        self.born += 1
+        born = self.born
+
+        def send(peer, incarnation, message):
+            self.flying.append((seat, born, peer, incarnation, message))
+
+        ledger = slots.SlotLedger(seat, born, lambda: self.now, send)
+        node = self.nodes[seat] = Node(ledger)
+        ledger.configure(self.endpoints, self.seats, DEADLINE_S)
+        for peer in self.seats:
+            if peer != seat and peer in self.nodes:
+                self.meet(seat, peer)
+        if first:
+            ledger.prove_first()
+        return node
+
+    def meet(self, one, other):
+        for near, far in ((one, other), (other, one)):
+            node, peer = self.nodes[near], self.nodes[far]
+            if node.frozen is None and peer.frozen is None:
+                node.ledger.learn(far, peer.ledger.incarnation)
+
+    def all_nodes(self):
+        return [*self.nodes.values(), *([self.zombie] if self.zombie else [])]
+
+    def deliver(self, index):
+        seat, born, peer, incarnation, message = self.flying[index]
+        for node in self.all_nodes():
+            ledger = node.ledger
+            addressed = (ledger.seat, ledger.incarnation) == (peer, incarnation)
+            if addressed and node.frozen is None:
+                ledger.receive(seat, born, message)
+
+    def flush(self):
+        for _ in range(200):
+            if not self.flying:
+                return
+            self.deliver(0)
+            self.flying.pop(0)
+
+    def scramble(self, rng, loss):
+        """Deliver in any order; some messages are lost, some stay to come again."""
+        batch, self.flying = self.flying, []
+        rng.shuffle(batch)
+        for item in batch:
+            if rng.random() >= loss:
+                self.flying.insert(0, item)
+                self.deliver(0)
+                self.flying.pop(0)
+                if rng.random() < REPEATED:
+                    self.flying.append(item)
+
+    def expire(self):
+        """End requests at their deadline; a paused entry cannot release tokens."""
+        for node in self.all_nodes():
+            for request in list(node.running):
+                if self.now - request[1] >= DEADLINE_S and node.frozen is None:
+                    node.running.remove(request)
+                    node.ledger.give_back(request[0])
+        self.gone = [item for item in self.gone if self.now - item[1] < DEADLINE_S]
+
+    def run(self, seconds, flush=False):
+        for _ in range(round(seconds / SLICE_S)):
+            self.now += SLICE_S
+            self.expire()
+            for node in self.all_nodes():
+                if node.frozen is None:
+                    node.ledger.tick()
+            if flush:
+                self.flush()
+
+    def take(self, node, endpoint):
+        if node.ledger.take(endpoint):
+            node.running.append((endpoint, self.now))
+            return True
+        return False
+
+    def replace(self, seat):
+        old = self.nodes[seat]
+        if old.frozen is not None and self.zombie is None:
+            self.zombie = old
+        else:
+            self.gone.extend(old.running)
+        return self.start(seat)
+
+    def confirm(self, node, peer):
+        """Exchange a heartbeat; a peer that knows better says so."""
+        if node.frozen is not None or peer.frozen is not None:
+            return
+        me, other = node.ledger, peer.ledger
+        other.learn(me.seat, me.incarnation)
+        if other._pairs[me.seat].incarnation == me.incarnation:
+            me.confirm(other.seat, other.incarnation, self.now, other.halted())
+        else:
+            me.supersede()
+
+    def load(self, endpoint):
+        """Return requests that may run and tokens that may be used."""
+        total = sum(name == endpoint for name, _ in self.gone)
+        for node in self.all_nodes():
+            running = [item for item in node.running if item[0] == endpoint]
+            if node is self.zombie and node.frozen is not None:
+                running = [x for x in running if self.now - x[1] < DEADLINE_S]
+            total += len(running)
+            if node.frozen is None:
+                total += max(0, node.ledger.available(endpoint))
+        return total
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Any order of demand, loss, repetition, crashes, pauses and replacement."""
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = Cluster()
+        self.cluster.run(DEADLINE_S + slots.PAUSE_LIMIT_S + 1, flush=True)
+
+    @rule(seat=seat_names, endpoint=endpoint_names, count=st.integers(1, 6))
+    def take(self, seat, endpoint, count):
+        node = self.cluster.nodes[seat]
+        if node.frozen is None:
+            for _ in range(count):
+                self.cluster.take(node, endpoint)
+
+    @rule(seat=seat_names, data=st.data())
+    def finish(self, seat, data):
+        node = self.cluster.nodes[seat]
+        if node.running and node.frozen is None:
+            index = data.draw(st.integers(0, len(node.running) - 1))
+            node.ledger.give_back(node.running.pop(index)[0])
+
+    @rule(seat=seat_names, count=st.integers(0, 9))
+    def want(self, seat, count):
+        if self.cluster.nodes[seat].frozen is None:
+            self.cluster.nodes[seat].ledger.want(ANY, count)
+
+    @rule(seat=seat_names, rng=st.randoms(), loss=st.sampled_from([0, 0, 0.3]))
+    def borrow(self, seat, rng, loss):
+        """Take every token that can be had, over a bad network."""
+        node = self.cluster.nodes[seat]
+        for _ in range(4):
+            if node.frozen is None:
+                for endpoint in SLOTS:
+                    while self.cluster.take(node, endpoint):
+                        pass
+                node.ledger.want(ANY, 9)
+            self.cluster.scramble(rng, loss)
+        if node.frozen is None:
+            node.ledger.want(ANY, 0)
+
+    @rule(rng=st.randoms(), loss=st.sampled_from([0, 0.3, 1]))
+    def scramble(self, rng, loss):
+        self.cluster.scramble(rng, loss)
+
+    @rule(seat=seat_names)
+    def finish_all(self, seat):
+        node = self.cluster.nodes[seat]
+        while node.running and node.frozen is None:
+            node.ledger.give_back(node.running.pop()[0])
+
+    @rule(seconds=st.sampled_from([0.25, 0.5, 1.0, 3.0, 6.0]), flush=st.booleans())
+    def run(self, seconds, flush):
+        self.cluster.run(seconds, flush)
+
+    @rule(seat=seat_names)
+    def replace(self, seat):
+        self.cluster.replace(seat)
+
+    @rule(seat=seat_names)
+    def freeze(self, seat):
+        node = self.cluster.nodes[seat]
+        node.frozen = self.cluster.now if node.frozen is None else node.frozen
+
+    @rule(seat=seat_names)
+    def wake(self, seat):
+        self.cluster.nodes[seat].frozen = None
+
+    @rule()
+    def wake_replaced(self):
+        old = self.cluster.zombie
+        if old and old.frozen and self.cluster.now - old.frozen > slots.PAUSE_LIMIT_S:
+            old.frozen = None
+
+    @rule(seat=seat_names, peer=seat_names, replaced=st.booleans())
+    def heartbeat(self, seat, peer, replaced):
+        node = self.cluster.zombie if replaced else self.cluster.nodes[seat]
+        peer = self.cluster.nodes[peer]
+        if node and node.ledger.seat != peer.ledger.seat:
+            self.cluster.confirm(node, peer)
+
+    @invariant()
+    def slots_are_not_exceeded(self):
+        for endpoint, limit in SLOTS.items():
+            load = self.cluster.load(endpoint)
+            assert load <= limit, f"{load} of {limit} on {endpoint}"
+
+
+def random_cluster(steps):
+    """Return a cluster after generated demand with losses, then all idle."""
+    cluster = Cluster()
+    cluster.run(DEADLINE_S + slots.PAUSE_LIMIT_S + 1, flush=True)
+    for seat, endpoint, count, lost in steps:
+        node = cluster.nodes[seat]
+        node.ledger.want(ANY, count)
+        cluster.take(node, endpoint)
+        if lost == 3:
+            cluster.replace(seat)
+        if lost:
+            cluster.flying = cluster.flying[lost:]
+        cluster.run(SLICE_S, flush=lost != 2)
+    for seat in SEATS:
+        cluster.nodes[seat].ledger.want(ANY, 0)
+    cluster.run(3 * DEADLINE_S + 10, flush=True)
+    return cluster
+
+
+step_lists = st.lists(
+    st.tuples(seat_names, endpoint_names, st.integers(0, 9), st.integers(0, 3)),
+    max_size=25,
+)
+
+
+@then("generated deals of slot tokens are whole, even and grow with the slots")
+def step_deals(context):
+    @FIXED
+    @generate(st.text(max_size=9), st.integers(0, 64), st.integers(1, 14))
+    def check(endpoint, count, seats):
+        names = [f"e{index}" for index in range(seats)]
+        dealt = tokens.deal(endpoint, count, names)
+        more = tokens.deal(endpoint, count + 1, names)
+        assert sum(dealt.values()) == count
+        assert max(dealt.values()) - min(dealt.values()) <= 1
+        assert all(more[name] >= dealt[name] for name in names)
+
+    check()
+
+
+@then("no generated history of slot ledgers exceeds the slots of an endpoint")
+def step_machine(context):
+    run_state_machine_as_test(LedgerMachine, settings=LONG)
+
+
+@then("generated histories of slot ledgers end with every token at home")
+def step_home(context):
+    @settings(FIXED, max_examples=60)
+    @generate(step_lists)
+    def check(steps):
+        cluster = random_cluster(steps)
+        for endpoint, limit in SLOTS.items():
+            home = tokens.deal(endpoint, limit, SEATS)
+            for seat in SEATS:
+                assert cluster.nodes[seat].ledger.available(endpoint) == home[seat]
+
+    check()
+
+
+@then("after them one seat can borrow every slot")
+def step_borrow(context):
+    @settings(FIXED, max_examples=30)
+    @generate(step_lists, seat_names)
+    def check(steps, seat):
+        cluster = random_cluster(steps)
+        node = cluster.nodes[seat]
+        for _ in range(8):
+            for endpoint in SLOTS:
+                while cluster.take(node, endpoint):
+                    pass
+            node.ledger.want(ANY, 9 - len(node.running))
+            cluster.run(SLICE_S, flush=True)
+        assert len(node.running) == sum(SLOTS.values())
+
+    check()
+
+
+@given("three slot ledgers over {count:d} slots")
+def step_ledgers(context, count):
+    context.slot_cluster = Cluster(endpoints={"x": count})
+    context.slot_cluster.run(DEADLINE_S + slots.PAUSE_LIMIT_S + 1, flush=True)
+
+
+@when("slot seat a is replaced with 2 requests running")
+def step_replaced(context):
+    cluster = context.slot_cluster
+    assert all(cluster.take(cluster.nodes["a"], "x") for _ in range(2))
+    context.slot_node = cluster.replace("a")
+
+
+@then("slot seat a has no home tokens until the longest deadline has passed")
+def step_waits(context):
+    cluster, ledger = context.slot_cluster, context.slot_node.ledger
+    cluster.run(DEADLINE_S, flush=True)
+    assert ledger.available("x") == 0
+    cluster.run(slots.PAUSE_LIMIT_S + SLICE_S, flush=True)
+    assert ledger.available("x") == tokens.deal("x", 8, SEATS)["a"]
+
+
+@then("a proven first incarnation has its tokens at once")
+def step_first(context):
+    cluster = Cluster(endpoints={"x": 8})
+    for seat in SEATS:
+        cluster.nodes[seat].ledger.prove_first()
+    cluster.flush()
+    found = [cluster.nodes[seat].ledger.available("x") for seat in SEATS]
+    assert sum(found) == 8, found
+    node = cluster.replace("a")
+    node.ledger.prove_first()
+    cluster.flush()
+    assert node.ledger.available("x") == 0
+
+
+@when("slot seat a pauses for 10 seconds")
+def step_pause(context):
+    cluster = context.slot_cluster
+    cluster.nodes["a"].frozen = cluster.now
+    cluster.run(10)
+    cluster.nodes["a"].frozen = None
+
+
+@when("all slot seats pause for 10 seconds")
+def step_pause_all(context):
+    context.slot_cluster.now += 10
+
+
+@then("slot seat a has tokens again only after an old peer confirms it")
+def step_confirmed(context):
+    cluster = context.slot_cluster
+    ledger, peer = cluster.nodes["a"].ledger, cluster.nodes["b"].ledger
+    assert ledger.available("x") == 0
+    ledger.confirm("b", peer.incarnation, cluster.now - 1)
+    assert ledger.available("x") == 0
+    newcomer = cluster.replace("c").ledger
+    ledger.confirm("c", newcomer.incarnation, cluster.now)
+    assert ledger.available("x") == 0
+    ledger.confirm("b", peer.incarnation, cluster.now)
+    assert ledger.available("x") > 0
+
+
+@then("slot seat a has tokens again only after both halted peers confirm it")
+def step_all_confirm(context):
+    cluster = context.slot_cluster
+    node = cluster.nodes["a"]
+    assert node.ledger.available("x") == 0
+    cluster.confirm(node, cluster.nodes["b"])
+    assert node.ledger.available("x") == 0
+    cluster.confirm(node, cluster.nodes["c"])
+    assert node.ledger.available("x") > 0
+
+
+@when("slot seat a holds all 8 slots and seat b asks for its own")
+def step_hold_all(context):
+    cluster = context.slot_cluster
+    node = cluster.nodes["a"]
+    for _ in range(8):
+        while cluster.take(node, "x"):
+            pass
+        node.ledger.want(("x",), 20)
+        cluster.run(SLICE_S, flush=True)
+    assert len(node.running) == 8
+    cluster.nodes["b"].ledger.want(("x",), 5)
+    cluster.flush()
+
+
+@then("seat b gets its home tokens as requests of seat a end")
+def step_recalled(context):
+    cluster = context.slot_cluster
+    home = tokens.deal("x", 8, SEATS)["b"]
+    for count in range(1, home + 1):
+        node = cluster.nodes["a"]
+        node.running.pop()
+        node.ledger.give_back("x")
+        cluster.flush()
+        assert cluster.nodes["b"].ledger.available("x") == count
