Test slot ledgers with focused failures beside generated histories

Change: histories now keep seats busy and scramble, lose and repeat messages; six focused cases replace lenders and borrowers at the bad moment.

--- a/tests/slots.feature
+++ b/tests/slots.feature
@@ -33,3 +33,15 @@
     Given three slot ledgers over 8 slots
     When slot seat a holds all 8 slots and seat b asks for its own
     Then seat b gets its home tokens as requests of seat a end
+
+  Scenario Outline: slots hold when <case>
+    Then the slots of an endpoint hold when <case>
+
+    Examples:
+      | case                                            |
+      | a lender is replaced while its borrower is busy |
+      | a borrower is replaced after it reported        |
+      | a borrower is replaced before it could report   |
+      | a replaced borrower wakes and reports           |
+      | a transfer of a replaced lender arrives late    |
+      | tokens are lent and returned at once            |
--- a/tests/steps/slots.py
+++ b/tests/steps/slots.py
@@ -19,7 +19,7 @@
 REPEATED = 0.3
 ANY = tuple(sorted(SLOTS))
 FIXED = settings(max_examples=200, derandomize=True, deadline=None, database=None)
-LONG = settings(FIXED, max_examples=150, stateful_step_count=60)
+LONG = settings(FIXED, max_examples=300, stateful_step_count=60)
 seat_names = st.sampled_from(SEATS)
 endpoint_names = st.sampled_from(sorted(SLOTS))
 
@@ -41,6 +41,8 @@
         self.seats, self.endpoints = seats, endpoints
         self.flying, self.gone, self.nodes = [], [], {}
         self.zombie = None
+        self.busy = set()
+        self.cut = set()
         self.born = 0
         for seat in seats:
             self.start(seat)
@@ -73,6 +75,8 @@
 
     def deliver(self, index):
         seat, born, peer, incarnation, message = self.flying[index]
+        if {born, incarnation} & self.cut and {seat, peer} == {"a", "b"}:
+            return
         for node in self.all_nodes():
             ledger = node.ledger
             addressed = (ledger.seat, ledger.incarnation) == (peer, incarnation)
@@ -98,6 +102,13 @@
                 if rng.random() < REPEATED:
                     self.flying.append(item)
 
+    def fill(self, node):
+        """Start all the requests that the tokens of a node allow."""
+        if node.frozen is None:
+            for endpoint in self.endpoints:
+                while self.take(node, endpoint):
+                    pass
+
     def expire(self):
         """End requests at their deadline; a paused entry cannot release tokens."""
         for node in self.all_nodes():
@@ -111,6 +122,8 @@
         for _ in range(round(seconds / SLICE_S)):
             self.now += SLICE_S
             self.expire()
+            for seat in self.busy:
+                self.fill(self.nodes[seat])
             for node in self.all_nodes():
                 if node.frozen is None:
                     node.ledger.tick()
@@ -187,10 +200,8 @@
         """Take every token that can be had, over a bad network."""
         node = self.cluster.nodes[seat]
         for _ in range(4):
+            self.cluster.fill(node)
             if node.frozen is None:
-                for endpoint in SLOTS:
-                    while self.cluster.take(node, endpoint):
-                        pass
                 node.ledger.want(ANY, 9)
             self.cluster.scramble(rng, loss)
         if node.frozen is None:
@@ -210,6 +221,10 @@
     def run(self, seconds, flush):
         self.cluster.run(seconds, flush)
 
+    @rule(seat=seat_names, busy=st.booleans())
+    def keep_busy(self, seat, busy):
+        (self.cluster.busy.add if busy else self.cluster.busy.discard)(seat)
+
     @rule(seat=seat_names)
     def replace(self, seat):
         self.cluster.replace(seat)
@@ -310,9 +325,7 @@
         cluster = random_cluster(steps)
         node = cluster.nodes[seat]
         for _ in range(8):
-            for endpoint in SLOTS:
-                while cluster.take(node, endpoint):
-                    pass
+            cluster.fill(node)
             node.ledger.want(ANY, 9 - len(node.running))
             cluster.run(SLICE_S, flush=True)
         assert len(node.running) == sum(SLOTS.values())
@@ -399,8 +412,7 @@
     cluster = context.slot_cluster
     node = cluster.nodes["a"]
     for _ in range(8):
-        while cluster.take(node, "x"):
-            pass
+        cluster.fill(node)
         node.ledger.want(("x",), 20)
         cluster.run(SLICE_S, flush=True)
     assert len(node.running) == 8
@@ -418,3 +430,118 @@
         node.ledger.give_back("x")
         cluster.flush()
         assert cluster.nodes["b"].ledger.available("x") == count
+
+
+def lent_cluster():
+    """Return three ledgers over 8 slots with b running on all of them."""
+    cluster = Cluster(endpoints={"x": 8})
+    cluster.run(DEADLINE_S + slots.PAUSE_LIMIT_S + 1, flush=True)
+    borrow_all(cluster)
+    return cluster
+
+
+def borrow_all(cluster):
+    """Let b take every slot and keep it busy."""
+    cluster.busy = {"b"}
+    node = cluster.nodes["b"]
+    for _ in range(8):
+        node.ledger.want(("x",), 9 - len(node.running))
+        cluster.run(SLICE_S, flush=True)
+        cluster.fill(node)
+    assert len(node.running) == 8
+    node.ledger.want(("x",), 0)
+
+
+def lender_replaced():
+    cluster = lent_cluster()
+    cluster.replace("a")
+    cluster.run(8, flush=True)
+    return cluster
+
+
+def borrower_replaced_after_report():
+    cluster = lent_cluster()
+    cluster.replace("a")
+    cluster.run(4.5, flush=True)
+    cluster.replace("b")
+    cluster.run(0.75, flush=True)
+    return cluster
+
+
+def borrower_replaced_before_report():
+    cluster = lent_cluster()
+    lender = cluster.start("a")
+    cluster.cut = {lender.ledger.incarnation}
+    cluster.run(4, flush=True)
+    cluster.cut = {cluster.nodes["b"].ledger.incarnation}
+    cluster.replace("b")
+    cluster.run(1.5, flush=True)
+    return cluster
+
+
+def woken_borrower_reports():
+    cluster = Cluster(endpoints={"x": 8})
+    cluster.nodes["b"].frozen = cluster.now
+    cluster.replace("b")
+    cluster.run(8, flush=True)
+    borrow_all(cluster)
+    unheard = cluster.nodes["b"]
+    cluster.cut = {unheard.ledger.incarnation}
+    unheard.frozen = cluster.now
+    cluster.replace("a")
+    unheard.frozen = None
+    cluster.zombie.frozen = None
+    cluster.zombie.ledger.learn("a", cluster.nodes["a"].ledger.incarnation)
+    cluster.nodes["a"].ledger.learn("b", cluster.zombie.ledger.incarnation)
+    cluster.run(6, flush=True)
+    return cluster
+
+
+def late_transfer():
+    cluster = Cluster(endpoints={"x": 8})
+    cluster.run(DEADLINE_S + slots.PAUSE_LIMIT_S + 1, flush=True)
+    cluster.nodes["b"].ledger.want(("x",), 1)
+    while cluster.flying and cluster.flying[0][0] == "b":
+        cluster.deliver(0)
+        cluster.flying.pop(0)
+    late = cluster.flying
+    assert late
+    cluster.flying = []
+    cluster.nodes["b"].ledger.want(("x",), 0)
+    cluster.replace("a")
+    cluster.run(6, flush=True)
+    cluster.flying = late
+    cluster.flush()
+    return cluster
+
+
+def lent_and_returned_at_once():
+    cluster = lent_cluster()
+    cluster.busy = set()
+    node = cluster.nodes["b"]
+    home = tokens.deal("x", 8, SEATS)["b"]
+    while len(node.running) > home:
+        node.running.pop()
+        node.ledger.give_back("x")
+    node.ledger.tick()
+    cluster.flying = []
+    cluster.nodes["c"].ledger.want(("x",), 16)
+    cluster.flush()
+    cluster.run(SLICE_S, flush=True)
+    return cluster
+
+
+CASES = {
+    "a lender is replaced while its borrower is busy": lender_replaced,
+    "a borrower is replaced after it reported": borrower_replaced_after_report,
+    "a borrower is replaced before it could report": borrower_replaced_before_report,
+    "a replaced borrower wakes and reports": woken_borrower_reports,
+    "a transfer of a replaced lender arrives late": late_transfer,
+    "tokens are lent and returned at once": lent_and_returned_at_once,
+}
+
+
+@then("the slots of an endpoint hold when {case}")
+def step_case(context, case):
+    cluster = CASES[case]()
+    assert cluster.load("x") <= 8, cluster.load("x")
