--- a/src/cardamomgrade/feed.py
+++ b/src/cardamomgrade/feed.py
@@ -93,7 +93,8 @@
     ``on_records(list of Logged)`` gets each record once, in offset order, whether it
     was read here or handed on with ``accept``. ``on_fresh(sent_s)`` is called when a
     read that was sent at ``sent_s`` has shown the tail and all before it has been
-    delivered. ``on_lost(earliest)`` is called when the next offset is not retained.
+    delivered. ``on_lost(earliest)`` is called when the next offset is not retained,
+    ``on_raw(raw)`` with each list of raw records that was new.
     """
 
     def __init__(self, loop, net, address, stream, on_records, **hooks):
@@ -102,6 +103,7 @@
         self._on_records = on_records
         self._on_fresh = hooks.get("on_fresh") or (lambda sent_s: None)
         self._on_lost = hooks.get("on_lost") or (lambda earliest: None)
+        self._on_raw = hooks.get("on_raw") or (lambda raw: None)
         self._on_bad = hooks.get("on_bad") or (lambda offset, detail: None)
         rng = hooks.get("rng") or random.Random()
         self._reader = Requester(loop, net, address, BODY_LIMIT_BYTES)
@@ -144,14 +146,18 @@
 
     def accept(self, raw):
         """Take raw records [offset, time in ms, bytes]; skip what is known."""
-        batch = []
-        for offset, time_ms, data in raw:
+        batch, taken = [], []
+        for item in raw:
+            offset, time_ms, data = item
             if offset != self.next_offset:
                 continue
             self.next_offset = offset + 1
+            taken.append(item)
             record = self._decode(offset, data)
             if record is not None:
                 batch.append(Logged(offset, time_ms, record))
+        if taken:
+            self._on_raw(taken)
         if batch:
             self._on_records(batch)
 
--- a/src/cardamomgrade/messages.py
+++ b/src/cardamomgrade/messages.py
@@ -71,14 +71,14 @@
 
     name: str = _of(str)
     incarnation: int = _of(int)
-    nonce: bytes = _of(bytes)
+    nonce: str = _of(str)
 
 
 @_message(2)
 class Proof:
-    """HMAC over both nonces, names and incarnations by the side that sends it."""
+    """HMAC over the sender's role and both names, incarnations and nonces."""
 
-    digest: bytes = _of(bytes)
+    digest: str = _of(str)
 
 
 @_message(3)
@@ -87,16 +87,15 @@
 
     ``sequence`` numbers the sender's heartbeats and ``echo`` is the newest sequence
     that it received from the peer. ``offset`` is the next fleet offset, ``claims``
-    the next claims offset. ``proven`` is the fleet tail that the sender has proof
-    of and ``age_ms`` how old that proof is, or -1 without one. A halted sender may
-    have been replaced without knowing it.
+    the next claims offset. ``age_ms`` is how old the sender's proof is that it had
+    read the whole fleet stream, or -1 without one. A halted sender may have been
+    replaced without knowing it.
     """
 
     sequence: int = _of(int)
     echo: int = _of(int)
     offset: int = _of(int)
     claims: int = _of(int)
-    proven: int = _of(int)
     age_ms: int = _of(int)
     halted: bool = _of(bool)
 
@@ -158,6 +157,14 @@
     held: tuple = _counts()
 
 
+@_message(19)
+class RecordsWanted:
+    """Asks for the records of a stream from an offset on."""
+
+    stream: str = _of(str)
+    offset: int = _of(int)
+
+
 @_message(20)
 class Records:
     """Raw records of a stream in offset order, handed on."""
--- a/src/cardamomgrade/slots.py
+++ b/src/cardamomgrade/slots.py
@@ -391,3 +391,4 @@
         Query: _on_query,
         Report: _on_report,
     }
+    MESSAGES = frozenset(_HANDLERS)
