Test the control, its follower and the command line, and spare the platform

Cause: waves have to survive controls that are killed, frozen, replaced or racing, log outages and lost answers; and a VM list read whole each second is 5 KB/s at the Agence's 40 VMs, more than the 4 KB/s that a node may spend on control.

Ruled out: polling by the first in rank only, since a failure would then wait for a control that may be dead itself.

Change: the VM list is read each second only while a reboot of a pool that this control is first or second in rank for is under way, else at 2 KB/s, at least once a minute. The control uses fleet's Planner, which keeps the work of unchanged pools, and logs an explanation for each pool. text.py holds the printing of cardamomctl. Strings of the VM list are interned.

--- a/src/cardamomgrade/control.py
+++ b/src/cardamomgrade/control.py
@@ -53,11 +53,14 @@
     settings_text,
 )
 from .snapshot import snapshot_records
-from .watch import Watch
-from .wave import plan
+from .watch import PHASE_REBOOTING, Watch
+from .wave import Planner
 
 PROGRAM = "cardamom-control"
-LIST_INTERVAL_S = 1.0
+LIST_MIN_S = 1.0
+LIST_MAX_S = 60.0
+LIST_BYTES_PER_S = 2048
+CLOSE_RANK = 1
 PLAN_INTERVAL_S = 1.0
 MS_PER_S = 1000
 EXIT_BAD_SETTINGS = 2
@@ -100,6 +103,7 @@
         self._watch = Watch(cfg.name)
         self._history = History()
         self._reboots = Reboots(cfg.name, self._estate, loop.now)
+        self._planner = Planner()
         self._intents = IntentBook()
         self._retention = Retention(cfg.snapshot_s)
         self._tick_count = 0
@@ -109,6 +113,7 @@
         self._explained = {}
         self._caught_up = False
         self._log_reachable = True
+        self._poll_timer = None
         self._platform_reachable = None
         views = {
             "/metrics": lambda query: self._metrics.view(),
@@ -123,7 +128,6 @@
         note(ControlStarted(self.cfg.zone, self.cfg.log, self.cfg.vms))
         self._follower.start()
         self._poll()
-        self._loop.call_every(LIST_INTERVAL_S, self._poll)
         self._loop.call_every(self.cfg.tick_ms / MS_PER_S, self._tick)
 
     def stop(self):
@@ -159,6 +163,7 @@
         offset, record = step.logged.offset, step.logged.record
         if isinstance(record, RebootOrdered):
             self._reboots.ordered(record, offset)
+            self._hasten_poll()
         if isinstance(record, BundleRolled):
             self._rolled(step)
         if self._caught_up:
@@ -171,7 +176,18 @@
         if self._caught_up:
             self._metrics.time("rollout", delay_ms / MS_PER_S)
 
+    def _hasten_poll(self):
+        """Poll as soon as is due now, unless a poll comes before."""
+        timer, delay = self._poll_timer, self._list_delay()
+        if timer is not None and timer.due > self._loop.now() + delay:
+            timer.cancel()
+            self._poll_later(delay)
+
+    def _poll_later(self, delay):
+        self._poll_timer = self._loop.call_later(delay, self._poll)
+
     def _poll(self):
+        self._poll_timer = None
         self._estate.list_vms(self._listed)
 
     def _listed(self, result):
@@ -180,7 +196,23 @@
             self._platform_reachable = reachable
             note(PlatformReachable(reachable, "" if reachable else str(result)))
         if reachable:
+            self._metrics.count("list_bytes", self._estate.list_bytes)
             self._watch.take(result, self._loop.now())
+        self._poll_later(self._list_delay())
+
+    def _list_delay(self):
+        """Return seconds to the next list: soon when a reboot of ours is under way.
+
+        Otherwise the list's bytes are kept to a rate, since it is read whole.
+        """
+        state = self._follower.state
+        for batch in state.batches.values():
+            place = rank(batch.source, self.cfg.name, state.members)
+            phases = [state.vms[vm].phase for vm in batch.vms]
+            if place <= CLOSE_RANK and PHASE_REBOOTING in phases:
+                return LIST_MIN_S
+        wanted = self._estate.list_bytes / LIST_BYTES_PER_S
+        return min(max(wanted, LIST_MIN_S), LIST_MAX_S)
 
     def _tick(self):
         self._tick_count += 1
@@ -208,16 +240,17 @@
         self._planned_state, self._planned_list = state, listed
         self._planned_s = now
         timed = attrs.evolve(state, time_ms=self._follower.log_time_ms())
-        planned = plan(timed, list(listed.values()))
+        planned = self._planner.plan(timed, list(listed.values()))
         watched = self._watch.records(state, now)
         self._planned = tuple(watched) + tuple(planned.records)
-        self._explain_waves(planned.explanations)
+        self._explain_waves((*planned.explanations, *planned.pools))
 
     def _explain_waves(self, explanations):
-        for item in explanations:
-            if self._explained.get(item.wave) != item:
-                self._explained[item.wave] = item
-                note(WaveExplained(item.wave, str(item)))
+        known = self._explained
+        self._explained = {(item.wave, item.pool): item for item in explanations}
+        for place, item in self._explained.items():
+            if known.get(place) != item:
+                note(WaveExplained(item.wave, item.pool, str(item)))
 
     def _rank(self, record):
         state = self._follower.state
--- a/src/cardamomgrade/ctl.py
+++ b/src/cardamomgrade/ctl.py
@@ -18,13 +18,13 @@
 from .records import BundleProposed, BundleRolled, BundleSigned
 from .refusal import Reason, Refusal
 from .session import ask_ops, LogSession
+from .text import diff_text, render
 
 EXIT_REFUSED = 1
 EXIT_BAD_INPUT = 2
 EXIT_LOG_UNAVAILABLE = 3
 EXIT_UNKNOWN = 4
 DIGEST_MIN_CHARS = 6
-INDENT = "  "
 EPILOGS = {
     "validate": "cardamomctl bundle validate examples/agence/bundle.ini",
     "diff": "cardamomctl --log 127.0.0.1:21000 bundle diff bundle.ini",
@@ -87,31 +87,6 @@
     refused: Refusal
 
 
-def render(value, depth=0):
-    """Return plain data as indented ``name: value`` lines."""
-    pad = INDENT * depth
-    if isinstance(value, dict):
-        return "".join(_render_item(pad, *pair, depth) for pair in value.items())
-    if isinstance(value, list):
-        return "".join(
-            f"{pad}-\n{render(item, depth + 1)}"
-            if isinstance(item, (dict, list))
-            else f"{pad}- {item}\n"
-            for item in value
-        )
-    return f"{pad}{value}\n"
-
-
-def _render_item(pad, name, value, depth):
-    if isinstance(value, list) and not any(
-        isinstance(item, (dict, list)) for item in value
-    ):
-        return f"{pad}{name}: {', '.join(map(str, value)) or '-'}\n"
-    if isinstance(value, (dict, list)) and value:
-        return f"{pad}{name}:\n{render(value, depth + 1)}"
-    return f"{pad}{name}: {'-' if value in (None, {}) else value}\n"
-
-
 def show(value, as_json):
     """Print an attrs instance, or a list of them, as JSON or as text."""
     data = to_json(value)
@@ -251,29 +226,13 @@
     if as_json:
         show(difference, as_json)
     else:
-        click.echo(_diff_text(state, difference), nl=False)
+        click.echo(diff_text(_sections(state), difference), nl=False)
 
 
 def _sections(state):
     return state.bundle.sections if state.bundle else ()
 
 
-def _diff_text(state, difference):
-    """Return a Difference as lines with ``-`` and ``+``."""
-    old = {section.name: dict(section.options) for section in _sections(state)}
-    lines = [f"-[{title}]" for title in difference.removed]
-    for section in difference.changed:
-        before, after = old.get(section.name), dict(section.options)
-        mark = "+" if before is None else " "
-        lines.append(f"{mark}[{section.name}]")
-        before = before or {}
-        for key in sorted(before.keys() | after.keys()):
-            if before.get(key) != after.get(key):
-                lines += [f"-{key} = {before[key]}"] if key in before else []
-                lines += [f"+{key} = {after[key]}"] if key in after else []
-    return "".join(f"{line}\n" for line in lines) or "no difference\n"
-
-
 @_command(bundle, "publish")
 @click.argument("path", type=click.Path(dir_okay=False))
 @click.pass_obj
--- a/src/cardamomgrade/decisions.py
+++ b/src/cardamomgrade/decisions.py
@@ -61,9 +61,10 @@
 
 @event(205)
 class WaveExplained:
-    """What a wave does or why it waits; logged when it changes."""
+    """What a wave does in a pool or why it waits; logged when it changes."""
 
     wave: str
+    pool: str
     explanation: str
 
 
--- a/src/cardamomgrade/estate.py
+++ b/src/cardamomgrade/estate.py
@@ -1,6 +1,7 @@
 """Client of the platform's VM interface: its lagging VM list and reboots."""
 
 import json
+import sys
 
 import attrs
 
@@ -14,6 +15,7 @@
 LIST_LIMIT_BYTES = 8 * 1024 * 1024
 KINDS = ("endpoint", "entry")
 STATES = ("live", "leaving", "rebooting", "failed")
+_TEXT_FIELDS = ("vm", "kind", "zone", "rack", "address", "state")
 
 
 @attrs.frozen
@@ -54,11 +56,8 @@
 
 
 def _parse_item(item):
-    names = [field.name for field in attrs.fields(ListedVm)]
-    listed = ListedVm(**{name: item[name] for name in names})
-    texts = (listed.vm, listed.zone, listed.rack, listed.address)
-    if not all(isinstance(text, str) for text in texts):
-        raise ValueError("a name is no text")
+    texts = [sys.intern(item[name]) for name in _TEXT_FIELDS]
+    listed = ListedVm(*texts, item["fence"])
     if listed.kind not in KINDS or listed.state not in STATES:
         raise ValueError(f"unknown kind or state of {listed.vm}")
     if not isinstance(listed.fence, int) or isinstance(listed.fence, bool):
@@ -67,12 +66,16 @@
 
 
 class Estate:
-    """Asks the platform; each call reports its outcome exactly once."""
+    """Asks the platform; each call reports its outcome exactly once.
+
+    ``list_bytes`` is the size of the last VM list.
+    """
 
     def __init__(self, loop, net, address):
         self._reads = Requester(loop, net, address, LIST_LIMIT_BYTES)
         self._calls = Requester(loop, net, address)
         self._host = ((b"host", address.encode()),)
+        self.list_bytes = 0
 
     def list_vms(self, on_done):
         """Call ``on_done`` with a dict of ListedVm by name, or a Refusal."""
@@ -81,6 +84,7 @@
             if not isinstance(result, HttpResponse) or result.status != 200:
                 on_done(_no_answer(result))
                 return
+            self.list_bytes = len(result.body)
             try:
                 listed = parse_list(result.body)
             except PlatformError as exc:
--- /dev/null
+++ b/tests/steps/control.py
@@ -0,0 +1,354 @@
+"""Steps for the pure parts of the control and its follower."""
+
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from types import SimpleNamespace
+from unittest import mock
+
+import attrs
+from behave import given as given_step, then, when
+from hypothesis import given, settings, strategies as st
+
+from cardamomgrade import follower as follower_module
+from cardamomgrade.estate import ListedVm, RebootTaken
+from cardamomgrade.follower import Follower
+from cardamomgrade.intent import IntentBook, rank
+from cardamomgrade.loop import Loop
+from cardamomgrade.net import Net
+from cardamomgrade.reboots import CALL_RETRY_S, Reboots
+from cardamomgrade.records import DrainStarted, Logged, RebootOrdered, VmFailed
+from cardamomgrade.refusal import Reason, Refusal
+from cardamomgrade.replica import Replica, Restored, Step
+from cardamomgrade.retention import RANK_DELAY_S, Retention
+from cardamomgrade.server import HttpServer
+from cardamomgrade.snapshot import snapshot_records
+from cardamomgrade.standlog import LogStandin
+from cardamomgrade.watch import GONE_S, REORDER_S, Watch
+from fleets import fleet_log, rebooting_state
+
+ROOT = Path(__file__).resolve().parents[2]
+FIXED = settings(max_examples=100, derandomize=True, deadline=None, database=None)
+NAMES = st.lists(st.text(min_size=1, max_size=4), min_size=1, max_size=7, unique=True)
+SOON_S = 5.0
+
+
+@then("generated names are ranked alike by all and moved little by a newcomer")
+def step_ranks(context):
+    @FIXED
+    @given(st.text(max_size=5), NAMES, st.text(min_size=5, max_size=5))
+    def check(shard, names, newcomer):
+        ranks = {name: rank(shard, name, names) for name in names}
+        assert sorted(ranks.values()) == list(range(len(names)))
+        grown = [*names, newcomer]
+        order = sorted(names, key=ranks.get)
+        kept = sorted(grown, key=lambda name: rank(shard, name, grown))
+        kept.remove(newcomer)
+        assert kept == order
+
+    check()
+
+
+@then("generated plans are appended once, after the rank's delay")
+def step_intents(context):
+    plans = st.lists(st.frozensets(st.integers(0, 3)), min_size=1, max_size=30)
+
+    @FIXED
+    @given(plans, st.integers(0, 3))
+    def check(ticks, delay):
+        book, planned_for, appended = IntentBook(), {}, set()
+        for tick, plan in enumerate(ticks):
+            planned_for = {item: planned_for.get(item, tick) for item in plan}
+            records = [DrainStarted(item, "c") for item in plan]
+            due = {item.batch for item in book.due(records, tick, lambda _: delay)}
+            late = {item for item, since in planned_for.items() if tick - since < delay}
+            assert due == plan - late - appended
+            appended |= due
+            for item in due:
+                book.started(DrainStarted(item, "another"))
+
+    check()
+
+
+def _listed(vm="a1", state="live", fence=-1, kind="endpoint"):
+    return ListedVm(vm, kind, "z", "r", "127.0.0.1:1", state, fence)
+
+
+def _records(watch, state, now, *items):
+    watch.take({item.vm: item for item in items}, now)
+    return [type(record).__name__ for record in watch.records(state, now)]
+
+
+@then("a failure is recorded after two lists and a recovery after two more")
+def step_failures(context):
+    state = SimpleNamespace(vms=fleet_log().state.vms, members={})
+    only = SimpleNamespace(vms={"a1": state.vms["a1"]}, members={})
+    watch = Watch("c")
+    failed = _listed(state="failed")
+    assert _records(watch, only, 0.0, failed) == []
+    assert _records(watch, only, 1.0, failed) == ["VmFailed"]
+    only.vms = {"a1": attrs.evolve(state.vms["a1"], failed=True)}
+    assert _records(watch, only, 2.0, _listed(state="leaving")) == []
+    assert _records(watch, only, 3.0, _listed()) == ["VmRecovered"]
+    assert _records(watch, only, 4.0) == []
+
+
+@then("a VM joins only when it is live with the fence of its last order")
+def step_joins(context):
+    state, fence = rebooting_state("a1")
+    watch = Watch("c")
+    for item in (_listed(fence=fence - 1), _listed(state="rebooting", fence=fence)):
+        assert "VmJoined" not in _records(watch, state, 0.0, item)
+    assert "VmJoined" in _records(watch, state, 1.0, _listed(fence=fence))
+
+
+@then("an order without effect is given again only after its time")
+def step_reorder(context):
+    state, fence = rebooting_state("a1")
+    watch = Watch("c")
+    item = _listed(fence=fence - 1)
+    assert "RebootOrdered" not in _records(watch, state, 0.0, item)
+    assert "RebootOrdered" not in _records(watch, state, REORDER_S - 1, item)
+    begun = _listed(state="rebooting", fence=fence)
+    assert "RebootOrdered" not in _records(watch, state, REORDER_S, begun)
+    assert "RebootOrdered" in _records(watch, state, REORDER_S, item)
+
+
+@then("an entry is gone only when its VM was missing or failed for ten seconds")
+def step_gone(context):
+    full = fleet_log().state
+    state = SimpleNamespace(vms={}, members=full.members)
+    watch = Watch("c")
+    assert _records(watch, state, 0.0) == [], "never listed"
+    assert _records(watch, state, 1.0, _listed("e1", kind="entry")) == []
+    assert _records(watch, state, 2.0) == []
+    assert _records(watch, state, 1.0 + GONE_S) == []
+    assert _records(watch, state, 2.0 + GONE_S) == ["MemberGone"]
+    back = _listed("e1", kind="entry")
+    assert _records(watch, state, 20.0, back) == []
+
+
+class _Platform:
+    """Records reboot calls and answers them as told."""
+
+    def __init__(self, *answers):
+        self.calls = []
+        self._answers = list(answers)
+
+    def reboot(self, vm, fence, on_done):
+        self.calls.append(fence)
+        on_done(self._answers.pop(0) if self._answers else RebootTaken(vm, fence))
+
+
+@then("a reboot is called once, and not after a newer order or a join")
+def step_paused_holder(context):
+    state, fence = rebooting_state("a1")
+    order = RebootOrdered(0, "a1", "c")
+    newer = attrs.evolve(order, control="another")
+    serving = fleet_log().state
+    for superseded, seen, calls in (
+        (False, state, [fence]),
+        (True, state, []),
+        (False, serving, []),
+    ):
+        platform = _Platform()
+        reboots = Reboots("c", platform, lambda: 100.0)
+        reboots.ordered(order, fence)
+        if superseded:
+            reboots.ordered(newer, fence + 1)
+        reboots.call(seen)
+        reboots.call(seen)
+        assert platform.calls == calls, (superseded, platform.calls)
+
+
+@then("a reboot that the platform did not take is called again")
+def step_call_again(context):
+    state, fence = rebooting_state("a1")
+    clock = iter((0.0, CALL_RETRY_S / 2, CALL_RETRY_S, 2 * CALL_RETRY_S, 9.0))
+    down = Refusal(Reason.UNAVAILABLE)
+    platform = _Platform(down, Refusal(Reason.UNKNOWN))
+    reboots = Reboots("c", platform, lambda: next(clock))
+    reboots.ordered(RebootOrdered(0, "a1", "c"), fence)
+    counts = [reboots.call(state) for _ in range(5)]
+    assert counts == [1, 0, 1, 0, 0], counts
+
+
+@then("the first in rank writes a snapshot and the others wait for it")
+def step_retention(context):
+    state = SimpleNamespace(offset=50)
+    status = SimpleNamespace(earliest=0, tail=50)
+    kept = SimpleNamespace(earliest=40, tail=50)
+
+    def replica(since, offset=0):
+        return SimpleNamespace(
+            state=state, since_snapshot=since, snapshot_offset=offset, waiting=False
+        )
+
+    cases = (
+        (replica(9), status, 0, 1.0, False),
+        (replica(10), status, 0, 1.0, True),
+        (replica(10), status, 1, 1.0, False),
+        (replica(1), status, 0, 60.0, True),
+        (replica(1, 44), kept, 0, 1.0, True),
+        (replica(1, 46), kept, 0, 1.0, False),
+    )
+    for seen, log, place, now, expected in cases:
+        retention = Retention(interval_s=60, records=10)
+        retention.due(replica(0, seen.snapshot_offset), status, place, 0.0)
+        assert retention.due(seen, log, place, now) == expected, (seen, log, place)
+        assert not retention.due(seen, log, place, now + 0.1), "written twice"
+    retention = Retention(interval_s=60, records=10)
+    assert not retention.due(replica(10), status, 1, 0.0)
+    assert retention.due(replica(10), status, 1, RANK_DELAY_S)
+
+
+@then("a generated log is folded alike from a snapshot and from its start")
+def step_snapshot_start(context):
+    logged = fleet_log().logged
+
+    @FIXED
+    @given(st.integers(1, len(logged)), st.integers(0, 3))
+    def check(cut, kept):
+        whole, newcomer = Replica(), Replica()
+        whole.take(logged[:cut])
+        parts = snapshot_records(whole.state)
+        tail = [
+            Logged(cut + index, logged[cut - 1].time_ms, part)
+            for index, part in enumerate(parts)
+        ]
+        rest = [
+            attrs.evolve(item, offset=item.offset + len(parts))
+            for item in logged[cut:]
+            if not hasattr(item.record, "batch")
+        ]
+        earliest = max(0, cut - kept)
+        newcomer.lost(earliest)
+        whole.take([*tail, *rest])
+        results = newcomer.take([*logged[earliest:cut], *tail, *rest])
+        assert isinstance(results[0], Restored)
+        assert newcomer.state == whole.state
+
+    check()
+
+
+@then("snapshots that are torn, foreign or older than the state are passed over")
+def step_bad_snapshots(context):
+    logged = fleet_log().logged
+    whole = Replica()
+    whole.take(logged)
+    part = snapshot_records(whole.state)[0]
+    end = len(logged)
+    for bad in (
+        attrs.evolve(part, data=part.data[:-1]),
+        attrs.evolve(part, digest=b"x" * 32),
+        attrs.evolve(part, parts=part.parts + 1),
+        attrs.evolve(part, through=part.through + 1),
+    ):
+        newcomer = Replica()
+        newcomer.lost(end)
+        assert newcomer.take([Logged(end, 0, bad)]) == []
+        assert newcomer.waiting, "started from nothing"
+    stale = Replica()
+    stale.take([*logged, Logged(end, 0, VmFailed("a1", "c"))])
+    stale.lost(end + 5)
+    assert stale.take([Logged(end + 5, 0, part)]) == []
+    assert stale.waiting, "the state went back"
+
+
+@given_step("a follower of a log in this process")
+def step_follower(context):
+    context.loop = Loop()
+    net = Net(context.loop)
+    context.log = LogStandin(context.loop)
+    context.dropped = 0
+
+    def handle(exchange):
+        if exchange.req.method == "POST" and context.dropped:
+            context.dropped -= 1
+            exchange.drop()
+        else:
+            context.log.handle(exchange)
+
+    port = HttpServer(context.loop, net, handle).listen("127.0.0.1", 0)
+    address = f"127.0.0.1:{port}"
+    context.follower = Follower(context.loop, net, address, lambda results: None)
+    context.follower.start()
+    assert context.loop.run_until(context.follower.fresh, SOON_S)
+
+
+def _submit(context):
+    context.record = VmFailed("a1", "c")
+    context.verdicts = []
+    context.follower.submit(context.record, context.verdicts.append)
+    with mock.patch.object(follower_module, "SETTLE_S", 0.2):
+        context.loop.run_until(lambda: bool(context.verdicts), SOON_S)
+        context.loop.run_until(lambda: False, 0.3)
+
+
+@when("the log loses the answer to an append")
+def step_lose(context):
+    context.log.faults.lose_answers = 1
+    _submit(context)
+
+
+@when("the log drops an append")
+def step_drop(context):
+    context.dropped = 1
+    _submit(context)
+
+
+@when("the log is down for an append")
+def step_down(context):
+    context.log.faults.log = "down"
+    _submit(context)
+
+
+@then("the verdict is the step read back")
+def step_verdict_step(context):
+    (verdict,) = context.verdicts
+    assert isinstance(verdict, Step) and verdict.logged.record == context.record
+    assert context.log.appends == 1, "appended again"
+
+
+@then("the verdict is {reason}")
+def step_verdict(context, reason):
+    (verdict,) = context.verdicts
+    assert verdict.reason is Reason(reason), verdict
+
+
+def _control(*args):
+    return subprocess.run(
+        [sys.executable, "-m", "cardamomgrade.control", *args],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        timeout=60,
+    )
+
+
+@then("every example control prints its settings without the key")
+def step_examples(context):
+    paths = sorted(ROOT.glob("examples/*/control-*.ini"))
+    assert len(paths) == 13, paths
+    for path in paths:
+        result = _control(str(path), "--check-settings")
+        assert result.returncode == 0, result.stderr
+        assert "key = (hidden)" in result.stdout and "tick_ms" in result.stdout
+
+
+@then("a bad control setting ends with status 2 and its place")
+def step_bad_setting(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    path = Path(folder.name) / "bad.ini"
+    text = (ROOT / "examples/agence/control-1.ini").read_text()
+    for old, new, named in (
+        ("tick_ms = 200", "tick_ms = 5", "[wave] tick_ms = '5'"),
+        ("tick_ms", "tic_ms", "unknown key [wave] tic_ms"),
+        ("key = replace", "key = short\nzz = replace", "(hidden)"),
+    ):
+        path.write_text(text.replace(old, new))
+        result = _control(str(path))
+        assert result.returncode == 2, result
+        assert named in result.stderr and "allowed" in result.stderr, result.stderr
--- /dev/null
+++ b/tests/waves.py
@@ -0,0 +1,168 @@
+"""A platform, endpoints and controls as processes, with entries in the test."""
+
+import json
+import signal
+from pathlib import Path
+
+from cardamomgrade.bundle import parse_bundle
+from cardamomgrade.fleet import batches_to_ack, drains_to_confirm
+from cardamomgrade.follower import Follower
+from cardamomgrade.net import parse_address
+from cardamomgrade.records import BatchAcked, DrainConfirmed, MemberJoined
+from cardamomgrade.refusal import Refusal
+from cardamomgrade.replica import Step
+from cardamomgrade.server import HttpServer, plain_response
+from fleets import bundle_text, ENTRIES, rollout, vm_names
+from harness import free_address, http, listening, Rig, start
+
+KEY = "wave-tests-shared-key"
+WAVE_LIMIT_S = 90.0
+RETRY_S = 0.2
+
+
+class FakeEntry:
+    """A member that holds no requests; ``held`` names records it keeps back."""
+
+    def __init__(self, rig, name, address, platform):
+        self.name = name
+        self.address = address
+        self.held = set()
+        self.steps = []
+        self._sent = set()
+        server = HttpServer(rig.loop, rig.net, self._alive)
+        server.listen(*parse_address(address))
+        self.follower = Follower(rig.loop, rig.net, platform, self._on_results)
+        self.follower.start()
+        rig.loop.call_every(RETRY_S, self._act)
+
+    def _alive(self, exchange):
+        exchange.respond(plain_response(200, "alive"))
+
+    def _on_results(self, results):
+        self.steps += [item for item in results if isinstance(item, Step)]
+        self._act()
+
+    def _act(self):
+        state = self.follower.state
+        wanted = [
+            BatchAcked(self.name, 1, x) for x in batches_to_ack(state, self.name, 1)
+        ]
+        wanted += [
+            DrainConfirmed(self.name, 1, x)
+            for x in drains_to_confirm(state, self.name, 1)
+        ]
+        if self.name not in state.members:
+            wanted = [MemberJoined(self.name, 1, "z0", self.address)]
+        for record in wanted:
+            if type(record).__name__ not in self.held:
+                self.submit(record)
+
+    def submit(self, record):
+        """Append a record unless its verdict is still awaited."""
+        if record in self._sent:
+            return
+        self._sent.add(record)
+
+        def settled(verdict):
+            if isinstance(verdict, Refusal):
+                self._sent.discard(record)
+
+        self.follower.submit(record, settled)
+
+
+class World:
+    """The processes and entries of one scenario."""
+
+    def __init__(self, folder):
+        self.rig = Rig()
+        self.folder = Path(folder)
+        self.platform = free_address()
+        self.addresses = {vm: free_address() for vm in vm_names()}
+        self.controls = {}
+        entries = {name: free_address() for name in ENTRIES}
+        self._start_platform(entries)
+        self.entries = [
+            FakeEntry(self.rig, name, address, self.platform)
+            for name, address in entries.items()
+        ]
+
+    def _start_platform(self, entries):
+        lines = ["[standin]", f"listen = {self.platform}", "[vms]"]
+        lines += [f"{name} = entry z0 r0 {text}" for name, text in entries.items()]
+        lines += [f"{vm} = endpoint z0 r0 {x}" for vm, x in self.addresses.items()]
+        lines += ["[endpoints]", *(f"{vm} = {x}" for vm, x in self.addresses.items())]
+        path = self.folder / "standin.ini"
+        path.write_text("\n".join(lines) + "\n")
+        start("standin", str(path))
+        self.rig.run_until(lambda: listening(self.platform))
+        self.faults(lag_ms=100, reboot_ms=200)
+
+    def faults(self, **values):
+        """Set faults of the platform and return its counts."""
+        return json.loads(http(self.platform, "/faults", values)[2])
+
+    def start_control(self, name, snapshot_s=600):
+        """Start the control of an entry and wait until it listens."""
+        ops = free_address()
+        path = self.folder / f"{name}.ini"
+        path.write_text(
+            f"[node]\nname = {name}\nzone = z0\n[platform]\nlog = {self.platform}\n"
+            f"vms = {self.platform}\n[ops]\nlisten = {ops}\nkey = {KEY}\n"
+            f"[wave]\ntick_ms = 50\nsnapshot_s = {snapshot_s}\n"
+        )
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.controls[name] = start("control", str(path), log=log)
+        self.rig.run_until(lambda: listening(ops))
+        return ops
+
+    def signal(self, name, signo):
+        """Send a signal to a control."""
+        self.controls[name].send_signal(signo)
+        if signo == signal.SIGKILL:
+            self.controls[name].wait()
+
+    @property
+    def state(self):
+        """The state that the first entry has folded."""
+        return self.entries[0].follower.state
+
+    def roll(self, round_=1):
+        """Put the first bundle, with a wave over pool a, in force."""
+        bundle = parse_bundle(bundle_text(self.addresses, round_))
+        for record in rollout(bundle):
+            self.entries[0].submit(record)
+        self.rig.run_until(lambda: self.state.bundle is not None)
+
+    def until_phase(self, phase):
+        """Run until a VM is in a phase."""
+        self.rig.run_until(
+            lambda: any(vm.phase == phase for vm in self.state.vms.values())
+        )
+
+    def wave_done(self):
+        """Return whether every VM of the wave was rebooted and serves."""
+        state = self.state
+        if state.bundle is None or state.batches:
+            return False
+        pools = state.bundle.waves["w"].pools
+        vms = [vm for pool in pools for vm in state.vms.pool(pool).values()]
+        return all(vm.round_done("w") == 1 for vm in vms)
+
+    def reboots(self):
+        """Return how often each VM was rebooted, as its endpoint counted."""
+        counts = {}
+        for vm, address in self.addresses.items():
+            page = json.loads(http(address, "/__runs")[2])
+            counts[vm] = page["reboots"]
+        return counts
+
+    def most_out(self):
+        """Return the most VMs of a pool that were out at once, by the fold."""
+        return max(
+            (_out(step.state, pool) for step in self.entries[0].steps for pool in "ab"),
+            default=0,
+        )
+
+
+def _out(state, pool):
+    return sum(not vm.active for vm in state.vms.pool(pool).values())
