--- a/src/cardamomgrade/journal.py
+++ b/src/cardamomgrade/journal.py
@@ -10,6 +10,8 @@
 
 EVENTS = {}
 _LOGGER = logging.getLogger("cardamomgrade")
+_LOGGER.addHandler(logging.NullHandler())
+_LOGGER.propagate = False
 
 
 def event(number, level=logging.INFO):
