Open test batches in the wave's first round

Cause: round 0 counts as done when a VM is created, so the batch of two scenarios was refused. Change: the test bundle's wave has round 1.

--- a/tests/steps/entry.py
+++ b/tests/steps/entry.py
@@ -321,7 +321,7 @@
 def batch_opened(context):
     world = context.world
     builds_on = world.read[-1].offset
-    opened = records.BatchOpened("weekly", 0, ("vm0",), "", builds_on, "c1")
+    opened = records.BatchOpened("weekly", 1, ("vm0",), "", builds_on, "c1")
     world.append(opened)
     context.batch = next(one.offset for one in world.read if one.record == opened)
 
--- a/tests/steps/entry_world.py
+++ b/tests/steps/entry_world.py
@@ -37,6 +37,7 @@
 min_serving = 0
 [wave weekly]
 pools = notices
+round = 1
 """
 VM = """
 [vm {name}]
