Specify the claims of idempotency keys and prove at most one run

Cause: claims decide whether a formal notice runs twice. Ruled out: "the first claim by offset owns the key for key_memory_s" as in docs/DESIGN.md: with retention, a reader of a truncated stream folds another owner, and the search finds two runs. Also ruled out: releasing a claim that was refused. Conclusion: proved for four requests, one of them at a truncated reader; a second run is at least the key memory less the deadline after the first.

--- a/specs/checker.py
+++ b/specs/checker.py
@@ -8,7 +8,7 @@
 import attrs
 import z3
 
-BIT_WIDTH = 4
+BIT_WIDTH = 5
 PICK_WIDTH = 8
 SEED = 1
 
@@ -42,7 +42,7 @@
 def level(top, count=None):
     """Return a state field that holds a number from 0 to ``top``.
 
-    ``find_trace`` counts up to 7; ``top`` may be None for a proof by ``find_gap``.
+    With None there is no bound for ``find_gap``, and 15 for ``find_trace``.
     """
     return attrs.field(metadata={"truth": False, "top": top, "count": count})
 
@@ -71,10 +71,11 @@
     return z3.If(value < top, value + 1, value)
 
 
-def find_trace(model, depth):
+def find_trace(model, depth, prefix=()):
     """Return the action names of an unsafe run of at most ``depth`` steps.
 
-    Returns None when there is no such run.
+    The run begins with the actions named in ``prefix``. Returns None when there is
+    no such run.
     """
     solver = z3.SolverFor("QF_FD")
     solver.set("random_seed", SEED)
@@ -84,11 +85,14 @@
     for step in range(1, depth + 1):
         pick = z3.BitVec(f"pick.{step}", PICK_WIDTH)
         after = _symbols(type(model.start), step, _bits)
-        solver.add(_any_step(model, state, after, pick))
+        solver.add(_any_step(model, state, after, pick), *_ranges(after))
         picks.append(pick)
         state = after
+    names = [action.name for action in model.actions(model.start)]
+    for pick, name in zip(picks, prefix, strict=False):
+        solver.add(pick == names.index(name))
     solver.add(z3.Not(model.safe(state)))
-    return _names(model, solver.model(), picks) if _is_sat(solver) else None
+    return _names(names, solver.model(), picks) if _is_sat(solver) else None
 
 
 def find_gap(model, invariant):
@@ -145,9 +149,8 @@
     return z3.Or(z3.And(pick == len(steps), *_equations(after, before)), *steps)
 
 
-def _names(model, found, picks):
+def _names(names, found, picks):
     indexes = [found.eval(pick, model_completion=True).as_long() for pick in picks]
-    names = [action.name for action in model.actions(model.start)]
     return [names[index] for index in indexes if index < len(names)]
 
 
--- a/specs/claims.py
+++ b/specs/claims.py
@@ -25,8 +25,9 @@
     dispatch_only_pending: bool = True
     dispatch_within_deadline: bool = True
     not_run_only_if_unsent: bool = True
-    release_names_claim: bool = True
     owner_names_entry: bool = True
+    release_names_claim: bool = True
+    release_only_winner: bool = True
     refused_claims_count: bool = True
     newcomer_waits: bool = True
 
@@ -35,23 +36,26 @@
 class State:
     """The folds of the full readers and of the newcomer, then the requests.
 
-    ``holder`` is a request's number plus one; ``quiet`` counts ticks since the claim
-    that bars others.
+    A claim is known by its offset from 1. ``quiet`` counts ticks since the claim
+    that bars others, ``won`` is the last claim of a request that its entry's fold
+    let win, ``release`` the claim that its release names.
     """
 
-    holder = level(4)
+    tail = level(None)
+    holder = level(None)
     quiet = level(MEMORY)
     started = flag()
-    short_holder = level(4)
-    short_quiet = level(MEMORY)
     reading = level(MEMORY)
+    short_holder = level(None)
+    short_quiet = level(MEMORY)
     since_run = level(MEMORY)
-    twice = flag()
     untrue = flag()
+    twice = flag()
     status = level(DEAD, 4)
     left = level(DEADLINE, 4)
-    won = flag(4)
-    releasing = flag(4)
+    claim = level(None, 4)
+    won = level(None, 4)
+    release = level(None, 4)
 
 
 def claims(rules=None):
@@ -85,45 +89,50 @@
 def _request_actions(rules, s, r):
     pending = s.status[r] == PENDING
     live = And(s.status[r] != IDLE, s.status[r] != DEAD)
-    arrives = s.status[r] == IDLE
-    if r == NEWCOMER:
-        waited = s.reading == MEMORY if rules.newcomer_waits else s.started
-        arrives = And(arrives, waited)
+    waited = s.reading == MEMORY if rules.newcomer_waits else s.started
+    unsent = pending if rules.not_run_only_if_unsent else live
+    named = s.won[r] if rules.release_only_winner else s.claim[r]
     arrived = evolve(s, status=put(s.status, r, PENDING), left=put(s.left, r, DEADLINE))
     given_up = evolve(
         s,
         status=put(s.status, r, NOT_RUN),
-        releasing=put(s.releasing, r, True),
         untrue=Or(s.untrue, s.status[r] == RUN),
     )
-    unsent = pending if rules.not_run_only_if_unsent else live
     return [
-        Action(f"claim {r}", arrives, arrived),
+        Action(
+            f"claim {r}",
+            And(s.status[r] == IDLE, waited if r == NEWCOMER else True),
+            arrived,
+        ),
         Action(f"KeyClaimed {r}", s.status[r] != IDLE, _claimed(rules, s, r)),
         Action(f"dispatch {r}", _may_dispatch(rules, s, r), _dispatch(s, r)),
         Action(f"tell not run {r}", unsent, given_up),
-        Action(f"KeyReleased {r}", s.releasing[r], _released(rules, s, r)),
+        Action(
+            f"release {r}",
+            And(s.status[r] == NOT_RUN, named > 0),
+            evolve(s, release=put(s.release, r, named)),
+        ),
+        Action(f"KeyReleased {r}", s.release[r] > 0, _released(rules, s, r)),
         Action(f"die {r}", live, evolve(s, status=put(s.status, r, DEAD))),
     ]
 
 
 def _claimed(rules, s, r):
+    offset = s.tail + 1
     free = Or(s.holder == 0, s.quiet >= MEMORY)
-    short_free = Or(s.short_holder == 0, s.short_quiet >= MEMORY)
-    holder = If(free, s.quiet * 0 + r + 1, s.holder)
-    short_holder = If(short_free, s.quiet * 0 + r + 1, s.short_holder)
-    wins = (short_holder if r == NEWCOMER else holder) == r + 1
-    if not rules.owner_names_entry:
-        wins = True
+    short_free = And(s.started, Or(s.short_holder == 0, s.short_quiet >= MEMORY))
+    wins = short_free if r == NEWCOMER else free
+    counted = rules.refused_claims_count
+    won = If(wins, offset, s.won[r] if rules.owner_names_entry else s.holder)
     return evolve(
         s,
-        holder=holder,
-        quiet=0 if rules.refused_claims_count else If(free, s.quiet * 0, s.quiet),
-        short_holder=If(s.started, short_holder, s.short_holder),
-        short_quiet=0
-        if rules.refused_claims_count
-        else If(short_free, s.quiet * 0, s.short_quiet),
-        won=put(s.won, r, Or(s.won[r], wins)),
+        tail=offset,
+        holder=If(free, offset, s.holder),
+        quiet=If(Or(free, counted), s.quiet * 0, s.quiet),
+        short_holder=If(short_free, offset, s.short_holder),
+        short_quiet=If(Or(short_free, counted), s.quiet * 0, s.short_quiet),
+        claim=put(s.claim, r, offset),
+        won=put(s.won, r, won),
     )
 
 
@@ -132,7 +141,7 @@
     live = Or(pending, s.status[r] == NOT_RUN)
     return And(
         pending if rules.dispatch_only_pending else live,
-        s.won[r] if rules.dispatch_after_read_back else True,
+        s.won[r] > 0 if rules.dispatch_after_read_back else True,
         s.left[r] > 0 if rules.dispatch_within_deadline else True,
     )
 
@@ -141,16 +150,16 @@
     return evolve(
         s,
         status=put(s.status, r, RUN),
+        since_run=0,
         twice=Or(s.twice, s.since_run < MEMORY - DEADLINE),
         untrue=Or(s.untrue, s.status[r] == NOT_RUN),
-        since_run=0,
     )
 
 
 def _released(rules, s, r):
-    held, short_held = s.holder == r + 1, s.short_holder == r + 1
-    if not rules.release_names_claim:
-        held = short_held = s.quiet >= 0
+    any_claim = not rules.release_names_claim
+    held = Or(any_claim, s.holder == s.release[r])
+    short_held = Or(any_claim, s.short_holder == s.release[r])
     return evolve(
         s,
         holder=If(held, s.quiet * 0, s.holder),
--- a/tests/spec_barrier.feature
+++ b/tests/spec_barrier.feature
@@ -18,8 +18,11 @@
       | bound_when_submitted | 16    |
       | fresh_after_ack      | 16    |
       | age_from_sending     | 17    |
-      | confirm_when_idle    | 21    |
       | confirm_by_all       | 13    |
       | wait_lease           | 16    |
       | wait_deadline        | 16    |
       | pause_bounded        | 16    |
+
+  Scenario: a confirmation while a request runs lets a reboot cut it
+    Given the specification "barrier"
+    Then after "BatchOpened, read 0, fold 0, acknowledge 0, BatchAcked 0, read 1, fold 1, acknowledge 1, BatchAcked 1" 21 steps without "confirm_when_idle" lead to an unsafe run
--- a/tests/steps/spec_models.py
+++ b/tests/steps/spec_models.py
@@ -31,3 +31,11 @@
     trace = find_trace(context.build(rules), depth)
     assert trace is not None, f"no counterexample without {rule}"
     print(f"without {rule}: {', '.join(trace)}")
+
+
+@then('after "{names}" {depth:d} steps without "{rule}" lead to an unsafe run')
+def step_mutation_after(context, names, depth, rule):
+    rules = context.spec.Rules(**{rule: False})
+    trace = find_trace(context.build(rules), depth, names.split(", "))
+    assert trace is not None, f"no counterexample without {rule}"
+    print(f"without {rule}: {', '.join(trace)}")
