Add the demo of the whole path

Cause: a newcomer needs one command that shows the promises hold. Conclusion: the whole path runs in separate processes.

--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,70 @@
+#!/bin/sh
+# Runs the whole path on loopback: platform, endpoints, two entries, two controls.
+# A bundle is published, signed off and rolled; a wave runs under load; a table shows
+# what callers were told and what the endpoints counted. Ends with 1 on a broken promise.
+set -eu
+PYTHON=${PYTHON:-python3}
+OUT=${OUT:-out/demo}
+LOG=127.0.0.1:21000
+PIDS=""
+mkdir -p "$OUT"
+
+begin() {
+    name=$1
+    shift
+    "$PYTHON" -m "cardamomgrade.$@" 2>"$OUT/$name.log" &
+    PIDS="$! $PIDS"
+}
+
+end_all() {
+    for pid in $PIDS; do
+        kill "$pid" 2>/dev/null || true
+        wait "$pid" 2>/dev/null || true
+    done
+}
+trap end_all EXIT
+
+ctl() {
+    operator=$1
+    shift
+    "$PYTHON" -m cardamomgrade.ctl --log "$LOG" --operator "$operator" "$@"
+}
+
+# Publishes, signs off and rolls one bundle file.
+release() {
+    ctl n-benali bundle publish --json "$1" >"$OUT/published.json"
+    digest=$("$PYTHON" -c 'import json,sys; print(json.load(open(sys.argv[1]))["digest"])' \
+        "$OUT/published.json")
+    ctl s-alami bundle sign-off "$digest"
+    ctl s-alami bundle roll "$digest"
+}
+
+"$PYTHON" scripts/demo_settings.py "$OUT"
+begin platform standin "$OUT/platform.ini"
+for zone in agdal hay-riad souissi temara; do
+    begin "zone-$zone" standin "$OUT/zone-$zone.ini"
+done
+for number in 1 2; do
+    begin "entry-$number" entry "examples/agence/entry-$number.ini"
+    begin "control-$number" control "examples/agence/control-$number.ini"
+done
+sleep 2
+release "$OUT/bundle-1.ini"
+sleep 1
+
+set --
+while read -r address; do
+    set -- "$@" --endpoint "$address"
+done <"$OUT/endpoints.txt"
+"$PYTHON" -m cardamomgrade.load --entry 127.0.0.1:21010 --entry 127.0.0.1:21011 \
+    --path /fines --path /formal-notices --path /reminders "$@" \
+    --rate 60 --seconds 27 --work-ms 20 >"$OUT/load.json" &
+LOAD=$!
+sleep 1
+release "$OUT/bundle-2.ini"
+STATUS=0
+wait "$LOAD" || STATUS=$?
+ctl n-benali wave status --json >"$OUT/waves.json"
+ctl n-benali bundle status --json >"$OUT/bundles.json"
+"$PYTHON" scripts/demo_table.py "$OUT" || STATUS=1
+exit "$STATUS"
