--- a/tests/steps/entry_world.py
+++ b/tests/steps/entry_world.py
@@ -2,9 +2,8 @@
 
 import re
 
-from cardamomgrade.bundle import parse_bundle
-
 from cardamomgrade import records
+from cardamomgrade.bundle import parse_bundle
 from cardamomgrade.client import ClientConn
 from cardamomgrade.entry import Entry, EntrySettings
 from cardamomgrade.feed import Feed
@@ -37,6 +36,7 @@
 min_serving = 0
 [wave weekly]
 pools = notices
+round = 1
 """
 VM = """
 [vm {name}]
