Test waited-out drains, gone entries and each check of a reboot's right

Cause: trials with mutated code showed that the fence check and the phase check of a reboot's right covered for one another in the test, so that either could be dropped unseen. Two ways past the drain barrier had no run of processes: an entry that never confirms, and one that is gone.

Ruled out: nothing.

Change: tests only. The paused holder is tried with a newer fence, with a VM that serves under the same fence and with a VM that left the fleet. Two wave scenarios: no reboot is ordered before lease, longest deadline and margin have passed after DrainStarted; the first drain starts after MemberGone.

Conclusion: each check has a scenario that fails without it.

--- a/tests/steps/control.py
+++ b/tests/steps/control.py
@@ -146,11 +146,17 @@
     state, fence = rebooting_state("a1")
     order = RebootOrdered(0, "a1", "c")
     newer = attrs.evolve(order, control="another")
-    serving = fleet_log().state
+    vm = state.vms["a1"]
+
+    def changed(**changes):
+        return SimpleNamespace(vms={"a1": attrs.evolve(vm, **changes)})
+
     for superseded, seen, calls in (
         (False, state, [fence]),
         (True, state, []),
-        (False, serving, []),
+        (False, changed(phase="serving"), []),
+        (False, changed(fence=fence + 1), []),
+        (False, SimpleNamespace(vms={}), []),
     ):
         platform = _Platform()
         reboots = Reboots("c", platform, lambda: 100.0)
--- a/tests/steps/wave_run.py
+++ b/tests/steps/wave_run.py
@@ -6,7 +6,9 @@
 
 from behave import given, then, when
 
+from cardamomgrade.fleet import LEASE_MS, MARGIN_MS
 from cardamomgrade.ops import OpsClient
+from cardamomgrade.records import DrainStarted, MemberGone, RebootOrdered, Snapshot
 from loops import ask
 from waves import KEY, WAVE_LIMIT_S, World
 
@@ -86,6 +88,33 @@
     assert not wrong, counts
 
 
+@then("no reboot was ordered before the wait-out of its drain had passed")
+def step_waited_out(context):
+    drains = {
+        logged.record.batch: logged.time_ms
+        for logged in context.world.logged(DrainStarted)
+    }
+    wait_ms = LEASE_MS + context.world.state.deadline_peak_ms + MARGIN_MS
+    orders = context.world.logged(RebootOrdered)
+    assert orders and context.world.state.deadline_peak_ms
+    for order in orders:
+        assert order.time_ms - drains[order.record.batch] >= wait_ms, order
+
+
+@when("the second entry dies")
+def step_dies(context):
+    world = context.world
+    world.rig.run_until(lambda: len(world.state.members) == len(world.entries))
+    world.entries[1].dead = True
+
+
+@then("the first drain started after the entry was recorded as gone")
+def step_after_gone(context):
+    (gone,) = context.world.logged(MemberGone)
+    assert gone.record.entry == context.world.entries[1].name
+    assert context.world.logged(DrainStarted)[0].offset > gone.offset
+
+
 @then("nothing more is rebooted")
 def step_nothing_more(context):
     assert not context.world.state.batches
@@ -97,11 +126,7 @@
     world = context.world
     world.start_control("e2", snapshot_s=1)
 
-    def written():
-        steps = world.entries[0].steps
-        return any(type(step.logged.record).__name__ == "Snapshot" for step in steps)
-
-    world.rig.run_until(written)
+    world.rig.run_until(lambda: world.logged(Snapshot))
     world.faults(retain=count)
 
 
--- a/tests/wave_run.feature
+++ b/tests/wave_run.feature
@@ -50,6 +50,20 @@
     When the bundle with a wave is rolled
     Then the wave ends with each VM rebooted once and the budget kept
 
+  Scenario: a drain that an entry never confirms is waited out
+    Given a platform with endpoints and 2 controls
+    And the entries hold back "DrainConfirmed"
+    When the bundle with a wave is rolled
+    Then the wave ends with each VM rebooted once and the budget kept
+    And no reboot was ordered before the wait-out of its drain had passed
+
+  Scenario: an entry that is gone leaves the barrier
+    Given a platform with endpoints and 2 controls
+    When the second entry dies
+    And the bundle with a wave is rolled
+    Then the wave ends with each VM rebooted once and the budget kept
+    And the first drain started after the entry was recorded as gone
+
   Scenario: a newcomer starts from a snapshot when records have run out
     Given a platform with endpoints and 1 control
     When the bundle with a wave is rolled
--- a/tests/waves.py
+++ b/tests/waves.py
@@ -27,6 +27,7 @@
         self.name = name
         self.address = address
         self.held = set()
+        self.dead = False
         self.steps = []
         self._sent = set()
         server = HttpServer(rig.loop, rig.net, self._alive)
@@ -36,13 +37,16 @@
         rig.loop.call_every(RETRY_S, self._act)
 
     def _alive(self, exchange):
-        exchange.respond(plain_response(200, "alive"))
+        if not self.dead:
+            exchange.respond(plain_response(200, "alive"))
 
     def _on_results(self, results):
         self.steps += [item for item in results if isinstance(item, Step)]
         self._act()
 
     def _act(self):
+        if self.dead:
+            return
         state = self.follower.state
         wanted = [
             BatchAcked(self.name, 1, x) for x in batches_to_ack(state, self.name, 1)
@@ -148,6 +152,14 @@
         vms = [vm for pool in pools for vm in state.vms.pool(pool).values()]
         return all(vm.round_done("w") == 1 for vm in vms)
 
+    def logged(self, cls):
+        """Return the Logged of a record class that the fold took."""
+        return [
+            step.logged
+            for step in self.entries[0].steps
+            if isinstance(step.logged.record, cls) and step.refusal is None
+        ]
+
     def reboots(self):
         """Return how often each VM was rebooted, as its endpoint counted."""
         counts = {}
