--- a/src/cardamomgrade/bundle.py
+++ b/src/cardamomgrade/bundle.py
@@ -6,12 +6,21 @@
 """
 
 import hashlib
-import ipaddress
+import sys
 
 import attrs
 import cbor2
 
 from .errors import BundleError, SettingsError
+from .fields import (
+    choice_field,
+    endpoint_address,
+    name_field,
+    names_field,
+    number_field,
+    path_prefix,
+    text_field,
+)
 from .records import Section
 from .settings import name, read_ini
 
@@ -25,72 +34,17 @@
 RETRIES = ("safe", "all", "none")
 
 
-def _option(convert, allowed, default=attrs.NOTHING):
-    return attrs.field(
-        default=default, metadata={"convert": convert, "allowed": allowed}
-    )
-
-
-def _number(low, high, default=attrs.NOTHING, kind=int):
-    def convert(text):
-        value = kind(text)
-        if not low <= value <= high:
-            raise ValueError("out of range")
-        return value
-
-    return _option(convert, f"{kind.__name__} from {low} to {high}", default)
-
-
-def _name(default=attrs.NOTHING):
-    return _option(name, "a name of letters, digits, - and _", default)
-
-
-def _names(default=attrs.NOTHING):
-    def convert(text):
-        items = tuple(name(item.strip()) for item in text.split(","))
-        if len(set(items)) != len(items):
-            raise ValueError("a name stands twice")
-        return items
-
-    return _option(convert, "different names with commas between", default)
-
-
-def _one_of(names, default=attrs.NOTHING):
-    def convert(text):
-        if text not in names:
-            raise ValueError("not one of the names")
-        return text
-
-    return _option(convert, ", ".join(names), default)
-
-
-def _path_prefix(text):
-    if not text.startswith("/") or not text.isascii() or not text.isprintable():
-        raise ValueError("not a path")
-    if any(mark in text for mark in " ?#"):
-        raise ValueError("not a path")
-    return text
-
-
-def _endpoint_address(text):
-    host, _, port = text.rpartition(":")
-    ip = ipaddress.IPv4Address(host)
-    if not port.isascii() or not port.isdigit() or not 1 <= int(port) <= 65535:
-        raise ValueError("no port")
-    return f"{ip}:{int(port)}"
-
-
 @attrs.frozen
 class Header:
     """The section ``[bundle]``: version, author, seats and planning weights."""
 
-    version: int = _number(1, VERSION_MAX)
-    author: str = _name()
-    seats: tuple = _names()
-    key_memory_s: int = _number(1, KEY_MEMORY_MAX_S, 86_400)
-    weight_moves: float = _number(0.0, WEIGHT_MAX, 1.0, float)
-    weight_buffer: float = _number(0.0, WEIGHT_MAX, 1.0, float)
-    weight_rollout: float = _number(0.0, WEIGHT_MAX, 1.0, float)
+    version: int = number_field(1, VERSION_MAX)
+    author: str = name_field()
+    seats: tuple = names_field()
+    key_memory_s: int = number_field(1, KEY_MEMORY_MAX_S, 86_400)
+    weight_moves: float = number_field(0.0, WEIGHT_MAX, 1.0, float)
+    weight_buffer: float = number_field(0.0, WEIGHT_MAX, 1.0, float)
+    weight_rollout: float = number_field(0.0, WEIGHT_MAX, 1.0, float)
 
 
 @attrs.frozen
@@ -98,8 +52,8 @@
     """A pool; ``slots`` and ``connections`` are the limits of each of its VMs."""
 
     name: str
-    slots: int = _number(1, 1024)
-    connections: int = _number(1, 65536)
+    slots: int = number_field(1, 1024)
+    connections: int = number_field(1, 65536)
 
 
 @attrs.frozen
@@ -107,13 +61,13 @@
     """A service on a pool; ``min_serving`` is its availability budget in VMs."""
 
     name: str
-    pool: str = _name()
-    path: str = _option(_path_prefix, "a path that begins with /")
-    urgency: str = _one_of(URGENCIES, "urgent")
-    deadline_ms: int = _number(1, DEADLINE_MAX_MS, 10_000)
-    queue: int = _number(0, 1_000_000, 100)
-    min_serving: int = _number(0, POOL_VMS_MAX, 1)
-    retry: str = _one_of(RETRIES, "safe")
+    pool: str = name_field()
+    path: str = text_field(path_prefix, "a path that begins with /")
+    urgency: str = choice_field(URGENCIES, "urgent")
+    deadline_ms: int = number_field(1, DEADLINE_MAX_MS, 10_000)
+    queue: int = number_field(0, 1_000_000, 100)
+    min_serving: int = number_field(0, POOL_VMS_MAX, 1)
+    retry: str = choice_field(RETRIES, "safe")
 
 
 @attrs.frozen
@@ -121,10 +75,10 @@
     """A VM as the bundle assigns it; ``address`` is ip:port of its endpoint."""
 
     name: str
-    pool: str = _name()
-    zone: str = _name()
-    rack: str = _name()
-    address: str = _option(_endpoint_address, "ip:port")
+    pool: str = name_field()
+    zone: str = name_field()
+    rack: str = name_field()
+    address: str = text_field(endpoint_address, "ip:port")
 
 
 @attrs.frozen
@@ -132,9 +86,9 @@
     """A maintenance wave: every VM of its pools is rebooted once in a round above 0."""
 
     name: str
-    pools: tuple = _names()
-    round: int = _number(0, VERSION_MAX, 0)
-    zones: tuple = _names(default=())
+    pools: tuple = names_field()
+    round: int = number_field(0, VERSION_MAX, 0)
+    zones: tuple = names_field(default=())
 
 
 _KINDS = {"pool": Pool, "service": Service, "vm": Vm, "wave": Wave}
@@ -181,13 +135,16 @@
     @property
     def sections(self):
         """The canonical sections, sorted by name."""
-        items = [_section_of(BUNDLE_SECTION, self.header)]
-        for kind in _KINDS:
-            items += [
-                _section_of(f"{kind} {item.name}", item)
-                for item in _items(self, kind).values()
-            ]
-        return tuple(sorted(items, key=lambda section: section.name))
+        return tuple(self.each_section())
+
+    def each_section(self):
+        """Yield the canonical sections, sorted by name."""
+        for title in sorted(self._digests):
+            kind, _, item_name = title.partition(" ")
+            item = self.header
+            if kind in _KINDS:
+                item = _items(self, kind)[item_name]
+            yield _section_of(title, item)
 
     @property
     def longest_deadline_ms(self):
@@ -239,7 +196,7 @@
                 f"{path}: unknown section [{section.name}]; allowed: {allowed}"
             )
         try:
-            values["name"] = name(item_name)
+            values["name"] = sys.intern(name(item_name))
         except ValueError as exc:
             raise BundleError(f"{path}: [{section.name}]: {exc}") from exc
     return cls(**values, **_parse_options(cls, section, path))
@@ -291,8 +248,11 @@
 
 
 def bundle_from_sections(sections, path="bundle"):
-    """Return the Bundle of sections; raise BundleError when it is not valid."""
-    return revise_bundle(None, Difference(tuple(sections), ()), path)
+    """Return the Bundle of an iterable of sections.
+
+    Raises BundleError when they are no valid bundle.
+    """
+    return revise_bundle(None, Difference(sections, ()), path)
 
 
 def revise_bundle(parent, difference, path="bundle"):
--- a/src/cardamomgrade/snapshot.py
+++ b/src/cardamomgrade/snapshot.py
@@ -1,12 +1,17 @@
 """Snapshots of a FleetState as records of its own stream.
 
-A snapshot is the CBOR of the state, compressed and cut into parts. The digest of the
-compressed bytes stands in every part, so that parts of two snapshots, or parts that
-were changed, never make up a state.
+A snapshot is a sequence of CBOR items, compressed and cut into parts; it is written
+and read item by item to save memory. The digest of the compressed bytes stands in
+every part, so that parts of two snapshots, or parts that were changed, never make up
+a state.
 """
 
 import hashlib
+import io
+import itertools
+import sys
 import zlib
+from functools import partial
 
 import attrs
 import cbor2
@@ -29,7 +34,9 @@
 
 def snapshot_records(state):
     """Return the Snapshot records of a state, which is that through ``through``."""
-    whole = zlib.compress(cbor2.dumps(_pack(state)), COMPRESSION_LEVEL)
+    compressor = zlib.compressobj(COMPRESSION_LEVEL)
+    whole = b"".join(compressor.compress(cbor2.dumps(item)) for item in _pack(state))
+    whole += compressor.flush()
     digest = hashlib.sha256(whole).digest()
     pieces = [
         whole[start : start + PART_BYTES] for start in range(0, len(whole), PART_BYTES)
@@ -50,7 +57,7 @@
     if isinstance(whole, Refusal):
         return whole
     try:
-        state = _unpack(cbor2.loads(_decompress(whole)))
+        state = _unpack(io.BytesIO(_decompress(whole)))
     except (
         BundleError,
         cbor2.CBORError,
@@ -96,16 +103,20 @@
 
 
 def _pack(state):
-    """Return a state as plain values, in an order that does not depend on history."""
-    return [
-        FORMAT,
-        [getattr(state, name) for name in _PLAIN],
-        _pack_sections(state.bundle.sections) if state.bundle else None,
-        [_pack_proposal(item) for item in state.proposals.values()],
-        [list(attrs.astuple(state.members[name])) for name in sorted(state.members)],
-        [_pack_vm(state.vms[name]) for name in sorted(state.vms)],
-        [_pack_batch(state.batches[offset]) for offset in sorted(state.batches)],
-    ]
+    """Yield a state as plain values, in an order that does not depend on history."""
+    bundle = state.bundle
+    groups = (
+        bundle.each_section() if bundle else (),
+        state.proposals.values(),
+        (state.members[name] for name in sorted(state.members)),
+        (state.vms[name] for name in sorted(state.vms)),
+        (state.batches[offset] for offset in sorted(state.batches)),
+    )
+    yield [FORMAT, *(getattr(state, name) for name in _PLAIN)]
+    for group, pack in zip(groups, _PACKERS, strict=True):
+        for item in group:
+            yield pack(item)
+        yield None
 
 
 _PLAIN = (
@@ -119,37 +130,39 @@
 )
 
 
-def _unpack(values):
-    """Return the FleetState of plain values."""
-    form, plain, sections, proposals, members, vms, batches = values
+def _unpack(stream):
+    """Return the FleetState of a stream of CBOR items."""
+    read = partial(cbor2.load, stream)
+    form, *plain = read()
     if form != FORMAT:
         raise ValueError(f"format {form}")
+    sections = (_unpack_section(values) for values in iter(read, None))
     bundle = None
-    if sections is not None:
-        bundle = bundle_from_sections(_unpack_sections(sections), "snapshot")
-    known = [_unpack_proposal(item) for item in proposals]
+    first = next(sections, None)
+    if first is not None:
+        bundle = bundle_from_sections(itertools.chain([first], sections), "snapshot")
+    proposals = [_unpack_proposal(values) for values in iter(read, None)]
+    members = [Member(*values) for values in iter(read, None)]
+    vms = Inventory().replace([_unpack_vm(values) for values in iter(read, None)])
+    batches = [_unpack_batch(values) for values in iter(read, None)]
     return FleetState(
         **dict(zip(_PLAIN, plain, strict=True)),
         bundle=bundle,
-        proposals={item.digest: item for item in known},
-        members={item[0]: Member(*item) for item in members},
-        vms=Inventory().replace([_unpack_vm(item) for item in vms]),
-        batches={item[0]: _unpack_batch(item) for item in batches},
+        proposals={item.digest: item for item in proposals},
+        members={item.entry: item for item in members},
+        vms=vms,
+        batches={item.offset: item for item in batches},
         required=required_vms(bundle) if bundle else {},
     )
 
 
-def _pack_sections(sections):
-    return [
-        [section.name, [list(pair) for pair in section.options]] for section in sections
-    ]
+def _pack_section(section):
+    return [section.name, [list(pair) for pair in section.options]]
 
 
-def _unpack_sections(values):
-    return tuple(
-        Section(title, tuple((key, text) for key, text in options))
-        for title, options in values
-    )
+def _unpack_section(values):
+    title, options = values
+    return Section(title, tuple((key, text) for key, text in options))
 
 
 def _pack_proposal(item):
@@ -159,14 +172,15 @@
         item.parent,
         item.author,
         item.signer,
-        _pack_sections(item.difference.changed),
+        [_pack_section(section) for section in item.difference.changed],
         list(item.difference.removed),
     ]
 
 
 def _unpack_proposal(values):
     offset, digest, parent, author, signer, changed, removed = values
-    difference = Difference(_unpack_sections(changed), tuple(removed))
+    sections = tuple(_unpack_section(section) for section in changed)
+    difference = Difference(sections, tuple(removed))
     return Proposal(offset, digest, parent, author, difference, signer)
 
 
@@ -177,8 +191,9 @@
 
 
 def _unpack_vm(values):
-    *plain, rounds = values
-    return VmState(*plain, tuple(RoundDone(*item) for item in rounds))
+    vm, pool, *plain, rounds = values
+    done = tuple(RoundDone(*item) for item in rounds)
+    return VmState(sys.intern(vm), sys.intern(pool), *plain, done)
 
 
 def _pack_batch(batch):
@@ -198,3 +213,12 @@
 
 def _to_field_type(value, field):
     return field.type(value) if field.type in (tuple, frozenset) else value
+
+
+_PACKERS = (
+    _pack_section,
+    _pack_proposal,
+    attrs.astuple,
+    _pack_vm,
+    _pack_batch,
+)
--- a/src/cardamomgrade/wave.py
+++ b/src/cardamomgrade/wave.py
@@ -13,8 +13,8 @@
 from .budget import check_budget
 from .records import BatchAborted, BatchOpened, DrainStarted, RebootOrdered
 from .refusal import Reason, Refusal
+from .sizing import batch_size, open_batches_max, order_vms
 
-OPEN_BATCHES_MAX = 32
 BATCH_VMS_MAX = 100
 NAMES_SHOWN_MAX = 5
 STATE_LIVE = "live"
@@ -83,6 +83,7 @@
         self._bundle = None
         self._owners = {}
         self._known = {}
+        self._budgets = {}
 
     def plan(self, state, vm_list):
         """Return the Plan of a state, as the function ``plan`` does."""
@@ -92,6 +93,7 @@
             self._bundle = state.bundle
             self._owners = _move_owners(state.bundle)
             self._known = {}
+            self._budgets = {}
         return _Planning(self, state, _not_live(vm_list)).result()
 
     def waves(self, state):
@@ -114,6 +116,17 @@
         self._known[wave, pool] = (vms, work)
         return work
 
+    def budget(self, state, pool, out):
+        """Return the Budget of a pool without ``out``, or a Refusal (BUDGET)."""
+        vms = state.vms.pool(pool)
+        known = self._budgets.get(pool)
+        if known is not None and known[0] is vms and known[1] == out:
+            return known[2]
+        required = state.required.get(pool, 0)
+        budget = check_budget(state.bundle, vms, required, out)
+        self._budgets[pool] = (vms, out, budget)
+        return budget
+
 
 def _move_owners(bundle):
     """Return {pool: wave} of the wave that moves VMs away from a pool."""
@@ -155,7 +168,7 @@
         self._not_live = not_live
         self._records = []
         self._told = []
-        self._open = len(state.batches)
+        self._room = open_batches_max(len(state.members)) - len(state.batches)
         self._busy = {}
         for batch in state.batches.values():
             self._busy[batch.source] = batch.wave
@@ -250,8 +263,8 @@
             self._tell(wave, pool, ACTION_WAIT, detail, Reason.NOT_SERVING)
 
     def _open_batch(self, wave, pool, target, names):
-        if self._open >= OPEN_BATCHES_MAX:
-            detail = f"{self._open} batches are open"
+        if self._room <= 0:
+            detail = "as many batches are open as the log may carry"
             self._tell(wave, pool, ACTION_WAIT, detail, Reason.OVERLOADED)
             return
         live = [name for name in names if name not in self._not_live]
@@ -263,7 +276,7 @@
         if isinstance(vms, Refusal):
             self._tell(wave, pool, ACTION_WAIT, vms.detail, vms.reason)
             return
-        self._open += 1
+        self._room -= 1
         self._busy.update((name, wave) for name in (pool, target) if name)
         self._records.append(
             BatchOpened(
@@ -283,7 +296,7 @@
 
     def _choose(self, wave, pool, names):
         """Return the VMs of the next batch, or the Refusal of the budget."""
-        ordered = self._order(wave, names)
+        ordered = order_vms(self._state.bundle, wave, names)
         most = self._most(pool, ordered)
         if isinstance(most, Refusal):
             return most
@@ -293,21 +306,6 @@
         )
         return ordered[:size]
 
-    def _order(self, wave, names):
-        """Return the VMs of the first zone, those of the fullest rack first."""
-        bundle = self._state.bundle
-        order = bundle.waves[wave].zones if wave != MOVES_WAVE else ()
-        place = {zone: index for index, zone in enumerate(order)}
-        zones = {}
-        for name in names:
-            zones.setdefault(bundle.vms[name].zone, []).append(name)
-        first = min(zones, key=lambda zone: (place.get(zone, len(place)), zone))
-        racks = {}
-        for name in zones[first]:
-            racks.setdefault(bundle.vms[name].rack, []).append(name)
-        fullest = sorted(racks, key=lambda rack: (-len(racks[rack]), rack))
-        return [name for rack in fullest for name in sorted(racks[rack])]
-
     def _most(self, pool, ordered):
         """Return how many VMs from the front the budget lets go at once."""
         budget = self._budget(pool, ordered[:1])
@@ -326,11 +324,11 @@
 
     def _budget(self, pool, out, guess=True):
         """Return the Budget without ``out``; guess that VMs not listed live fail."""
-        state = self._state
-        vms = state.vms.pool(pool)
-        if guess:
-            out = {*out, *(name for name in vms if name in self._not_live)}
-        return check_budget(state.bundle, vms, state.required.get(pool, 0), out)
+        out = frozenset(out)
+        if guess and self._not_live:
+            vms = self._state.vms.pool(pool)
+            out = out.union(name for name in vms if name in self._not_live)
+        return self._planner.budget(self._state, pool, out)
 
     def _by_wave(self):
         """Return the Explanation of each wave that matters most."""
@@ -368,17 +366,3 @@
     more = len(names) - NAMES_SHOWN_MAX
     text = ", ".join(names[:NAMES_SHOWN_MAX])
     return f"{text} and {more} more" if more > 0 else text
-
-
-def batch_size(due, most, weight_rollout, weight_buffer):
-    """Return how many of ``due`` VMs to take at once, 1 to ``most``.
-
-    The least cost wins: the steps needed, weighted for roll-out time, plus the VMs
-    out at once, weighted for buffer.
-    """
-
-    def cost(size):
-        steps = -(-due // size)
-        return weight_rollout * steps + weight_buffer * size
-
-    return min(range(1, min(due, most) + 1), key=cost)
--- a/tests/steps/wave.py
+++ b/tests/steps/wave.py
@@ -9,7 +9,8 @@
 from cardamomgrade import records
 from cardamomgrade.batch import missing_acks, missing_confirms
 from cardamomgrade.bundle import parse_bundle
-from cardamomgrade.wave import batch_size, plan, Planner
+from cardamomgrade.sizing import batch_size
+from cardamomgrade.wave import plan, Planner
 
 TRIES = 40
 FIXED = settings(max_examples=TRIES, derandomize=True, deadline=None, database=None)
