Join the entry to the mesh, the slot tokens and the operators' address

Cause: entries shared slots by fixed shares, had no operators' address and could not start while the log was down. Ruled out: a ledger incarnation that follows the log's, as peers know the process by the one that it started with. Change: entry.py wires Mesh, SlotLedger, OpsServer and metrics; without peers the fixed share stays. An entry that starts in an outage sends only while a member that lost its lease is alive; that member holds its acknowledgements back after the outage. Shared foundation: settings options may have a key of their own, follower passes raw records on and takes a peer's proof, mesh tells of a known outage. Conclusion: the rule for outages has no scenario yet.

--- a/src/cardamomgrade/entry.py
+++ b/src/cardamomgrade/entry.py
@@ -3,16 +3,25 @@
 import attrs
 
 from . import settings
+from .auth import KEY_MIN_CHARS, shared_key
 from .command import settings_command
 from .dispatch import Dispatcher
 from .entry_events import EntryStarted, EntryStopped, EntryStopping
+from .errors import SettingsError
+from .fleet import LEASE_MS
 from .journal import note, start_journal
 from .keys import Keys
+from .link import Identity
 from .loop import Loop
 from .member import Member, Seat
+from .mesh import Mesh, MeshHooks, MeshStatus
+from .metrics import Metrics
 from .net import Net, parse_address
+from .ops import OpsServer
 from .outcome import refused, response_for
 from .recent import Recent
+from .records import STREAM_FLEET
+from .refusal import Reason, Refusal
 from .route import new_request_id
 from .server import CONNECTION_LIMIT, HttpServer, ServerLimits
 from .settings import option
@@ -28,12 +37,35 @@
 
 @attrs.frozen
 class EntrySettings:
-    """Settings of an entry."""
+    """Settings of an entry.
+
+    Without peers it uses a fixed share of every endpoint's slots.
+    """
 
     name: str = option("node", settings.name, "the name of a seat")
     zone: str = option("node", settings.name, "the name of a zone")
     listen: str = option("callers", settings.address, _ADDRESS)
     log: str = option("platform", settings.address, _ADDRESS)
+    ops_listen: str = option("ops", settings.address, _ADDRESS, key="listen")
+    ops_key: str = option(
+        "ops",
+        shared_key,
+        f"at least {KEY_MIN_CHARS} characters",
+        secret=True,
+        key="key",
+    )
+    mesh_listen: str = option("mesh", settings.address, _ADDRESS, "", key="listen")
+    mesh_key: str = option(
+        "mesh",
+        shared_key,
+        f"at least {KEY_MIN_CHARS} characters",
+        "",
+        secret=True,
+        key="key",
+    )
+    peers: tuple = option(
+        settings.PEERS_SECTION, settings.addresses, "lines of name = ip:port", ()
+    )
     connections: int = option(
         "limits",
         settings.number(1, 100_000),
@@ -47,40 +79,144 @@
         BODY_LIMIT_BYTES,
     )
 
+    def __attrs_post_init__(self):
+        if self.peers and not (self.mesh_listen and self.mesh_key):
+            raise SettingsError("[peers] needs listen and key in [mesh]")
+
+
+@attrs.frozen
+class EntryView:
+    """What an entry tells operators about itself; ``tail`` is the log's."""
+
+    name: str
+    incarnation: int
+    member: bool
+    fresh: bool
+    log_reachable: bool
+    offset: int
+    tail: int
+    bundle_version: int
+    bundle_offset: int
+    open_requests: int
+    peers: tuple
+
 
 class Entry:
-    """One entry on a loop."""
+    """One entry on a loop; ``on_end()`` is called when it has left in order."""
 
-    def __init__(self, loop, cfg):
+    def __init__(self, loop, cfg, on_end=None):
         self._loop = loop
         self._net = Net(loop)
         self._cfg = cfg
-        self.recent = Recent()
+        self._on_end = on_end or loop.finish
+        self.metrics = Metrics()
+        self.recent = Recent(self.metrics)
         seat = Seat(cfg.name, cfg.zone, cfg.listen)
-        self.member = Member(
-            loop,
-            self._net,
-            cfg.log,
-            seat,
-            on_change=self._on_change,
-            on_replaced=self.stop,
-            held=self._held,
-        )
+        self.mesh = self._make_mesh(seat) if cfg.peers else None
+        ledger = self.mesh.ledger if self.mesh else FixedShare()
+        self.member = self._make_member(seat)
         self.keys = Keys(
             loop, self._net, cfg.log, seat, self._memory_ms, self.recent.decide
         )
         self.dispatcher = Dispatcher(
-            loop, self._net, self.member, FixedShare(), self.recent, self.keys
+            loop, self._net, self.member, ledger, self.recent, self.keys
         )
         limits = ServerLimits(cfg.body_bytes, cfg.connections)
         self._server = HttpServer(
             loop, self._net, self.dispatcher.handle, limits, self._refusal
         )
+        self.ops = OpsServer(loop, cfg.ops_listen, cfg.ops_key, self._views())
         self._stopping = False
 
+    def _make_mesh(self, seat):
+        identity = Identity(seat.name, seat.incarnation, self._cfg.mesh_key)
+        hooks = MeshHooks(
+            status=self._mesh_status,
+            on_raw=self._take_raw,
+            on_fresh=lambda sent_s: self.member.freshen(sent_s),
+            append=self._append_for_peer,
+            on_missing=self._on_missing,
+            on_superseded=lambda incarnation: self.stop(),
+            on_tokens=lambda: self.dispatcher.pump(),
+        )
+        return Mesh(self._loop, self._net, identity, self._cfg.peers, hooks)
+
+    def _make_member(self, seat):
+        hooks = {}
+        if self.mesh:
+            hooks = {
+                "on_first": self.mesh.ledger.prove_first,
+                "on_raw": self.mesh.catchup.keep,
+                "relay": lambda record: self.mesh.relay(STREAM_FLEET, record),
+                "outage": lambda members: self.mesh.outage_known(members, LEASE_MS),
+            }
+        return Member(
+            self._loop,
+            self._net,
+            self._cfg.log,
+            seat,
+            on_change=lambda: self.dispatcher.update(),
+            on_replaced=self.stop,
+            held=lambda vm: self.dispatcher.held(vm),
+            **hooks,
+        )
+
+    def _mesh_status(self):
+        follower = self.member.follower
+        return MeshStatus(
+            follower.feed.next_offset, self.keys.next_offset, follower.proof_s
+        )
+
+    def _take_raw(self, stream, raw):
+        if stream == STREAM_FLEET:
+            self.member.follower.feed.accept(raw)
+
+    def _append_for_peer(self, stream, record):
+        if stream == STREAM_FLEET:
+            self.member.follower.feed.append(record)
+
+    def _on_missing(self, stream, earliest):
+        """Begin at the first record that peers keep when nothing was read yet."""
+        follower = self.member.follower
+        if not follower.feed.reachable and earliest > follower.feed.next_offset:
+            follower.lose(earliest)
+
+    def _views(self):
+        return {
+            "/metrics": lambda query: self.metrics.view(),
+            "/ready": self._ready,
+            "/status": lambda query: self.view(),
+            "/explain": lambda query: self.recent.explain(query.get("id")),
+        }
+
+    def _ready(self, query):
+        if self._stopping or self.member.state.bundle is None:
+            return Refusal(Reason.UNAVAILABLE, "leaving, or no bundle is in force")
+        return self.view()
+
+    def view(self):
+        """Return the EntryView of now."""
+        member, follower = self.member, self.member.follower
+        bundle = member.state.bundle
+        return EntryView(
+            self._cfg.name,
+            member.seat.incarnation,
+            member.is_member(),
+            follower.fresh(),
+            follower.feed.reachable,
+            member.state.offset,
+            follower.feed.status.tail,
+            bundle.version if bundle else 0,
+            member.state.bundle_offset,
+            self.dispatcher.open_requests,
+            tuple(self.mesh.alive()) if self.mesh else (),
+        )
+
     def start(self):
         """Listen for callers and begin to read the log; return the port."""
         port = self._server.listen(*parse_address(self._cfg.listen))
+        if self.mesh:
+            self.mesh.start(self._cfg.mesh_listen)
         self.member.start()
         self.keys.start()
         self._loop.call_every(SWEEP_S, self.dispatcher.sweep)
@@ -107,19 +243,15 @@
 
         def gone(confirmed):
             note(EntryStopped(left, confirmed))
-            self._loop.finish()
+            if self.mesh:
+                self.mesh.close()
+            self._on_end()
 
         if left:
             gone(False)
         else:
             self.member.leave(gone)
 
-    def _on_change(self):
-        self.dispatcher.update()
-
-    def _held(self, vm):
-        return self.dispatcher.held(vm)
-
     def _memory_ms(self):
         bundle = self.member.state.bundle
         return (bundle.key_memory_s if bundle else KEY_MEMORY_S) * 1000
--- a/src/cardamomgrade/follower.py
+++ b/src/cardamomgrade/follower.py
@@ -29,7 +29,7 @@
 
     ``on_results(list)`` gets the Step and Restored items of each read. Hooks:
     ``on_fresh()`` after each read that showed the tail, ``on_lost(earliest)``,
-    ``on_bad(offset, detail)`` and ``rng``.
+    ``on_bad(offset, detail)``, ``on_raw(raw)`` and ``rng``.
     """
 
     def __init__(self, loop, net, address, on_results, **hooks):
@@ -50,6 +50,7 @@
             on_fresh=self._on_fresh,
             on_lost=self._on_lost,
             on_bad=hooks.get("on_bad"),
+            on_raw=hooks.get("on_raw"),
             rng=hooks.get("rng"),
         )
 
@@ -68,6 +69,19 @@
             return False
         return (self._loop.now() - self._fresh_s) * MS_PER_S < LEASE_MS
 
+    @property
+    def proof_s(self):
+        """When the last read was sent that showed the tail, or None."""
+        return None if self.replica.waiting else self._fresh_s
+
+    def freshen(self, sent_s):
+        """Note that a peer's read proves that all before ``sent_s`` was folded."""
+        self._fresh_s = max(sent_s, self._fresh_s or sent_s)
+
+    def lose(self, earliest):
+        """Begin again at ``earliest``, which is the first record to be had."""
+        self._on_lost(earliest)
+
     def log_time_ms(self):
         """Return a time that the log's clock has surely reached, in ms."""
         elapsed = self._loop.now() - self._folded_s if self._folded_s else 0.0
@@ -87,7 +101,7 @@
         self._on_results(results)
 
     def _on_fresh(self, sent_s):
-        self._fresh_s = sent_s
+        self.freshen(sent_s)
         for pending in list(self._pending):
             if 0 <= pending.doubtful_s <= sent_s - SETTLE_S:
                 refusal = Refusal(Reason.UNKNOWN, "the append was not read back")
--- a/src/cardamomgrade/keys.py
+++ b/src/cardamomgrade/keys.py
@@ -71,6 +71,15 @@
         """Return whether keys can be claimed now."""
         return self._feed.reachable and self._complete(self._memory_ms())
 
+    @property
+    def next_offset(self):
+        """The next offset of the claims stream to read."""
+        return self._feed.next_offset
+
+    def append(self, record):
+        """Append a record of the claims stream for a peer."""
+        self._feed.append(record)
+
     def find(self, key):
         """Return the live Claim of a key that this entry knows of, or None."""
         return self._claims.find(key, self._now_ms(), self._memory_ms())
--- a/src/cardamomgrade/member.py
+++ b/src/cardamomgrade/member.py
@@ -27,10 +27,13 @@
     STREAM_FLEET,
 )
 from .refusal import Reason, Refusal
+from .replica import Step
 
 TICK_S = 0.1
 APPEND_AGAIN_S = 1.0
 LEAVE_TIMEOUT_S = 3.0
+ACK_HOLD_S = 5.0
+MS_PER_S = 1000
 NS_PER_MS = 10**6
 
 
@@ -78,7 +81,15 @@
     """Follows the fleet stream and keeps the entry's duties towards it.
 
     ``on_change()`` is called when the state has changed, ``on_replaced()`` when a
-    later incarnation has taken the seat, ``held(vm)`` counts requests in flight.
+    later incarnation has taken the seat, ``on_first()`` when the log shows that the
+    seat had no incarnation before. ``held(vm)`` counts requests in flight,
+    ``relay(record)`` asks a peer to append and tells whether one could, ``on_raw``
+    is given raw records. ``outage(members)`` tells whether a peer that is a member
+    has lost its lease on the log.
+
+    An entry that starts during an outage of the log cannot become a member. It may
+    send while such a peer is alive: that peer holds its acknowledgements back after
+    the outage until this entry has heard of its end and what it sent is answered.
     """
 
     def __init__(self, loop, net, log, seat, **hooks):
@@ -86,24 +97,30 @@
         self.seat = seat
         self._on_change = hooks["on_change"]
         self._on_replaced = hooks["on_replaced"]
+        self._on_first = hooks.get("on_first") or (lambda: None)
         self._held = hooks["held"]
+        self._outage = hooks.get("outage") or (lambda members: False)
+        self._relay = hooks.get("relay") or (lambda record: False)
         self.follower = Follower(
             loop,
             net,
             log,
             self._on_results,
             on_fresh=self._on_fresh,
-            on_lost=lambda earliest: note(LogTruncated(STREAM_FLEET, earliest)),
+            on_lost=self._on_lost,
             on_bad=lambda offset, detail: note(
                 BadLogRecord(STREAM_FLEET, offset, detail)
             ),
+            on_raw=hooks.get("on_raw"),
         )
+        self._seat_seen = False
         self._was_fresh = False
         self._was_member = False
         self._bundle = None
         self._again_at = {}
         self._caught_up = False
         self._leaving = False
+        self._ack_after = 0.0
 
     @property
     def state(self):
@@ -126,9 +143,10 @@
 
     def may_send(self, vm):
         """Return True when requests may be sent to a VM now, else a Refusal."""
-        if not self.is_member():
+        fresh = self.follower.fresh()
+        if not self.is_member() and (fresh or not self._outage(self.state.members)):
             return Refusal(Reason.NOT_ACKNOWLEDGED, "the entry is no member")
-        return may_send(self.state, vm, self.follower.fresh())
+        return may_send(self.state, vm, fresh)
 
     def tick(self):
         """Notice changes of freshness and append what is owed."""
@@ -138,6 +156,9 @@
 
     def _note_freshness(self):
         fresh = self.follower.fresh()
+        if fresh and not self._was_fresh and self._caught_up:
+            hold_s = ACK_HOLD_S + self.state.deadline_peak_ms / MS_PER_S
+            self._ack_after = self._loop.now() + hold_s
         if fresh != self._was_fresh:
             event = FreshnessRegained if fresh else FreshnessLost
             note(event(self.state.offset))
@@ -150,6 +171,8 @@
             record: due for record, due in self._again_at.items() if record in owed
         }
         for record in owed:
+            if isinstance(record, BatchAcked) and now < self._ack_after:
+                continue
             if self._again_at.get(record, now) <= now:
                 self._again_at[record] = float("inf")
                 self._append(record)
@@ -163,17 +186,42 @@
                 note(AppendFailed(name, str(verdict)))
             self._again_at[record] = self._loop.now() + APPEND_AGAIN_S
 
-        self.follower.submit(record, done)
+        if not self.follower.feed.reachable and self._relay(record):
+            self._again_at[record] = self._loop.now() + APPEND_AGAIN_S
+        else:
+            self.follower.submit(record, done)
+
+    def freshen(self, sent_s):
+        """Note a peer's proof that all of the log before ``sent_s`` was folded."""
+        self.follower.freshen(sent_s)
+        self._on_fresh()
 
     def _on_fresh(self):
+        self._note_freshness()
         if not self._caught_up and not self.follower.replica.waiting:
-            self._caught_up = True
-            member = self.state.members.get(self.seat.name)
-            if member is not None and member.incarnation >= self.seat.incarnation:
-                self.seat.renew(member.incarnation)
+            self._catch_up()
         self.tick()
 
+    def _catch_up(self):
+        self._caught_up = True
+        if not self._seat_seen:
+            self._on_first()
+        member = self.state.members.get(self.seat.name)
+        if member is not None and member.incarnation >= self.seat.incarnation:
+            self.seat.renew(member.incarnation)
+
+    def _on_lost(self, earliest):
+        note(LogTruncated(STREAM_FLEET, earliest))
+        self._seat_seen = True
+
+    def _is_seat(self, item):
+        if not isinstance(item, Step):
+            return True
+        record = item.logged.record
+        return isinstance(record, MemberJoined) and record.entry == self.seat.name
+
     def _on_results(self, results):
+        self._seat_seen = self._seat_seen or any(map(self._is_seat, results))
         if self.state.bundle is not self._bundle:
             self._bundle = self.state.bundle
             note(BundleInForce(self._bundle.version, self.state.bundle_offset))
--- a/src/cardamomgrade/mesh.py
+++ b/src/cardamomgrade/mesh.py
@@ -149,6 +149,22 @@
         """Return the names of the peers that are alive."""
         return self._members.alive()
 
+    def outage_known(self, members, lease_ms):
+        """Return whether an alive peer among ``members`` has lost its lease.
+
+        ``members`` maps names to the log's members. Such a peer told in its last
+        heartbeat that its proof of the log's tail is older than ``lease_ms``.
+        """
+        for name in self._members.alive():
+            session, member = self._sessions.get(name), members.get(name)
+            if session is None or session.last is None or member is None:
+                continue
+            age_ms = session.last.age_ms
+            known = member.incarnation == session.link.incarnation
+            if known and (age_ms == NO_PROOF or age_ms > lease_ms):
+                return True
+        return False
+
     def links(self):
         """Return the links that are up."""
         return [session.link for session in self._sessions.values()]
--- a/src/cardamomgrade/settings.py
+++ b/src/cardamomgrade/settings.py
@@ -1,7 +1,7 @@
 """INI settings files checked into attrs classes.
 
 A settings class is an attrs class whose fields were made with ``option``. The
-section of an option is given there and its key is the field's name.
+section of an option is given there and its key is the field's name or ``key``.
 """
 
 import configparser
@@ -16,15 +16,24 @@
 HIDDEN = "(hidden)"
 
 
-def option(section, convert, allowed, default=attrs.NOTHING, secret=False):
+def option(section, convert, allowed, default=attrs.NOTHING, secret=False, key=None):
     """Return an attrs field read from ``[section]``; ``allowed`` is for people.
 
-    The value of a secret option is never shown.
+    The value of a secret option is never shown. ``key`` is given when the key in the
+    file differs from the field's name.
     """
-    metadata = {"section": section, "convert": convert, "allowed": allowed}
-    return attrs.field(
-        default=default, repr=not secret, metadata={**metadata, "secret": secret}
-    )
+    metadata = {
+        "section": section,
+        "convert": convert,
+        "allowed": allowed,
+        "secret": secret,
+        "key": key,
+    }
+    return attrs.field(default=default, repr=not secret, metadata=metadata)
+
+
+def _key(field):
+    return field.metadata["key"] or field.name
 
 
 def number(low, high, kind=int):
@@ -88,10 +97,9 @@
     Raises SettingsError naming the file, section, key, value and what is allowed.
     """
     parser = read_ini(path)
-    fields = {field.name: field for field in attrs.fields(cls)}
     by_section = {}
-    for field in fields.values():
-        by_section.setdefault(field.metadata["section"], set()).add(field.name)
+    for field in attrs.fields(cls):
+        by_section.setdefault(field.metadata["section"], {})[_key(field)] = field
     values = {}
     for section in parser.sections():
         if section not in by_section:
@@ -100,22 +108,22 @@
                 f"{path}: unknown section [{section}]; allowed: {allowed}"
             )
         if section == PEERS_SECTION:
-            values[PEERS_SECTION] = _convert(
-                path, section, fields[PEERS_SECTION], parser[section]
-            )
+            field = by_section[section][PEERS_SECTION]
+            values[field.name] = _convert(path, section, field, parser[section])
             continue
         for key, text in parser[section].items():
-            if key not in by_section[section]:
+            field = by_section[section].get(key)
+            if field is None:
                 allowed = ", ".join(sorted(by_section[section]))
                 raise SettingsError(
                     f"{path}: unknown key [{section}] {key}; allowed: {allowed}"
                 )
-            values[key] = _convert(path, section, fields[key], text)
-    for field in fields.values():
+            values[field.name] = _convert(path, section, field, text)
+    for field in attrs.fields(cls):
         if field.default is attrs.NOTHING and field.name not in values:
             section, allowed = field.metadata["section"], field.metadata["allowed"]
             raise SettingsError(
-                f"{path}: missing key [{section}] {field.name}; allowed: {allowed}"
+                f"{path}: missing key [{section}] {_key(field)}; allowed: {allowed}"
             )
     return cls(**values)
 
@@ -128,7 +136,7 @@
         shown = HIDDEN if field.metadata["secret"] else text
         shown = shown if isinstance(shown, str) else dict(shown)
         raise SettingsError(
-            f"{path}: [{section}] {field.name} = {shown!r}: {exc}; allowed: {allowed}"
+            f"{path}: [{section}] {_key(field)} = {shown!r}: {exc}; allowed: {allowed}"
         ) from exc
 
 
@@ -145,5 +153,5 @@
             lines.extend(f"{key} = {item}" for key, item in value)
         else:
             shown = HIDDEN if field.metadata["secret"] else value
-            lines.append(f"{field.name} = {shown}")
+            lines.append(f"{_key(field)} = {shown}")
     return "\n".join(lines) + "\n"
