Prove entries as processes: SIGTERM, freezes, a kill, a start in an outage

Cause: the order of leaving, frozen entries and starts in a log outage were not run as processes. Change: entry_process.feature; a member acknowledges batches only while it is fresh, and a newcomer counts as caught up only by a fresh proof.

--- a/src/cardamomgrade/member.py
+++ b/src/cardamomgrade/member.py
@@ -171,12 +171,15 @@
             record: due for record, due in self._again_at.items() if record in owed
         }
         for record in owed:
-            if isinstance(record, BatchAcked) and now < self._ack_after:
+            if isinstance(record, BatchAcked) and not self._may_ack(now):
                 continue
             if self._again_at.get(record, now) <= now:
                 self._again_at[record] = float("inf")
                 self._append(record)
 
+    def _may_ack(self, now):
+        return self.follower.fresh() and now >= self._ack_after
+
     def _append(self, record):
         name = type(record).__name__
         note(AppendOwed(name, getattr(record, "batch", -1)))
@@ -198,7 +201,7 @@
 
     def _on_fresh(self):
         self._note_freshness()
-        if not self._caught_up and not self.follower.replica.waiting:
+        if not self._caught_up and self.follower.fresh():
             self._catch_up()
         self.tick()
 
--- /dev/null
+++ b/tests/steps/entry_process.py
@@ -0,0 +1,303 @@
+"""Steps for entries as processes; the log and the endpoints run in the test."""
+
+import signal
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from entry_world import World
+
+import harness
+from cardamomgrade import records
+from cardamomgrade.fleet import LEASE_MS
+from cardamomgrade.wire import HttpResponse
+
+DEADLINE_MS = 1500
+SLOW_LOG_MS = 400
+SETTINGS = """
+[node]
+name = {name}
+zone = z0
+[callers]
+listen = {listen}
+[platform]
+log = 127.0.0.1:{log}
+[ops]
+listen = {ops}
+key = {key}
+[mesh]
+listen = {mesh}
+key = {key}
+[peers]
+e1 = {e1}
+e2 = {e2}
+"""
+
+
+def spawn(context, name):
+    """Start an entry; wait until it answers requests."""
+    world = context.world
+    cfg = world.settings(name)
+    text = SETTINGS.format(
+        name=name,
+        listen=cfg.listen,
+        log=world.log_port,
+        ops=cfg.ops_listen,
+        mesh=cfg.mesh_listen,
+        key=cfg.mesh_key,
+        **dict(world.peers),
+    )
+    path = Path(context.folder) / f"{name}.ini"
+    path.write_text(text)
+    context.processes[name] = harness.start("entry", str(path))
+    world.entry_ports[name] = int(cfg.listen.rpartition(":")[2])
+
+
+def answers_now(world, entry):
+    def probe():
+        answers = world.send("GET", "/notices", entry)
+        world.run_until(lambda: answers)
+        return isinstance(answers[0], HttpResponse) and answers[0].status == 200
+
+    for _ in range(200):
+        if probe():
+            return
+        world.run_for(0.05)
+    raise AssertionError(f"{entry} does not answer")
+
+
+def joined(world, name):
+    return [
+        one.record.incarnation
+        for one in world.read
+        if isinstance(one.record, records.MemberJoined) and one.record.entry == name
+    ]
+
+
+def said(world, cls, name):
+    return [
+        one
+        for one in world.read
+        if isinstance(one.record, cls) and one.record.entry == name
+    ]
+
+
+def ended(process):
+    return lambda: process.poll() is not None
+
+
+@given("the entries e1 and e2 as processes and 2 endpoints")
+def processes(context):
+    world = context.world = World(DEADLINE_MS, ("e1", "e2"))
+    context.folder = tempfile.mkdtemp()
+    context.processes = {}
+    for number in range(2):
+        world.endpoint(f"vm{number}")
+    world.roll()
+    for name in ("e1", "e2"):
+        spawn(context, name)
+    for name in ("e1", "e2"):
+        answers_now(world, name)
+
+
+def runs(world):
+    return sum(item.counts.in_flight for item in world.endpoints.values())
+
+
+@when("a request of 700 ms runs through e1 and e1 gets SIGTERM")
+def term_in_flight(context):
+    world = context.world
+    context.running = world.send("POST", "/notices", "e1", work_ms=700)
+    world.run_until(lambda: runs(world))
+    context.processes["e1"].send_signal(signal.SIGTERM)
+
+
+@when("e1 gets SIGTERM again")
+def term_again(context):
+    context.world.run_for(0.2)
+    context.processes["e1"].send_signal(signal.SIGTERM)
+
+
+@then("e1 takes no new requests and ends with 0 after the answer")
+def ends_in_order(context):
+    world, process = context.world, context.processes["e1"]
+    world.run_for(0.2)
+    late = world.send("POST", "/notices", "e1")
+    world.run_until(lambda: late)
+    assert not isinstance(late[0], HttpResponse)
+    assert not context.running
+    world.run_until(ended(process))
+    assert process.returncode == 0
+    assert context.running[0].status == 200
+
+
+@then("the log shows that e1 left after its request had ended")
+def left(context):
+    world = context.world
+    world.run_until(lambda: said(world, records.MemberLeft, "e1"))
+    assert not runs(world)
+
+
+@then("e2 answers requests")
+def e2_answers(context):
+    answers_now(context.world, "e2")
+
+
+@then("e1 ends with 1 before the request has ended")
+def ends_at_once(context):
+    process = context.processes["e1"]
+    context.world.run_until(ended(process))
+    assert process.returncode == 1
+    assert runs(context.world) == 1
+
+
+@when("e1 freezes with a keyed request whose claim is on its way")
+def freeze_claiming(context):
+    world = context.world
+    world.log.faults.slow_ms = SLOW_LOG_MS
+    world.run_for(1.2)
+    before = world.log.appends
+    context.frozen = world.send("POST", "/notices", "e1", idempotency_key="k1")
+    world.run_for(SLOW_LOG_MS / 2000)
+    context.processes["e1"].send_signal(signal.SIGSTOP)
+    world.run_until(lambda: world.log.appends > before)
+
+
+@when("e1 wakes when the deadline has passed")
+def wake(context):
+    world = context.world
+    world.run_for(1.2 * DEADLINE_MS / 1000)
+    assert not context.frozen
+    context.processes["e1"].send_signal(signal.SIGCONT)
+    world.log.faults.slow_ms = 0
+    world.run_until(lambda: context.frozen)
+
+
+@then("the frozen request is told not-run and ran nowhere")
+def frozen_not_run(context):
+    world = context.world
+    assert context.frozen[0].header("cardamom-outcome") == "not-run"
+    assert not any(item.counts.keys["k1"] for item in world.endpoints.values())
+
+
+@then("its key can be claimed again through e2")
+def claim_again(context):
+    world = context.world
+    for _ in range(100):
+        answer = world.ask("POST", "/notices", "e2", idempotency_key="k1")
+        if answer.status == 200:
+            break
+        assert answer.header("cardamom-outcome") in ("duplicate", "not-run")
+        world.run_for(0.1)
+    assert sum(item.counts.keys["k1"] for item in world.endpoints.values()) == 1
+
+
+@when("e1 and e2 have acknowledged a batch with vm0")
+def acked(context):
+    world = context.world
+    opened = records.BatchOpened("weekly", 1, ("vm0",), "", world.read[-1].offset, "c1")
+    world.append(opened)
+    context.batch = next(one.offset for one in world.read if one.record == opened)
+    for name in ("e1", "e2"):
+        world.run_until(lambda name=name: said(world, records.BatchAcked, name))
+
+
+@when("e1 freezes for longer than the lease while the drain starts")
+def freeze_drain(context):
+    world = context.world
+    context.processes["e1"].send_signal(signal.SIGSTOP)
+    world.append(records.DrainStarted(context.batch, "c1"))
+    world.run_for(1.1 * LEASE_MS / 1000)
+
+
+@when("10 requests wait at e1 when it wakes")
+def wait_frozen(context):
+    world = context.world
+    context.answers = [world.send("POST", "/notices", "e1") for _ in range(10)]
+    world.run_for(0.2)
+    context.processes["e1"].send_signal(signal.SIGCONT)
+    world.run_until(lambda: all(context.answers))
+
+
+@then("all of them are answered by vm1")
+def by_vm1(context):
+    places = [answers[0].header("endpoint") for answers in context.answers]
+    assert set(places) == {"vm1"}, places
+
+
+@when("200 requests that must run once go to e1 and e2 and e1 is killed")
+def kill_under_load(context):
+    world = context.world
+    context.sent = {}
+    for number in range(200):
+        entry = f"e{number % 2 + 1}"
+        answers = world.send("POST", "/notices", entry, load_id=number, work_ms=20)
+        context.sent[number] = (entry, answers)
+        world.run_for(0.005)
+        if number == 100:
+            context.processes["e1"].kill()
+    world.run_until(lambda: all(answers for _, answers in context.sent.values()))
+
+
+@then("no request ran twice and what was told not-run did not run")
+def none_twice(context):
+    world = context.world
+    for number, (_, answers) in context.sent.items():
+        ran = sum(item.counts.runs[str(number)] for item in world.endpoints.values())
+        assert ran <= 1
+        if isinstance(answers[0], HttpResponse):
+            told = answers[0].header("cardamom-outcome")
+            assert ran == (told == "") or told == "unknown", (ran, told)
+
+
+@then("every request to e2 has an answer")
+def all_at_e2(context):
+    given_back = [
+        answers[0] for entry, answers in context.sent.values() if entry == "e2"
+    ]
+    assert all(isinstance(answer, HttpResponse) for answer in given_back)
+
+
+@when("the process {name} is replaced")
+def replaced(context, name):
+    spawn(context, name)
+
+
+@then("the new e1 answers requests as a later member")
+def later_member(context):
+    answers_now(context.world, "e1")
+    first, *_, last = joined(context.world, "e1")
+    assert last > first
+
+
+@when("the log hangs until the lease has passed and e2 is killed")
+def hang_and_kill(context):
+    world = context.world
+    world.log.faults.log = "hang"
+    world.run_for(1.2 * LEASE_MS / 1000 + 3)
+    context.processes["e2"].kill()
+
+
+@then("the new e2 answers requests and refuses keyed ones")
+def useful(context):
+    world = context.world
+    answers_now(world, "e2")
+    assert len(joined(world, "e2")) == 1
+    answer = world.ask("POST", "/notices", "e2", idempotency_key="k9")
+    assert answer.header("cardamom-outcome") == "not-run"
+
+
+@when("the log answers again")
+def log_answers(context):
+    context.world.log.faults.log = "up"
+
+
+@then("the new e2 becomes a member and e1 delays acknowledgements")
+def member_again(context):
+    world = context.world
+    world.run_until(lambda: len(joined(world, "e2")) == 2)
+    opened = records.BatchOpened("weekly", 1, ("vm0",), "", world.read[-1].offset, "c1")
+    world.append(opened)
+    world.run_until(lambda: said(world, records.BatchAcked, "e2"))
+    assert not said(world, records.BatchAcked, "e1")
+    world.run_until(lambda: said(world, records.BatchAcked, "e1"))
