Count free connections as well as free slots when choosing an endpoint

Cause: an entry that borrows slots may hold more of them than its share of the endpoint's connections; the attempt then failed and the endpoint looked bad. Change: a candidate's free count is bounded by the endpoint's room.

--- a/src/cardamomgrade/dispatch.py
+++ b/src/cardamomgrade/dispatch.py
@@ -50,6 +50,7 @@
         self._closing = False
         self.held = self._lanes.held
         self.sweep = self._lanes.sweep
+        self.connections = self._lanes.connections
 
     @property
     def open_requests(self):
--- a/src/cardamomgrade/endpoint.py
+++ b/src/cardamomgrade/endpoint.py
@@ -48,6 +48,11 @@
         self._idle = []
         self.open = 0
 
+    @property
+    def room(self):
+        """How many more requests the connections allow now."""
+        return self._limit - self.open + len(self._idle)
+
     def start(self, req, request_id, repeatable, on_done):
         """Send ``req``; call ``on_done(HttpResponse | Failure)`` once, later.
 
--- a/src/cardamomgrade/lane.py
+++ b/src/cardamomgrade/lane.py
@@ -99,6 +99,11 @@
         """Return how many requests may be running on a VM for this entry."""
         return self._held.get(vm, 0)
 
+    def connections(self, vm):
+        """Return how many connections to a VM are open or being opened."""
+        endpoint = self._endpoints.get(vm)
+        return endpoint.open if endpoint is not None else 0
+
     def choose(self, job):
         """Return a Choice for a job, or the Refusal of every endpoint."""
         lane = self.lane(job.service.pool)
@@ -114,11 +119,15 @@
             place = places.get(vm)
             if place is None or not self._fleet.may_send(vm):
                 continue
-            free = self._ledger.available(vm)
+            free = min(self._ledger.available(vm), self._room(vm))
             item = Candidate(vm, place.zone, place.rack, self.held(vm), free)
             (failed if known.failed else found).append(item)
         return found or failed
 
+    def _room(self, vm):
+        endpoint = self._endpoints.get(vm)
+        return endpoint.room if endpoint is not None else 1
+
     def want(self, pool):
         """Ask for as many slots as requests wait for."""
         lane = self.lane(pool)
--- a/tests/entry.feature
+++ b/tests/entry.feature
@@ -90,6 +90,13 @@
     And no endpoint ever ran more than 4 at once
     And what was told not-run did not run and the rest ran once
 
+  Scenario: connections to an endpoint are bounded below its slots
+    Given two entries whose pool allows 4 connections and 4 slots
+    When 30 requests of 20 ms arrive at once at e1 alone
+    Then every request has one answer and is answered or not-run
+    And no endpoint ever ran more than 4 at once
+    And no entry ever had more than 2 connections to it or ejected it
+
   Scenario: a caller that leaves
     Given two entries, 1 endpoints and a bundle
     When 4 callers send requests of 200 ms and 6 more wait
--- a/tests/steps/entry.py
+++ b/tests/steps/entry.py
@@ -62,6 +62,23 @@
     world.start_seats()
 
 
+@given("two entries whose pool allows 4 connections and 4 slots")
+def few_connections(context):
+    world = context.world = World(seats=("e1", "e2"))
+    world.connections = 4
+    world.endpoint("vm0")
+    world.roll()
+    world.start_seats()
+
+
+@then("no entry ever had more than 2 connections to it or ejected it")
+def connections_bounded(context):
+    for entry in context.world.entries.values():
+        counters = entry.metrics.view().counters
+        assert not counters.get("AttemptFailed"), counters
+        assert entry.dispatcher.connections("vm0") <= 2
+
+
 @given("an entry without a bundle")
 def no_bundle(context):
     context.world = World()
@@ -205,12 +222,21 @@
 
 
 @when("{count:d} requests of {ms:d} ms arrive at once at each entry")
-def arrive_at_once(context, count, ms):
+def arrive_at_each(context, count, ms):
+    arrive(context, count, ms, ("e1", "e2"))
+
+
+@when("{count:d} requests of {ms:d} ms arrive at once at e1 alone")
+def arrive_at_e1(context, count, ms):
+    arrive(context, count, ms, ("e1",))
+
+
+def arrive(context, count, ms, entries):
     world = context.world
     context.answers = [
         world.send("POST", f"/notices/{number}", entry, work_ms=ms)
         for number in range(count)
-        for entry in ("e1", "e2")
+        for entry in entries
     ]
     world.run_until(lambda: all(context.answers))
 
--- a/tests/steps/entry_world.py
+++ b/tests/steps/entry_world.py
@@ -22,7 +22,7 @@
 key_memory_s = 60
 [pool notices]
 slots = 4
-connections = 64
+connections = {connections}
 [service notices]
 pool = notices
 path = /notices
@@ -103,6 +103,7 @@
     def __init__(self, deadline_ms=1000, seats=()):
         super().__init__()
         self.deadline_ms = deadline_ms
+        self.connections = 64
         self.peers = tuple((seat, free_address()) for seat in seats)
         self.platform = PlatformStandin(self.loop, self.net, ())
         self.log_port = self.platform.listen(HOST, 0)
@@ -142,7 +143,7 @@
 
     def roll(self):
         """Put a bundle with the endpoints so far in force."""
-        text = BUNDLE.format(deadline_ms=self.deadline_ms)
+        text = BUNDLE.format(deadline_ms=self.deadline_ms, connections=self.connections)
         for number, (name, port) in enumerate(self.ports.items()):
             text += VM.format(name=name, port=port, zone=f"z{number % 2}")
         bundle = parse_bundle(text)
