Judge claims of a key alike by every reader

Cause: the claims specification found two runs of one key: a reader that lost the first claim to retention takes a later, refused claim for the owner, and readers under different bundles forgot a key at different times. Ruled out: starting only from offset 0 (retention is limited); one constant memory for all (it would hold the longest memory for every key). Change: a claim names its memory, and a refused claim extends the live one. Seen: the two new scenarios failed before (counterexample with claims 99 ms apart under a memory of 100 ms) and pass now; the plain model of the first scenario follows the same rule and is as strict as before. Conclusion: all readers agree on the owner of a key, or refuse.

--- a/src/cardamomgrade/claim.py
+++ b/src/cardamomgrade/claim.py
@@ -1,7 +1,8 @@
 """Claims of idempotency keys, folded from the ``claims`` stream.
 
-The first claim of a key by offset owns it for a time of the log's clock; later ones
-are duplicates until the claim is released or expires.
+The first claim of a key by offset owns it for the time of the log's clock that the
+record names. A later one is a duplicate and extends that time: a reader that lost the
+first claim then still finds the key taken for as long as the others do.
 """
 
 import hashlib
@@ -15,7 +16,7 @@
 KEY_BYTES = 16
 KEY_LIMIT_CHARS = 255
 _HASH_BYTES = 8
-_ENTRY = struct.Struct(f">Q{_HASH_BYTES}s")
+_ENTRY = struct.Struct(f">QQ{_HASH_BYTES}s")
 
 
 def claim_key(service, key):
@@ -30,9 +31,10 @@
 
 @attrs.frozen
 class Claim:
-    """A live claim: log time in ms and a hash of the owning request's id."""
+    """A claim: the log times in ms of its start and end, and its owner's hash."""
 
     time_ms: int
+    until_ms: int
     request_hash: bytes
 
     def belongs_to(self, request):
@@ -43,9 +45,9 @@
 class ClaimState:
     """The live claims, in two generations so that expiry costs no search.
 
-    Claims move to the old generation when the younger one spans the time that keys
-    are remembered, and the old one is dropped as a whole; each claim's own time
-    decides. A claim is packed into 16 bytes.
+    Claims move to the old generation when the younger one spans the longest time that
+    a key is remembered, and the old one is dropped as a whole; each claim's own time
+    decides. A claim is packed into 24 bytes.
     """
 
     def __init__(self):
@@ -54,6 +56,7 @@
         self._young_since = 0
         self.next_offset = 0
         self.time_ms = 0
+        self.longest_memory_ms = 0
         self.known_since_ms = None
 
     def __len__(self):
@@ -69,17 +72,18 @@
         if self.known_since_ms is None:
             return True
         known = self.known_since_ms
-        return known >= 0 and known + memory_ms <= time_ms
+        longest_ms = max(memory_ms, self.longest_memory_ms)
+        return known >= 0 and known + longest_ms <= time_ms
 
-    def find(self, key, time_ms, memory_ms):
+    def find(self, key, time_ms):
         """Return the Claim of ``key`` that is live at ``time_ms``, or None."""
         packed = self._young.get(key) or self._old.get(key)
         if packed is None:
             return None
         claim = Claim(*_ENTRY.unpack(packed))
-        return claim if time_ms < claim.time_ms + memory_ms else None
+        return claim if time_ms < claim.until_ms else None
 
-    def fold(self, logged, memory_ms):
+    def fold(self, logged):
         """Apply a record; return True, or a Refusal that says why it is void.
 
         A record below ``next_offset`` was applied before and changes nothing.
@@ -87,31 +91,41 @@
         if logged.offset < self.next_offset:
             return Refusal(Reason.ALREADY_DONE)
         self.next_offset = logged.offset + 1
-        self._advance(logged.time_ms, memory_ms)
+        self._advance(logged.time_ms)
         if isinstance(logged.record, KeyClaimed):
-            return self._claim(logged.record, memory_ms)
+            return self._claim(logged.record)
         if isinstance(logged.record, KeyReleased):
-            return self._release(logged.record, memory_ms)
+            return self._release(logged.record)
         return Refusal(Reason.UNKNOWN, "no record of claims")
 
-    def _advance(self, time_ms, memory_ms):
+    def _advance(self, time_ms):
         self.time_ms = max(self.time_ms, time_ms)
         if self.known_since_ms == -1:
             self.known_since_ms = self.time_ms
-        if self.time_ms - self._young_since >= memory_ms:
+        if self.time_ms - self._young_since >= self.longest_memory_ms:
             self._old, self._young = self._young, {}
             self._young_since = self.time_ms
 
-    def _claim(self, record, memory_ms):
-        if self.find(record.key, self.time_ms, memory_ms) is not None:
+    def _claim(self, record):
+        self.longest_memory_ms = max(self.longest_memory_ms, record.memory_ms)
+        until_ms = self.time_ms + record.memory_ms
+        claim = self.find(record.key, self.time_ms)
+        if claim is not None:
+            until_ms = max(until_ms, claim.until_ms)
+            self._put(record.key, attrs.evolve(claim, until_ms=until_ms))
             return Refusal(Reason.DUPLICATE)
-        self._old.pop(record.key, None)
-        packed = _ENTRY.pack(self.time_ms, _request_hash(record.request))
-        self._young[record.key] = packed
+        owner = _request_hash(record.request)
+        self._put(record.key, Claim(self.time_ms, until_ms, owner))
         return True
 
-    def _release(self, record, memory_ms):
-        claim = self.find(record.key, self.time_ms, memory_ms)
+    def _put(self, key, claim):
+        self._old.pop(key, None)
+        self._young[key] = _ENTRY.pack(
+            claim.time_ms, claim.until_ms, claim.request_hash
+        )
+
+    def _release(self, record):
+        claim = self.find(record.key, self.time_ms)
         if claim is None or not claim.belongs_to(record.request):
             return Refusal(Reason.OUTDATED)
         self._young.pop(record.key, None)
--- a/src/cardamomgrade/keys.py
+++ b/src/cardamomgrade/keys.py
@@ -82,7 +82,7 @@
 
     def find(self, key):
         """Return the live Claim of a key that this entry knows of, or None."""
-        return self._claims.find(key, self._now_ms(), self._memory_ms())
+        return self._claims.find(key, self._now_ms())
 
     def claim(self, key, request, on_done):
         """Ask for a key; ``on_done(True | Refusal)`` is called once, maybe now.
@@ -95,7 +95,10 @@
             return
         self._pending[request] = _Pending(key, on_done)
         self._incarnations.add(self._seat.incarnation)
-        record = KeyClaimed(key, self._seat.name, self._seat.incarnation, request)
+        seat = self._seat
+        record = KeyClaimed(
+            key, seat.name, seat.incarnation, request, self._memory_ms()
+        )
         self._feed.append(record, lambda result: self._appended(request, result))
 
     def _objection(self, key):
@@ -113,6 +116,7 @@
             return False
         if self._claims.complete(self._now_ms(), memory_ms):
             return True
+        memory_ms = max(memory_ms, self._claims.longest_memory_ms)
         watched_s = self._loop.now() - self._lost_at
         return watched_s * 1000 >= memory_ms
 
@@ -154,7 +158,7 @@
 
     def _on_records(self, batch):
         for logged in batch:
-            result = self._claims.fold(logged, self._memory_ms())
+            result = self._claims.fold(logged)
             record = logged.record
             if isinstance(record, KeyClaimed) and self._is_own(record):
                 self._on_own_claim(logged, result)
--- a/src/cardamomgrade/records.py
+++ b/src/cardamomgrade/records.py
@@ -199,12 +199,16 @@
 
 @_record(40)
 class KeyClaimed:
-    """An entry asks to run the request that carries an idempotency key."""
+    """An entry asks to run the request that carries an idempotency key.
+
+    The key is remembered for ``memory_ms`` of the log's time, for every reader alike.
+    """
 
     key: bytes
     entry: str
     incarnation: int
     request: str
+    memory_ms: int
 
 
 @_record(41)
--- a/tests/claim.feature
+++ b/tests/claim.feature
@@ -10,3 +10,9 @@
 
   Scenario: a claim takes little memory
     Then 20000 live claims take less than 250 bytes each
+
+  Scenario: a reader that lost its place never owns a key that others own
+    Then in generated histories a truncated reader's owners are among the full reader's
+
+  Scenario: readers under different bundles judge claims alike
+    Then generated claims are judged alike whatever memory a reader's bundle names
