Check rolls that would do harm, and the loss of a rack, by tests

Cause: the refusals of a roll and the rack rule of the budget stood without a test. Change: scenarios for seats, versions, budgets and pools that a roll would break, for the bound on proposals, and the loss of any rack after each accepted drain of the generated histories. Conclusion: both rules are held by tests.

--- a/tests/fleet.feature
+++ b/tests/fleet.feature
@@ -113,7 +113,7 @@
       | BatchOpened    | vms=a0                       | outdated |
       | BatchOpened    | vms=a1 pool=b                | outdated |
       | BatchOpened    | vms=a0 pool=b                | taken    |
-      | BundleProposed | version=3 by=bob parent=ada without=a0 | taken |
+      | BundleProposed | version=3 by=bob parent=ada without=vm_a0 | taken |
       | BundleSigned   | by=bob signer=eve            | taken    |
       | BundleRolled   | by=bob                       | batch-open |
       | BatchAcked     | entry=e1                     | taken    |
@@ -122,3 +122,24 @@
       | RebootOrdered  | vm=a0 after=16000            | taken    |
       | VmJoined       | vm=a0                        | taken    |
     Then the VM "a0" is in the pool "b"
+
+  Scenario: a roll that would do harm is refused
+    Given a fleet log with bundle version 1 rolled
+    When the fleet log reads
+      | record         | fields                                 | outcome          |
+      | BundleProposed | version=3 by=ada                       | bad-value: version |
+      | BundleProposed | version=2 by=ada bundle.seats=e1,e9    | bad-value: seats |
+      | BundleProposed | version=2 by=ada service_s.min_serving=2 without=vm_a0,vm_a1 | taken |
+      | BundleSigned   | by=ada signer=eve                      | taken            |
+      | BundleProposed | version=2 by=bob vm_b0.pool=a vm_b1.pool=a wave_w.pools=a without=pool_b,service_t | taken |
+      | BundleSigned   | by=bob signer=eve                      | taken            |
+      | VmFailed       | vm=a2                                  | taken            |
+      | BundleRolled   | by=ada                                 | budget: pool a   |
+      | BundleRolled   | by=bob                                 | wrong-state: pool b still holds |
+      | VmRecovered    | vm=a2                                  | taken            |
+      | BundleRolled   | by=ada                                 | taken            |
+
+  Scenario: too many proposals drop the oldest
+    Given a fleet log with bundle version 1 rolled
+    When 17 operators propose bundle version 2
+    Then only the first one's bundle can't be signed off
--- a/tests/steps/fleet.py
+++ b/tests/steps/fleet.py
@@ -55,12 +55,18 @@
 
 
 def proposal_of(context, author, fields):
+    """Return the proposal of an estate with ``section.key=value`` changes."""
     estate = bundle_options(
         version=int(fields["version"]),
         moved=fields.get("moved", "").split(","),
         bundle={"author": author},
     )
-    estate.pop(f"vm {fields.get('without')}", None)
+    for place in filter(None, fields.get("without", "").split(",")):
+        del estate[place.replace("_", " ")]
+    for place, value in fields.items():
+        section, _, key = place.replace("_", " ", 1).partition(".")
+        if key:
+            estate[section][key] = value
     bundle = parse_bundle(bundle_text(estate))
     context.digests[author] = bundle.digest
     parent = context.digests.get(fields.get("parent"))
@@ -162,3 +168,19 @@
 
     check()
     assert sum(reboots) > TRIES / 4, f"only {sum(reboots)} reboots"
+
+
+@when("{count:d} operators propose bundle version 2")
+def step_many_proposals(context, count):
+    for operator in range(count):
+        record = proposal_of(context, f"op{operator}", {"version": "2"})
+        assert context.log.append(record) is None
+
+
+@then("only the first one's bundle can't be signed off")
+def step_oldest_dropped(context):
+    signed = [
+        context.log.append(records.BundleSigned(digest, "eve")) is None
+        for digest in context.digests.values()
+    ]
+    assert signed == [False] + [True] * (len(signed) - 1)
--- a/tests/steps/fleetlog.py
+++ b/tests/steps/fleetlog.py
@@ -200,7 +200,20 @@
     active = [vm for vm in state.vms.pool(batch.source).values() if vm.active]
     services = state.bundle.services.values()
     required = [item.min_serving for item in services if item.pool == batch.source]
-    assert len(active) >= max(required, default=0)
+    needed = max(required, default=0)
+    assert len(active) >= needed
+    check_rack(state, batch.source, active, needed)
+
+
+def check_rack(state, pool, active, needed):
+    """Assert that any rack may fail, if the pool can lose one VM and any rack."""
+    places = state.bundle.vms
+    every = [places[name].rack for name in state.vms.pool(pool)]
+    if min(len(every) - 1 - every.count(rack) for rack in every) < needed:
+        return
+    for rack in every:
+        left = [vm for vm in active if places[vm.name].rack != rack]
+        assert len(left) >= needed, f"pool {pool} can't lose {rack}"
 
 
 def check_reboot(state, batch):
