Hold seats, pools and addresses against stale entries

Cause: the members specification and a reading of the fold found that a join at another address dropped a member that may live (its requests could be cut), and that two rolls could move a VM, or hand its address to another, without a batch. Ruled out: forbidding the removal of VMs (operators retire them). Change: a seat is taken over only at its address or once the holder left or is gone; a removed VM comes back in the pool that it left; an address stays with its VM. Conclusion: each step that an entry could miss goes through the barrier.

--- a/src/cardamomgrade/fleet.py
+++ b/src/cardamomgrade/fleet.py
@@ -44,6 +44,8 @@
     alone before ``quiet_after_ms``: until then the endpoints may run requests of
     members that have left. ``deadline_peak_ms`` is the longest deadline of any
     bundle that was in force; a member may have sent requests under any of them.
+    ``retired`` are the VMs that bundles removed: an entry that has not read the roll
+    may still send to them.
     """
 
     offset: int = 0
@@ -57,6 +59,7 @@
     vms: Inventory = attrs.field(factory=Inventory)
     batches: dict = attrs.field(factory=dict)
     required: dict = attrs.field(factory=dict)
+    retired: dict = attrs.field(factory=dict)
     quiet_after_ms: int = 0
     deadline_peak_ms: int = 0
 
@@ -97,6 +100,11 @@
         return Refusal(
             Reason.OUTDATED, f"{record.entry} has incarnation {old.incarnation}"
         )
+    if old is not None and record.address != old.address:
+        return Refusal(
+            Reason.WRONG_STATE,
+            f"{record.entry} is held at {old.address}, whose process may live",
+        )
     member = Member(
         record.entry, record.incarnation, record.zone, record.address, offset
     )
--- a/src/cardamomgrade/inventory.py
+++ b/src/cardamomgrade/inventory.py
@@ -17,6 +17,15 @@
     round: int
 
 
+@attrs.frozen
+class RetiredVm:
+    """A VM that a bundle removed, with its pool and its address at that time."""
+
+    name: str
+    pool: str
+    address: str
+
+
 @attrs.frozen
 class VmState:
     """A VM as folded from the log.
--- a/src/cardamomgrade/rollout.py
+++ b/src/cardamomgrade/rollout.py
@@ -9,7 +9,7 @@
 from .budget import required_vms
 from .bundle import Difference, revise_bundle
 from .errors import BundleError
-from .inventory import VmState
+from .inventory import RetiredVm, VmState
 from .refusal import Reason, Refusal
 
 PROPOSALS_MAX = 16
@@ -137,6 +137,7 @@
     if state.bundle is not None:
         checks = (
             _check_batches(state, bundle, changed),
+            _check_addresses(state, bundle),
             _check_pools(bundle, vms),
             _check_services(state, vms, required),
         )
@@ -151,17 +152,22 @@
         bundle_time_ms=state.time_ms,
         proposals=_descendants(state.proposals, record.digest),
         vms=vms,
+        retired=_retire(state, bundle),
         required=required,
         deadline_peak_ms=max(state.deadline_peak_ms, bundle.longest_deadline_ms),
     )
 
 
 def _assign(state, bundle):
-    """Return the Inventory under ``bundle`` and the VMs removed or changed in place."""
+    """Return the Inventory under ``bundle`` and the VMs removed or changed in place.
+
+    A VM that was removed before comes back in the pool that it left, from where a
+    batch moves it: an entry that has read neither roll still knows it there.
+    """
     old = state.bundle.vms if state.bundle else {}
     removed = [name for name in old if name not in bundle.vms]
     added = [
-        VmState(vm.name, vm.pool, "serving", state.time_ms)
+        VmState(vm.name, _entry_pool(state, vm), "serving", state.time_ms)
         for vm in bundle.vms.values()
         if vm.name not in old
     ]
@@ -174,6 +180,37 @@
     return vms, [*removed, *changed]
 
 
+def _entry_pool(state, vm):
+    """Return the pool in which a VM that is new to the bundle begins."""
+    retired = state.retired.get(vm.name)
+    return retired.pool if retired else vm.pool
+
+
+def _retire(state, bundle):
+    """Return the retired VMs under ``bundle``, {name: RetiredVm}."""
+    old = state.bundle.vms if state.bundle else {}
+    removed = {
+        name: RetiredVm(name, state.vms[name].pool, vm.address)
+        for name, vm in old.items()
+        if name not in bundle.vms
+    }
+    known = {**state.retired, **removed}
+    return {name: vm for name, vm in known.items() if name not in bundle.vms}
+
+
+def _check_addresses(state, bundle):
+    """Refuse a VM at an address at which entries may know another VM."""
+    holders = {vm.address: vm.name for vm in state.bundle.vms.values()}
+    holders.update({vm.address: vm.name for vm in state.retired.values()})
+    for vm in bundle.vms.values():
+        holder = holders.get(vm.address, vm.name)
+        if holder != vm.name:
+            return Refusal(
+                Reason.WRONG_STATE, f"{vm.address} of VM {vm.name} was that of {holder}"
+            )
+    return None
+
+
 def _moved_in_place(old, new):
     if old is new:
         return False
--- a/src/cardamomgrade/snapshot.py
+++ b/src/cardamomgrade/snapshot.py
@@ -21,12 +21,12 @@
 from .bundle import bundle_from_sections, Difference
 from .errors import BundleError
 from .fleet import FleetState, Member
-from .inventory import Inventory, RoundDone, VmState
+from .inventory import Inventory, RetiredVm, RoundDone, VmState
 from .records import Section, Snapshot
 from .refusal import Reason, Refusal
 from .rollout import Proposal
 
-FORMAT = 1
+FORMAT = 2
 PART_BYTES = 32 * 1024
 STATE_BYTES_MAX = 64 * 1024 * 1024
 COMPRESSION_LEVEL = 6
@@ -111,6 +111,7 @@
         (state.members[name] for name in sorted(state.members)),
         (state.vms[name] for name in sorted(state.vms)),
         (state.batches[offset] for offset in sorted(state.batches)),
+        (state.retired[name] for name in sorted(state.retired)),
     )
     yield [FORMAT, *(getattr(state, name) for name in _PLAIN)]
     for group, pack in zip(groups, _PACKERS, strict=True):
@@ -145,6 +146,7 @@
     members = [Member(*values) for values in iter(read, None)]
     vms = Inventory().replace([_unpack_vm(values) for values in iter(read, None)])
     batches = [_unpack_batch(values) for values in iter(read, None)]
+    retired = [RetiredVm(*values) for values in iter(read, None)]
     return FleetState(
         **dict(zip(_PLAIN, plain, strict=True)),
         bundle=bundle,
@@ -152,6 +154,7 @@
         members={item.entry: item for item in members},
         vms=vms,
         batches={item.offset: item for item in batches},
+        retired={item.name: item for item in retired},
         required=required_vms(bundle) if bundle else {},
     )
 
@@ -221,4 +224,5 @@
     attrs.astuple,
     _pack_vm,
     _pack_batch,
+    attrs.astuple,
 )
--- a/tests/fleet.feature
+++ b/tests/fleet.feature
@@ -75,6 +75,40 @@
       | RebootOrdered  | vm=a1 after=9999         | not-confirmed: former members |
       | RebootOrdered  | vm=a1 after=1            | taken            |
 
+  Scenario: a seat is not taken from another address while its holder may live
+    Given a fleet log with bundle version 1 rolled
+    When the fleet log reads
+      | record         | fields                                       | outcome     |
+      | MemberJoined   | entry=e2 incarnation=2 address=127.0.0.1:2   | wrong-state: 127.0.0.1:1 |
+      | BatchOpened    | vms=a0                                       | taken       |
+      | BatchAcked     | entry=e1                                     | taken       |
+      | DrainStarted   |                                              | not-acknowledged: e2 |
+      | MemberGone     | entry=e2                                     | taken       |
+      | MemberJoined   | entry=e2 incarnation=2 address=127.0.0.1:2   | taken       |
+
+  Scenario: a VM that is removed and added again keeps its pool until it moves
+    Given a fleet log with bundle version 1 rolled
+    When the fleet log reads
+      | record         | fields                              | outcome             |
+      | BundleProposed | version=2 by=ann without=vm_a3      | taken               |
+      | BundleSigned   | by=ann signer=eve                   | taken               |
+      | BundleRolled   | by=ann                              | taken               |
+      | BundleProposed | version=3 by=bob moved=a3           | taken               |
+      | BundleSigned   | by=bob signer=eve                   | taken               |
+      | BundleRolled   | by=bob                              | taken               |
+    Then the VM "a3" is in the pool "a"
+
+  Scenario: no VM takes the address that another VM had
+    Given a fleet log with bundle version 1 rolled
+    When the fleet log reads
+      | record         | fields                                            | outcome |
+      | BundleProposed | version=2 by=ann without=vm_a3                    | taken   |
+      | BundleSigned   | by=ann signer=eve                                 | taken   |
+      | BundleRolled   | by=ann                                            | taken   |
+      | BundleProposed | version=3 by=bob without=vm_a3 vm_b0.address=127.0.0.1:9003 | taken |
+      | BundleSigned   | by=bob signer=eve                                 | taken   |
+      | BundleRolled   | by=bob                                            | wrong-state: was that of a3 |
+
   Scenario: no drain starts without a member
     Given a fleet log with bundle version 1 rolled
     When the fleet log reads
