Hold acknowledgements for long only while a stranger is linked

Ruled out: dropping the hold, as an entry that started in the outage may still send. Change: 5 s always, up to the longest deadline more only while a linked peer is no member yet. The process scenarios keep a seat's address, since the fold now refuses a seat at another address to a second process; the outage scenario had failed on that.

--- a/src/cardamomgrade/entry.py
+++ b/src/cardamomgrade/entry.py
@@ -149,6 +149,7 @@
                 "on_vacant": self.mesh.ledger.note_vacant,
                 "on_raw": self.mesh.catchup.keep,
                 "relay": lambda record: self.mesh.relay(STREAM_FLEET, record),
+                "strangers": lambda members: self.mesh.strangers(members),
                 "outage": lambda members: self.mesh.outage_known(members, LEASE_MS),
             }
         return Member(
--- a/src/cardamomgrade/member.py
+++ b/src/cardamomgrade/member.py
@@ -86,11 +86,13 @@
     members in other seats. ``held(vm)`` counts requests in flight,
     ``relay(record)`` asks a peer to append and tells whether one could, ``on_raw``
     is given raw records. ``outage(members)`` tells whether a peer that is a member
-    has lost its lease on the log.
+    has lost its lease on the log, ``strangers(members)`` names linked peers that are
+    no members.
 
     An entry that starts during an outage of the log cannot become a member. It may
-    send while such a peer is alive: that peer holds its acknowledgements back after
-    the outage until this entry has heard of its end and what it sent is answered.
+    send while such a peer is alive. That peer holds its acknowledgements back after
+    the outage until this entry has heard of its end and has become a member, or what
+    it sent is answered.
     """
 
     def __init__(self, loop, net, log, seat, **hooks):
@@ -102,6 +104,7 @@
         self._on_vacant = hooks.get("on_vacant") or (lambda seats: None)
         self._held = hooks["held"]
         self._outage = hooks.get("outage") or (lambda members: False)
+        self._strangers = hooks.get("strangers") or (lambda members: ())
         self._relay = hooks.get("relay") or (lambda record: False)
         self.follower = Follower(
             loop,
@@ -159,8 +162,7 @@
     def _note_freshness(self):
         fresh = self.follower.fresh()
         if fresh and not self._was_fresh and self._caught_up:
-            hold_s = ACK_HOLD_S + self.state.deadline_peak_ms / MS_PER_S
-            self._ack_after = self._loop.now() + hold_s
+            self._ack_after = self._loop.now() + ACK_HOLD_S
         if fresh != self._was_fresh:
             event = FreshnessRegained if fresh else FreshnessLost
             note(event(self.state.offset))
@@ -180,7 +182,11 @@
                 self._append(record)
 
     def _may_ack(self, now):
-        return self.follower.fresh() and now >= self._ack_after
+        if not self.follower.fresh() or now < self._ack_after:
+            return False
+        hold_s = self.state.deadline_peak_ms / MS_PER_S
+        held = now < self._ack_after + hold_s
+        return not (held and self._strangers(self.state.members))
 
     def _append(self, record):
         name = type(record).__name__
--- a/src/cardamomgrade/mesh.py
+++ b/src/cardamomgrade/mesh.py
@@ -165,6 +165,15 @@
                 return True
         return False
 
+    def strangers(self, members):
+        """Return the names of linked peers whose incarnation is not in ``members``."""
+        found = []
+        for name, session in self._sessions.items():
+            member = members.get(name)
+            if member is None or member.incarnation != session.link.incarnation:
+                found.append(name)
+        return found
+
     def links(self):
         """Return the links that are up."""
         return [session.link for session in self._sessions.values()]
--- a/tests/steps/entry_world.py
+++ b/tests/steps/entry_world.py
@@ -111,6 +111,7 @@
         self.endpoints = {}
         self.entries = {}
         self.entry_ports = {}
+        self._listens = {}
         self.ports = {}
         self.read = []
         address = f"{HOST}:{self.log_port}"
@@ -158,7 +159,7 @@
         return EntrySettings(
             name=name,
             zone="z0",
-            listen=free_address(),
+            listen=self._listens.setdefault(name, free_address()),
             log=f"{HOST}:{self.log_port}",
             ops_listen=free_address(),
             ops_key=KEY,
