Give a newcomer a share of slots and deal homes evenly

Cause: in trials at 1.1 of the capacity a replaced entry got no token for the whole of its quarantine, because peers with queues lent nothing. Homes by a hash of the whole name gave seats 8 to 11 tokens of 64. A want for a changed group of endpoints left the old one behind, which stopped lending for good.

Change: an Ask says whether the sender's home tokens are locked; a peer then lends it a seat's share of its home tokens also while it lacks some itself. Homes are rotated by the number in the endpoint's name. demand.py holds what is lacking; a group takes the place of any that it overlaps. Asks live 0.3 s, longer than the longest interval between them.

--- a/src/cardamomgrade/messages.py
+++ b/src/cardamomgrade/messages.py
@@ -111,12 +111,14 @@
 class Ask:
     """The sender lacks ``count`` tokens on any of the endpoints.
 
-    A higher sequence replaces what was asked before for the same endpoints.
+    A locked sender cannot use its home tokens yet. A higher sequence replaces what
+    was asked before for the same endpoints.
     """
 
     sequence: int = _of(int)
     endpoints: tuple = attrs.field(converter=tuple, validator=_each_str)
     count: int = _of(int)
+    locked: bool = _of(bool)
 
 
 @_message(11)
--- a/src/cardamomgrade/slots.py
+++ b/src/cardamomgrade/slots.py
@@ -6,16 +6,13 @@
 repetition and reordering of messages change nothing but the time they take.
 """
 
-import itertools
-
+from .demand import Demand, Lender
 from .messages import Ask, Query, Report, Tokens, TokensAck
 from .tokens import deal, Debt, Pair, raise_totals, Reclaim, token_counts, unacked
 
 TICK_S = 0.05
 RESEND_S = 0.25
-ASK_MIN_S = 0.005
-ASK_MAX_S = 0.16
-ASK_LIFETIME_S = 0.2
+ASK_LIFETIME_S = 0.3
 PAUSE_LIMIT_S = 2.0
 
 
@@ -49,17 +46,15 @@
         self._cleared = {}
         self._knew_before = False
         self._reclaims = []
-        self._wants = {}
-        self._wanted = frozenset()
+        self._demand = Demand()
+        self._seats = 1
         self._debts = {}
-        self._sequence = itertools.count(1)
-        self._ask_at = 0.0
-        self._ask_delay = ASK_MIN_S
 
     def configure(self, endpoints, seats, longest_deadline_s):
         """Take the slots of a bundle, {endpoint: slots}; seats never change."""
         self._deadline_s = max(self._deadline_s, longest_deadline_s)
         self._others = frozenset(seats) - {self.seat}
+        self._seats = len(seats)
         home = {
             name: deal(name, slots, seats).get(self.seat, 0)
             for name, slots in endpoints.items()
@@ -94,19 +89,12 @@
         if self.halted():
             return
         for debt in self._open_debts():
-            if endpoint in debt.endpoints:
+            if endpoint in debt.ask.endpoints:
                 self._serve(debt)
 
     def want(self, endpoints, count):
         """Set how many tokens are lacking on any of a tuple of endpoints."""
-        if count > 0:
-            self._wants[endpoints] = count
-        elif self._wants.pop(endpoints, None) is None:
-            return
-        else:
-            self._ask_delay = ASK_MIN_S
-        if count <= 0 or not self._wanted.issuperset(endpoints):
-            self._wanted = frozenset(itertools.chain.from_iterable(self._wants))
+        self._demand.set(endpoints, count)
         self._ask()
 
     def tick(self):
@@ -256,28 +244,17 @@
         self._add(endpoint, -count)
 
     def _ask(self):
-        now = self._clock()
-        if not self._wants or now < self._ask_at or self.halted():
+        if self.halted():
             return
-        self._ask_at = now + self._ask_delay
-        self._ask_delay = min(2 * self._ask_delay, ASK_MAX_S)
-        for endpoints, count in self._wants.items():
-            peers = self._lenders(endpoints)
-            share = -(-count // max(1, len(peers)))
-            for seat, pair in peers[: count + 1]:
-                message = Ask(next(self._sequence), endpoints, share)
-                self._send(seat, pair.incarnation, message)
-
-    def _lenders(self, endpoints):
-        """Return the peers to ask, those that hold home tokens first."""
-        peers = list(self._pairs.items())
-        if peers:
-            turn = next(self._sequence) % len(peers)
-            peers = peers[turn:] + peers[:turn]
-        return sorted(peers, key=lambda item: not self._lent_any(item[1], endpoints))
-
-    def _lent_any(self, pair, endpoints):
-        return any(pair.lent.outstanding(name) for name in endpoints)
+        for endpoints in self._demand.due(self._clock()):
+            lenders = [
+                Lender(seat, any(pair.lent.outstanding(name) for name in endpoints))
+                for seat, pair in self._pairs.items()
+            ]
+            locked = not self.unlocked
+            for item in self._demand.requests(endpoints, lenders, locked):
+                incarnation = self._pairs[item.seat].incarnation
+                self._send(item.seat, incarnation, item.message)
 
     def _open_debts(self):
         now = self._clock()
@@ -305,9 +282,11 @@
             self._send_tokens(debt.seat, pair)
 
     def _returnable(self, pair, debt):
+        if self._keeps(debt.ask.endpoints):
+            return None
         names = [
             name
-            for name in debt.endpoints
+            for name in debt.ask.endpoints
             if self._idle(name) > 0 and pair.borrowed.outstanding(name) > 0
         ]
         return max(names, key=self._idle, default=None)
@@ -315,16 +294,30 @@
     def _lendable(self, pair, debt):
         if not (self.unlocked and pair.reported):
             return None
-        names = [name for name in debt.endpoints if self._spare(name) > 0]
-        return max(names, key=self._spare, default=None)
+        owed = debt.ask.locked and self._owes_share(pair, debt.ask.endpoints)
+        names = [
+            name
+            for name in debt.ask.endpoints
+            if self._idle_home(name) > 0 and (owed or not self._demand.lacks(name))
+        ]
+        return max(names, key=self._idle_home, default=None)
 
-    def _spare(self, name):
-        """Return the idle home tokens that no request here is waiting for."""
-        if name in self._wanted:
-            return 0
+    def _idle_home(self, name):
         home = self._stock.get(name, 0) - self._foreign.get(name, 0)
         return min(self._idle(name), home)
 
+    def _keeps(self, endpoints):
+        """Return whether this newcomer may keep what it borrowed: a seat's share."""
+        if self.unlocked or not any(map(self._demand.lacks, endpoints)):
+            return False
+        share = sum(self._home.get(name, 0) for name in endpoints)
+        return sum(self._stock.get(name, 0) for name in endpoints) <= share
+
+    def _owes_share(self, pair, endpoints):
+        """Return whether a newcomer has less of the home tokens here than a seat."""
+        lent = sum(map(pair.lent.outstanding, endpoints))
+        return lent * self._seats < sum(self._home.get(name, 0) for name in endpoints)
+
     def _send_tokens(self, seat, pair):
         """Send the totals that the peer has not acknowledged."""
         lent = unacked(pair.lent.given, pair.lent.acked)
@@ -342,10 +335,10 @@
     def _on_ask(self, seat, pair, message):
         key = (seat, message.endpoints)
         old = self._debts.get(key)
-        if old is not None and old.sequence >= message.sequence:
+        if old is not None and old.ask.sequence >= message.sequence:
             return
         expires = self._clock() + ASK_LIFETIME_S
-        debt = Debt(seat, message.sequence, message.endpoints, message.count, expires)
+        debt = Debt(seat, message, message.count, expires)
         self._debts[key] = debt
         self._serve(debt)
 
@@ -360,7 +353,7 @@
             self._add_all(home, 1)
         self._send(seat, pair.incarnation, TokensAck(message.lent, returned))
         if gained or home:
-            self._ask_delay = ASK_MIN_S
+            self._demand.gained()
             self._on_tokens()
 
     def _on_ack(self, seat, pair, message):
--- a/src/cardamomgrade/tokens.py
+++ b/src/cardamomgrade/tokens.py
@@ -1,25 +1,38 @@
 """Homes of slot tokens, and what a pair of entries has moved between them."""
 
 import hashlib
+import string
 
 import attrs
 
-from .messages import TokenCount
+from .messages import Ask, TokenCount
 
 
 def deal(endpoint, slots, seats):
     """Return {seat: home tokens} of an endpoint, by rendezvous hash.
 
-    More slots never mean fewer tokens for a seat, so that entries with different
-    bundles in force together never count more than the larger number of slots.
+    The order of seats is hashed from the name without its number and rotated by the
+    number, so that what remains is even over endpoints numbered in a row. More slots
+    never mean fewer tokens for a seat: entries with different bundles in force
+    together never count more than the larger number of slots.
     """
-    order = sorted(seats, key=lambda seat: _score(endpoint, seat))
+    prefix, number = _split_number(endpoint)
+    order = sorted(seats, key=lambda seat: _score(prefix, seat))
+    turn = number % len(order)
     base, extra = divmod(slots, len(order))
-    return {seat: base + (rank < extra) for rank, seat in enumerate(order)}
+    return {
+        seat: base + (rank < extra)
+        for rank, seat in enumerate(order[turn:] + order[:turn])
+    }
 
 
-def _score(endpoint, seat):
-    text = f"{endpoint}\n{seat}".encode()
+def _split_number(name):
+    prefix = name.rstrip(string.digits)
+    return prefix, int(name[len(prefix) :] or 0)
+
+
+def _score(prefix, seat):
+    text = f"{prefix}\n{seat}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
 
 
@@ -64,8 +77,7 @@
     """What a peer asked for and has not been given yet."""
 
     seat: str
-    sequence: int
-    endpoints: tuple
+    ask: Ask
     count: int
     expires: float
 
--- a/tests/slots.feature
+++ b/tests/slots.feature
@@ -34,6 +34,16 @@
     When slot seat a holds all 8 slots and seat b asks for its own
     Then seat b gets its home tokens as requests of seat a end
 
+  Scenario: a newcomer gets a share while all others have queues
+    Given three slot ledgers over 8 slots
+    When slot seats b and c have queues and seat a is replaced
+    Then slot seat a runs requests on borrowed tokens before it may use its own
+
+  Scenario: what is lacking on a changed group of endpoints replaces the old
+    Given three slot ledgers over 8 slots
+    When slot seat a lacks tokens on x and z, then only on x, then none on x
+    Then slot seat a lends its tokens again
+
   Scenario Outline: slots hold when <case>
     Then the slots of an endpoint hold when <case>
 
