--- a/src/cardamomgrade/records.py
+++ b/src/cardamomgrade/records.py
@@ -199,12 +199,16 @@
 
 @_record(40)
 class KeyClaimed:
-    """An entry asks to run the request that carries an idempotency key."""
+    """An entry asks to run the request that carries an idempotency key.
+
+    The key is remembered for ``memory_ms`` of the log's time, for every reader alike.
+    """
 
     key: bytes
     entry: str
     incarnation: int
     request: str
+    memory_ms: int
 
 
 @_record(41)
@@ -321,9 +325,25 @@
     if not isinstance(fields, list) or len(fields) != len(attrs.fields(cls)):
         raise RecordError(f"{cls.__name__}: wrong number of fields")
     try:
-        return cls(*fields)
+        record = cls(*fields)
     except (TypeError, ValueError, IndexError) as exc:
         raise RecordError(f"{cls.__name__}: {exc}") from exc
+    for field in attrs.fields(cls):
+        if not _has_type(getattr(record, field.name), field):
+            raise RecordError(f"{cls.__name__}: {field.name} has the wrong type")
+    return record
+
+
+def _has_type(value, field):
+    if field.name == "sections":
+        texts = [text for item in value for pair in item.options for text in pair]
+        texts += [item.name for item in value]
+        return all(isinstance(text, str) for text in texts)
+    if field.type is tuple:
+        return all(isinstance(item, str) for item in value)
+    if field.type is float:
+        return isinstance(value, (int, float))
+    return isinstance(value, field.type)
 
 
 def _unpack(data):
--- a/src/cardamomgrade/settings.py
+++ b/src/cardamomgrade/settings.py
@@ -1,7 +1,7 @@
 """INI settings files checked into attrs classes.
 
 A settings class is an attrs class whose fields were made with ``option``. The
-section of an option is given there and its key is the field's name.
+section of an option is given there and its key is the field's name or ``key``.
 """
 
 import configparser
@@ -13,14 +13,27 @@
 from .errors import SettingsError
 
 PEERS_SECTION = "peers"
+HIDDEN = "(hidden)"
 
 
-def option(section, convert, allowed, default=attrs.NOTHING):
-    """Return an attrs field read from ``[section]``; ``allowed`` is for people."""
-    return attrs.field(
-        default=default,
-        metadata={"section": section, "convert": convert, "allowed": allowed},
-    )
+def option(section, convert, allowed, default=attrs.NOTHING, secret=False, key=None):
+    """Return an attrs field read from ``[section]``; ``allowed`` is for people.
+
+    The value of a secret option is never shown. ``key`` is given when the key in the
+    file differs from the field's name.
+    """
+    metadata = {
+        "section": section,
+        "convert": convert,
+        "allowed": allowed,
+        "secret": secret,
+        "key": key,
+    }
+    return attrs.field(default=default, repr=not secret, metadata=metadata)
+
+
+def _key(field):
+    return field.metadata["key"] or field.name
 
 
 def number(low, high, kind=int):
@@ -84,10 +97,9 @@
     Raises SettingsError naming the file, section, key, value and what is allowed.
     """
     parser = read_ini(path)
-    fields = {field.name: field for field in attrs.fields(cls)}
     by_section = {}
-    for field in fields.values():
-        by_section.setdefault(field.metadata["section"], set()).add(field.name)
+    for field in attrs.fields(cls):
+        by_section.setdefault(field.metadata["section"], {})[_key(field)] = field
     values = {}
     for section in parser.sections():
         if section not in by_section:
@@ -96,22 +108,22 @@
                 f"{path}: unknown section [{section}]; allowed: {allowed}"
             )
         if section == PEERS_SECTION:
-            values[PEERS_SECTION] = _convert(
-                path, section, fields[PEERS_SECTION], parser[section]
-            )
+            field = by_section[section][PEERS_SECTION]
+            values[field.name] = _convert(path, section, field, parser[section])
             continue
         for key, text in parser[section].items():
-            if key not in by_section[section]:
+            field = by_section[section].get(key)
+            if field is None:
                 allowed = ", ".join(sorted(by_section[section]))
                 raise SettingsError(
                     f"{path}: unknown key [{section}] {key}; allowed: {allowed}"
                 )
-            values[key] = _convert(path, section, fields[key], text)
-    for field in fields.values():
+            values[field.name] = _convert(path, section, field, text)
+    for field in attrs.fields(cls):
         if field.default is attrs.NOTHING and field.name not in values:
             section, allowed = field.metadata["section"], field.metadata["allowed"]
             raise SettingsError(
-                f"{path}: missing key [{section}] {field.name}; allowed: {allowed}"
+                f"{path}: missing key [{section}] {_key(field)}; allowed: {allowed}"
             )
     return cls(**values)
 
@@ -121,9 +133,10 @@
         return field.metadata["convert"](text)
     except ValueError as exc:
         allowed = field.metadata["allowed"]
-        shown = text if isinstance(text, str) else dict(text)
+        shown = HIDDEN if field.metadata["secret"] else text
+        shown = shown if isinstance(shown, str) else dict(shown)
         raise SettingsError(
-            f"{path}: [{section}] {field.name} = {shown!r}: {exc}; allowed: {allowed}"
+            f"{path}: [{section}] {_key(field)} = {shown!r}: {exc}; allowed: {allowed}"
         ) from exc
 
 
@@ -139,5 +152,6 @@
         if section == PEERS_SECTION:
             lines.extend(f"{key} = {item}" for key, item in value)
         else:
-            lines.append(f"{field.name} = {value}")
+            shown = HIDDEN if field.metadata["secret"] else value
+            lines.append(f"{_key(field)} = {shown}")
     return "\n".join(lines) + "\n"
