--- a/tests/fleet.feature
+++ b/tests/fleet.feature
@@ -75,6 +75,40 @@
       | RebootOrdered  | vm=a1 after=9999         | not-confirmed: former members |
       | RebootOrdered  | vm=a1 after=1            | taken            |
 
+  Scenario: a seat is not taken from another address while its holder may live
+    Given a fleet log with bundle version 1 rolled
+    When the fleet log reads
+      | record         | fields                                       | outcome     |
+      | MemberJoined   | entry=e2 incarnation=2 address=127.0.0.1:2   | wrong-state: 127.0.0.1:1 |
+      | BatchOpened    | vms=a0                                       | taken       |
+      | BatchAcked     | entry=e1                                     | taken       |
+      | DrainStarted   |                                              | not-acknowledged: e2 |
+      | MemberGone     | entry=e2                                     | taken       |
+      | MemberJoined   | entry=e2 incarnation=2 address=127.0.0.1:2   | taken       |
+
+  Scenario: a VM that is removed and added again keeps its pool until it moves
+    Given a fleet log with bundle version 1 rolled
+    When the fleet log reads
+      | record         | fields                              | outcome             |
+      | BundleProposed | version=2 by=ann without=vm_a3      | taken               |
+      | BundleSigned   | by=ann signer=eve                   | taken               |
+      | BundleRolled   | by=ann                              | taken               |
+      | BundleProposed | version=3 by=bob moved=a3           | taken               |
+      | BundleSigned   | by=bob signer=eve                   | taken               |
+      | BundleRolled   | by=bob                              | taken               |
+    Then the VM "a3" is in the pool "a"
+
+  Scenario: no VM takes the address that another VM had
+    Given a fleet log with bundle version 1 rolled
+    When the fleet log reads
+      | record         | fields                                            | outcome |
+      | BundleProposed | version=2 by=ann without=vm_a3                    | taken   |
+      | BundleSigned   | by=ann signer=eve                                 | taken   |
+      | BundleRolled   | by=ann                                            | taken   |
+      | BundleProposed | version=3 by=bob without=vm_a3 vm_b0.address=127.0.0.1:9003 | taken |
+      | BundleSigned   | by=bob signer=eve                                 | taken   |
+      | BundleRolled   | by=bob                                            | wrong-state: was that of a3 |
+
   Scenario: no drain starts without a member
     Given a fleet log with bundle version 1 rolled
     When the fleet log reads
@@ -113,7 +147,7 @@
       | BatchOpened    | vms=a0                       | outdated |
       | BatchOpened    | vms=a1 pool=b                | outdated |
       | BatchOpened    | vms=a0 pool=b                | taken    |
-      | BundleProposed | version=3 by=bob parent=ada without=a0 | taken |
+      | BundleProposed | version=3 by=bob parent=ada without=vm_a0 | taken |
       | BundleSigned   | by=bob signer=eve            | taken    |
       | BundleRolled   | by=bob                       | batch-open |
       | BatchAcked     | entry=e1                     | taken    |
@@ -122,3 +156,24 @@
       | RebootOrdered  | vm=a0 after=16000            | taken    |
       | VmJoined       | vm=a0                        | taken    |
     Then the VM "a0" is in the pool "b"
+
+  Scenario: a roll that would do harm is refused
+    Given a fleet log with bundle version 1 rolled
+    When the fleet log reads
+      | record         | fields                                 | outcome          |
+      | BundleProposed | version=3 by=ada                       | bad-value: version |
+      | BundleProposed | version=2 by=ada bundle.seats=e1,e9    | bad-value: seats |
+      | BundleProposed | version=2 by=ada service_s.min_serving=2 without=vm_a0,vm_a1 | taken |
+      | BundleSigned   | by=ada signer=eve                      | taken            |
+      | BundleProposed | version=2 by=bob vm_b0.pool=a vm_b1.pool=a wave_w.pools=a without=pool_b,service_t | taken |
+      | BundleSigned   | by=bob signer=eve                      | taken            |
+      | VmFailed       | vm=a2                                  | taken            |
+      | BundleRolled   | by=ada                                 | budget: pool a   |
+      | BundleRolled   | by=bob                                 | wrong-state: pool b still holds |
+      | VmRecovered    | vm=a2                                  | taken            |
+      | BundleRolled   | by=ada                                 | taken            |
+
+  Scenario: too many proposals drop the oldest
+    Given a fleet log with bundle version 1 rolled
+    When 17 operators propose bundle version 2
+    Then only the first one's bundle can't be signed off
