--- a/tests/spec_code.feature
+++ b/tests/spec_code.feature
@@ -27,3 +27,6 @@
 
   Scenario: claims read from a truncated stream
     Then a reader of truncated claims dispatches no request that ran elsewhere
+
+  Scenario: claims read before and after a gap
+    Then a reader that missed a release dispatches no request that ran elsewhere
--- a/tests/steps/spec_code.py
+++ b/tests/steps/spec_code.py
@@ -17,6 +17,7 @@
 
 TICK_MS = LEASE_MS // barrier.LEASE
 DEADLINE_MS = barrier.DEADLINE * TICK_MS
+MEMORY_MS = 1000
 VM = "a0"
 SEATS = [Seat(name, "z", "127.0.0.1:1", 1) for name in ("e1", "e2")]
 
@@ -211,21 +212,55 @@
     assert len(pools) == 1 or not may_send(former, VM, False), pools
 
 
-@then("a reader of truncated claims dispatches no request that ran elsewhere")
-def step_truncated(context):
-    memory_ms = 1000
-    whole, truncated = ClaimState(), ClaimState()
-    truncated.lose(1)
-    ran = []
-    for offset, time_ms in enumerate((0, 900, 1100, 1950)):
-        claim = records.KeyClaimed(b"key", "e1", 1, f"r{offset}")
-        logged = records.Logged(offset, time_ms, claim)
-        won = whole.fold(logged, memory_ms)
-        if offset >= truncated.next_offset:
-            known = truncated.complete(time_ms, memory_ms)
-            at_truncated = truncated.fold(logged, memory_ms)
-            won = at_truncated if known else won
-        if won is True:
+def _claim(key, request):
+    return records.KeyClaimed(key, "e1", 1, request, MEMORY_MS)
+
+
+def _runs(log, cut_from, cut_to):
+    """Return the times of claims of b"key" that a whole or a cut reader let win.
+
+    The cut reader misses the offsets from ``cut_from`` up to ``cut_to``.
+    """
+    whole, cut, ran = ClaimState(), ClaimState(), []
+    for offset, (time_ms, record) in enumerate(log):
+        logged = records.Logged(offset, time_ms, record)
+        won = whole.fold(logged)
+        if offset == cut_to:
+            cut.lose(cut_to)
+        if not cut_from <= offset < cut_to:
+            known = cut.complete(time_ms, MEMORY_MS)
+            won_there = cut.fold(logged)
+            won = won_there if known else won
+        if won is True and record.key == b"key" and _is_claim(record):
             ran.append(time_ms)
+    return ran
+
+
+def _is_claim(record):
+    return isinstance(record, records.KeyClaimed)
+
+
+def _check_apart(ran):
     gaps = [later - earlier for earlier, later in pairwise(ran)]
-    assert all(gap >= memory_ms for gap in gaps), f"runs at {ran} ms"
+    assert all(gap >= MEMORY_MS for gap in gaps), f"runs at {ran} ms"
+
+
+@then("a reader of truncated claims dispatches no request that ran elsewhere")
+def step_truncated(context):
+    times = enumerate((0, 900, 1100, 1950))
+    log = [(time_ms, _claim(b"key", f"r{number}")) for number, time_ms in times]
+    _check_apart(_runs(log, 0, 1))
+
+
+@then("a reader that missed a release dispatches no request that ran elsewhere")
+def step_missed_release(context):
+    release = records.KeyReleased(b"key", "r0")
+    log = [
+        (0, _claim(b"key", "r0")),
+        (100, release),
+        (150, _claim(b"other", "r1")),
+        (200, _claim(b"key", "r2")),
+        (250, release),
+        (1160, _claim(b"key", "r3")),
+    ]
+    _check_apart(_runs(log, 1, 2)[1:])
