--- a/src/cardamomgrade/claim.py
+++ b/src/cardamomgrade/claim.py
@@ -63,7 +63,12 @@
         return len(self._young) + len(self._old)
 
     def lose(self, earliest):
-        """Go on at ``earliest``: the records before it are no longer retained."""
+        """Go on at ``earliest``: the records before it are no longer retained.
+
+        What was known is dropped: a release may have been among the lost records.
+        """
+        self._young.clear()
+        self._old.clear()
         self.next_offset = earliest
         self.known_since_ms = -1
 
