Keep a frozen entry in the drain barrier

Cause: a control took an entry that the platform lists as failed for gone after 10 s. A frozen entry is listed so; on waking it is a member by its own state and may send to a VM that reboots. Ruled out: fencing an entry by a pause of its loop (the pause may fall between the check and the send). Change: only a VM that was listed and is listed no more is gone; the stand-in drops entry VMs that refuse connections and lists silent ones as failed.

--- a/src/cardamomgrade/standvms.py
+++ b/src/cardamomgrade/standvms.py
@@ -1,7 +1,9 @@
 """Stand-in of the platform's VM interface: a lagging list, and reboots.
 
-``GET /vms`` lists the VMs as they were ``lag_ms`` ago. ``POST /vms/NAME/reboot`` with
-``{"fence": N}`` reboots an endpoint VM when N is higher than any fence before.
+``GET /vms`` lists the VMs as they were ``lag_ms`` ago. An entry VM that refuses
+connections is taken for removed and listed no more; one that is silent is failed.
+``POST /vms/NAME/reboot`` with ``{"fence": N}`` reboots an endpoint VM when N is higher
+than any fence before.
 """
 
 import json
@@ -13,6 +15,7 @@
 from .wire import HttpRequest, HttpResponse
 
 POLL_S = 0.2
+REFUSED = "ECONNREFUSED"
 CALL_TIMEOUT_S = 1.0
 FAILED_AFTER_POLLS = 3
 KIND_ENDPOINT = "endpoint"
@@ -54,6 +57,7 @@
     listed: ListedVm
     requester: Requester
     misses: int = 0
+    removed: bool = False
     highest_fence: int = -1
 
 
@@ -78,7 +82,11 @@
         self._loop.call_later(POLL_S, self._poll)
         for watch in self._watches.values():
             self._probe(watch)
-        snapshot = [attrs.asdict(watch.listed) for watch in self._watches.values()]
+        snapshot = [
+            attrs.asdict(watch.listed)
+            for watch in self._watches.values()
+            if not watch.removed
+        ]
         self._history.append((self._loop.now(), snapshot))
         horizon = self._loop.now() - self.faults.lag_ms / 1000
         while len(self._history) > 1 and self._history[1][0] <= horizon:
@@ -96,8 +104,11 @@
             watch.misses += 1
             if watch.misses >= FAILED_AFTER_POLLS:
                 watch.listed.state = STATE_FAILED
+                refused = REFUSED in result.detail
+                watch.removed = refused and watch.listed.kind == KIND_ENTRY
             return
         watch.misses = 0
+        watch.removed = False
         watch.listed.state = STATE_LIVE
         if watch.listed.kind == KIND_ENDPOINT:
             state = json.loads(result.body)
--- a/src/cardamomgrade/watch.py
+++ b/src/cardamomgrade/watch.py
@@ -41,6 +41,7 @@
         self._listed = {}
         self._sights = {}
         self._entries = set()
+        self._missing_since = {}
         self._orders = {}
 
     @property
@@ -58,6 +59,10 @@
             self._sight(name, state, now)
             if item.kind == KIND_ENTRY:
                 self._entries.add(name)
+        self._missing_since = {
+            name: self._missing_since.get(name, now)
+            for name in self._entries - listed.keys()
+        }
 
     def _sight(self, name, state, now):
         sight = self._sights.get(name)
@@ -105,9 +110,12 @@
         return item is not None and item.state == STATE_LIVE
 
     def _member_records(self, name, member, now):
-        sight = self._sights.get(name)
-        if name not in self._entries or sight is None:
-            return []
-        if sight.state != STATE_FAILED or now - sight.since < GONE_S:
+        """Return MemberGone of an entry whose VM is listed no more.
+
+        An entry that is listed as failed may be frozen: it could wake and send, so
+        that it stays in the barrier.
+        """
+        since = self._missing_since.get(name)
+        if since is None or now - since < GONE_S:
             return []
         return [MemberGone(name, member.incarnation, self._control)]
--- a/tests/control.feature
+++ b/tests/control.feature
@@ -10,7 +10,7 @@
     Then a failure is recorded after two lists and a recovery after two more
     And a VM joins only when it is live with the fence of its last order
     And an order without effect is given again only after its time
-    And an entry is gone only when its VM was missing or failed for ten seconds
+    And an entry is gone only when its VM was missing for ten seconds, not failed
 
   Scenario: a paused holder does nothing with a right that has passed
     Then a reboot is called once, and not after a newer order or a join
--- a/tests/steps/control.py
+++ b/tests/steps/control.py
@@ -115,7 +115,7 @@
     assert "RebootOrdered" in _records(watch, state, REORDER_S, item)
 
 
-@then("an entry is gone only when its VM was missing or failed for ten seconds")
+@then("an entry is gone only when its VM was missing for ten seconds, not failed")
 def step_gone(context):
     full = fleet_log().state
     state = SimpleNamespace(vms={}, members=full.members)
@@ -127,6 +127,11 @@
     assert _records(watch, state, 2.0 + GONE_S) == ["MemberGone"]
     back = _listed("e1", kind="entry")
     assert _records(watch, state, 20.0, back) == []
+    frozen = _listed("e1", state="failed", kind="entry")
+    assert _records(watch, state, 21.0, frozen) == []
+    assert _records(watch, state, 22.0 + GONE_S, frozen) == [], "it may be frozen"
+    assert _records(watch, state, 23.0 + GONE_S) == []
+    assert _records(watch, state, 23.0 + 2 * GONE_S) == ["MemberGone"]
 
 
 class _Platform:
--- a/tests/steps/wave_run.py
+++ b/tests/steps/wave_run.py
@@ -9,6 +9,7 @@
 from cardamomgrade.fleet import LEASE_MS, MARGIN_MS
 from cardamomgrade.ops import OpsClient
 from cardamomgrade.records import DrainStarted, MemberGone, RebootOrdered, Snapshot
+from cardamomgrade.watch import GONE_S
 from loops import ask
 from waves import KEY, WAVE_LIMIT_S, World
 
@@ -103,9 +104,26 @@
 
 @when("the second entry dies")
 def step_dies(context):
+    world = context.world
+    world.rig.run_until(lambda: len(world.state.members) == len(world.entries))
+    world.entries[1].die()
+
+
+@when("the second entry freezes for longer than a missing one is waited for")
+def step_freezes(context):
     world = context.world
     world.rig.run_until(lambda: len(world.state.members) == len(world.entries))
     world.entries[1].dead = True
+    context.thaw = lambda: setattr(world.entries[1], "dead", False)
+
+
+@then("no drain starts and no entry is gone until it is back")
+def step_held_up(context):
+    world = context.world
+    world.rig.run_for(GONE_S + 2.0)
+    assert not world.logged(DrainStarted)
+    assert not world.logged(MemberGone)
+    context.thaw()
 
 
 @then("the first drain started after the entry was recorded as gone")
--- a/tests/wave_run.feature
+++ b/tests/wave_run.feature
@@ -57,6 +57,13 @@
     Then the wave ends with each VM rebooted once and the budget kept
     And no reboot was ordered before the wait-out of its drain had passed
 
+  Scenario: an entry that is frozen holds the wave up
+    Given a platform with endpoints and 2 controls
+    When the second entry freezes for longer than a missing one is waited for
+    And the bundle with a wave is rolled
+    Then no drain starts and no entry is gone until it is back
+    And the wave ends with each VM rebooted once and the budget kept
+
   Scenario: an entry that is gone leaves the barrier
     Given a platform with endpoints and 2 controls
     When the second entry dies
--- a/tests/waves.py
+++ b/tests/waves.py
@@ -7,7 +7,7 @@
 from cardamomgrade.bundle import parse_bundle
 from cardamomgrade.fleet import batches_to_ack, drains_to_confirm
 from cardamomgrade.follower import Follower
-from cardamomgrade.net import parse_address
+from cardamomgrade.net import Net, parse_address
 from cardamomgrade.records import BatchAcked, DrainConfirmed, MemberJoined
 from cardamomgrade.refusal import Refusal
 from cardamomgrade.replica import Step
@@ -30,12 +30,19 @@
         self.dead = False
         self.steps = []
         self._sent = set()
-        server = HttpServer(rig.loop, rig.net, self._alive)
-        server.listen(*parse_address(address))
+        self._net = Net(rig.loop)
+        self._server = HttpServer(rig.loop, self._net, self._alive)
+        self._server.listen(*parse_address(address))
         self.follower = Follower(rig.loop, rig.net, platform, self._on_results)
         self.follower.start()
         rig.loop.call_every(RETRY_S, self._act)
 
+    def die(self):
+        """Answer nothing and refuse connections, as an ended process does."""
+        self.dead = True
+        self._net.close_listeners()
+        self._server.drain()
+
     def _alive(self, exchange):
         if not self.dead:
             exchange.respond(plain_response(200, "alive"))
