Keep VM lists to a byte rate in a wave too, and name the winner of a race

An operator whose bundle was outrun was told only that there is no such proposal.

Ruled out: lists for the first in rank only; the others must see a reboot end when the first is dead.

Change: lists are read at 1 KB/s, at 3 KB/s while a reboot near this control is under way, each second at the most. cardamomctl names the bundle in force, its roll and its operator when a proposal is gone.

--- a/src/cardamomgrade/control.py
+++ b/src/cardamomgrade/control.py
@@ -59,7 +59,8 @@
 PROGRAM = "cardamom-control"
 LIST_MIN_S = 1.0
 LIST_MAX_S = 60.0
-LIST_BYTES_PER_S = 2048
+LIST_BYTES_PER_S = 1024
+CLOSE_LIST_BYTES_PER_S = 3072
 CLOSE_RANK = 1
 PLAN_INTERVAL_S = 1.0
 MS_PER_S = 1000
@@ -201,18 +202,23 @@
         self._poll_later(self._list_delay())
 
     def _list_delay(self):
-        """Return seconds to the next list: soon when a reboot of ours is under way.
+        """Return seconds to the next list, which is read whole at a byte rate.
 
-        Otherwise the list's bytes are kept to a rate, since it is read whole.
+        The rate is higher while a reboot of a pool that is ours is under way.
         """
+        rate = CLOSE_LIST_BYTES_PER_S if self._reboots_near() else LIST_BYTES_PER_S
+        wanted = self._estate.list_bytes / rate
+        return min(max(wanted, LIST_MIN_S), LIST_MAX_S)
+
+    def _reboots_near(self):
+        """Return whether a VM reboots of a pool whose first ranks hold this one."""
         state = self._follower.state
         for batch in state.batches.values():
             place = rank(batch.source, self.cfg.name, state.members)
             phases = [state.vms[vm].phase for vm in batch.vms]
             if place <= CLOSE_RANK and PHASE_REBOOTING in phases:
-                return LIST_MIN_S
-        wanted = self._estate.list_bytes / LIST_BYTES_PER_S
-        return min(max(wanted, LIST_MIN_S), LIST_MAX_S)
+                return True
+        return False
 
     def _tick(self):
         self._tick_count += 1
--- a/src/cardamomgrade/ctl.py
+++ b/src/cardamomgrade/ctl.py
@@ -13,7 +13,7 @@
 
 from .bundle import diff_sections, parse_bundle
 from .errors import BundleError, FeedError, PeerError
-from .explain import bundles_view, explain_vm, fleet_view, wave_views
+from .explain import bundle_view, bundles_view, explain_vm, fleet_view, wave_views
 from .ops import to_json
 from .records import BundleProposed, BundleRolled, BundleSigned
 from .refusal import Reason, Refusal
@@ -25,6 +25,7 @@
 EXIT_LOG_UNAVAILABLE = 3
 EXIT_UNKNOWN = 4
 DIGEST_MIN_CHARS = 6
+DIGEST_SHOWN_CHARS = 12
 EPILOGS = {
     "validate": "cardamomctl bundle validate examples/agence/bundle.ini",
     "diff": "cardamomctl --log 127.0.0.1:21000 bundle diff bundle.ini",
@@ -165,6 +166,17 @@
     show(Accepted(kind, record.digest.hex(), verdict.logged.offset), as_json)
 
 
+def _in_force(state):
+    """Return a sentence on the bundle in force, for whoever lost to it."""
+    view = bundle_view(state)
+    if view is None:
+        return "no bundle is in force"
+    return (
+        f"in force is version {view.version} {view.digest[:DIGEST_SHOWN_CHARS]}, "
+        f"rolled at offset {view.offset} by {view.operator}"
+    )
+
+
 def _resolve(state, prefix):
     """Return the digest of the one proposal that a prefix names."""
     prefix = prefix.lower()
@@ -175,7 +187,7 @@
     if len(prefix) < DIGEST_MIN_CHARS or len(found) > 1:
         fail(EXIT_BAD_INPUT, f"{prefix}: more digits of the digest are needed")
     if not found:
-        fail(EXIT_REFUSED, f"{prefix}: no such proposal; see bundle status")
+        fail(EXIT_REFUSED, f"{prefix}: no such proposal; {_in_force(state)}")
     return found[0]
 
 
--- a/tests/ctl.feature
+++ b/tests/ctl.feature
@@ -19,6 +19,14 @@
     And "explain zz" by anna exits 1 saying "no VM"
     And "bundle diff BUNDLE" by anna exits 0 saying "no difference"
 
+  Scenario: of two operators' bundles the first to roll wins and tells the other
+    Given a log for operators
+    And the bundle of anna is rolled by boris
+    When the bundle of anna and that of clara follow it at once
+    Then rolling anna's bundle exits 0 saying "BundleRolled"
+    And rolling clara's bundle exits 1 saying "in force is version 2"
+    And "bundle status" by anna exits 0 saying "operator: boris"
+
   Scenario: bad input is named
     Given a log for operators
     Then "bundle validate /nowhere.ini" by anna exits 2 saying "/nowhere.ini"
--- a/tests/steps/ctl.py
+++ b/tests/steps/ctl.py
@@ -92,6 +92,44 @@
         assert text in result.output, result.output
 
 
+def _digest(path):
+    return parse_bundle(path.read_text()).digest.hex()
+
+
+def _release(context, path, author):
+    for args, operator in (
+        (["publish", str(path)], author),
+        (["sign-off", _digest(path)], "boris"),
+    ):
+        result = _run(context, ["bundle", *args], operator)
+        assert result.exit_code == 0, result.output
+
+
+@given("the bundle of anna is rolled by boris")
+def step_first_roll(context):
+    _release(context, context.bundle_path, "anna")
+    result = _run(context, ["bundle", "roll", _digest(context.bundle_path)], "boris")
+    assert result.exit_code == 0, result.output
+
+
+@when("the bundle of anna and that of clara follow it at once")
+def step_rivals(context):
+    context.rivals = {}
+    for author, round_ in (("anna", 2), ("clara", 3)):
+        path = context.bundle_path.with_name(f"{author}.ini")
+        text = bundle_text(round_=round_, version=2)
+        path.write_text(text.replace("author = anna", f"author = {author}"))
+        context.rivals[author] = path
+        _release(context, path, author)
+
+
+@then('rolling {author}\'s bundle exits {code:d} saying "{text}"')
+def step_rival_roll(context, author, code, text):
+    digest = _digest(context.rivals[author])
+    result = _run(context, ["bundle", "roll", digest], "boris")
+    assert result.exit_code == code and text in result.output, result.output
+
+
 def _commands(group, path=()):
     for name, command in group.commands.items():
         if isinstance(command, click.Group):
