--- a/src/cardamomgrade/entry.py
+++ b/src/cardamomgrade/entry.py
@@ -5,6 +5,7 @@
 from . import settings
 from .auth import KEY_MIN_CHARS, shared_key
 from .command import settings_command
+from .departures import Departures
 from .dispatch import Dispatcher
 from .entry_events import EntryStarted, EntryStopped, EntryStopping
 from .errors import SettingsError
@@ -54,6 +55,7 @@
         secret=True,
         key="key",
     )
+    vms: str = option("platform", settings.address, "ip:port of the VM interface", "")
     mesh_listen: str = option("mesh", settings.address, _ADDRESS, "", key="listen")
     mesh_key: str = option(
         "mesh",
@@ -114,6 +116,7 @@
         seat = Seat(cfg.name, cfg.zone, cfg.listen)
         self.mesh = self._make_mesh(seat) if cfg.peers else None
         ledger = self.mesh.ledger if self.mesh else FixedShare()
+        self.departures = self._make_departures()
         self.member = self._make_member(seat)
         self.keys = Keys(
             loop, self._net, cfg.log, seat, self._memory_ms, self.recent.decide
@@ -128,6 +131,11 @@
         self.ops = OpsServer(loop, cfg.ops_listen, cfg.ops_key, self._views())
         self._stopping = False
 
+    def _make_departures(self):
+        if not self._cfg.vms:
+            return None
+        return Departures(self._loop, self._net, self._cfg.vms)
+
     def _make_mesh(self, seat):
         identity = Identity(seat.name, seat.incarnation, self._cfg.mesh_key)
         hooks = MeshHooks(
@@ -142,9 +150,9 @@
         return Mesh(self._loop, self._net, identity, self._cfg.peers, hooks)
 
     def _make_member(self, seat):
-        hooks = {}
+        hooks = {"departures": self.departures or ()}
         if self.mesh:
-            hooks = {
+            hooks |= {
                 "on_first": self.mesh.ledger.prove_first,
                 "on_vacant": self.mesh.ledger.note_vacant,
                 "on_raw": self.mesh.catchup.keep,
@@ -219,6 +227,8 @@
         port = self._server.listen(*parse_address(self._cfg.listen))
         if self.mesh:
             self.mesh.start(self._cfg.mesh_listen)
+        if self.departures:
+            self.departures.start()
         self.member.start()
         self.keys.start()
         self._loop.call_every(SWEEP_S, self.dispatcher.sweep)
--- a/src/cardamomgrade/member.py
+++ b/src/cardamomgrade/member.py
@@ -86,7 +86,8 @@
     members in other seats. ``held(vm)`` counts requests in flight,
     ``relay(record)`` asks a peer to append and tells whether one could, ``on_raw``
     is given raw records. ``outage(members)`` tells whether a peer that is a member
-    has lost its lease on the log, ``strangers(members)`` names linked peers that are
+    has lost its lease on the log, ``departures`` contains the VMs that the platform
+    shows as leaving, ``strangers(members)`` names linked peers that are
     no members.
 
     An entry that starts during an outage of the log cannot become a member. It may
@@ -105,6 +106,7 @@
         self._held = hooks["held"]
         self._outage = hooks.get("outage") or (lambda members: False)
         self._strangers = hooks.get("strangers") or (lambda members: ())
+        self._departures = hooks.get("departures") or ()
         self._relay = hooks.get("relay") or (lambda record: False)
         self.follower = Follower(
             loop,
@@ -151,6 +153,8 @@
         fresh = self.follower.fresh()
         if not self.is_member() and (fresh or not self._outage(self.state.members)):
             return Refusal(Reason.NOT_ACKNOWLEDGED, "the entry is no member")
+        if vm in self._departures:
+            return Refusal(Reason.NOT_SERVING, f"{vm}: the platform shows it leaving")
         return may_send(self.state, vm, fresh)
 
     def tick(self):
--- a/tests/steps/entry_world.py
+++ b/tests/steps/entry_world.py
@@ -104,6 +104,7 @@
         super().__init__()
         self.deadline_ms = deadline_ms
         self.connections = 64
+        self.vms = ""
         self.peers = tuple((seat, free_address()) for seat in seats)
         self.platform = PlatformStandin(self.loop, self.net, ())
         self.log_port = self.platform.listen(HOST, 0)
@@ -161,6 +162,7 @@
             zone="z0",
             listen=self._listens.setdefault(name, free_address()),
             log=f"{HOST}:{self.log_port}",
+            vms=self.vms,
             ops_listen=free_address(),
             ops_key=KEY,
             mesh_listen=dict(self.peers).get(name, ""),
