Send only on a slot that was granted, and bound answers as settings say

Cause: the result of taking a slot was not looked at; a ledger that halts between choice and use would have been overdrawn, and given back what it had not granted. The bound of bodies held for requests only. Change: a request whose slot is refused is told not-run; [limits] body_bytes holds for answers too and is at most 3 MiB, below what a connection buffers.

--- a/src/cardamomgrade/dispatch.py
+++ b/src/cardamomgrade/dispatch.py
@@ -24,7 +24,7 @@
 from .refusal import Reason, Refusal
 from .retry import RETRY_STATUS, RetryAllowance, TRIES_LIMIT, try_timeout_s
 from .route import new_request_id, open_job
-from .wire import HttpResponse
+from .wire import BODY_LIMIT_BYTES, HttpResponse
 
 URGENT = "urgent"
 REASON_CHOICE = "least loaded of two"
@@ -35,15 +35,18 @@
     """Holds every request of the entry between its arrival and its answer.
 
     ``fleet`` is the entry's Member, ``ledger`` grants slots, ``recent`` keeps
-    decisions and ``keys`` claims idempotency keys.
+    decisions and ``keys`` claims idempotency keys. ``body_limit`` bounds the body of
+    an endpoint's answer, in bytes.
     """
 
-    def __init__(self, loop, net, fleet, ledger, recent, keys, rng=None):
+    def __init__(
+        self, loop, net, fleet, ledger, recent, keys, body_limit=BODY_LIMIT_BYTES
+    ):
         self._loop = loop
         self._fleet = fleet
         self._recent = recent
         self._keys = keys
-        self._lanes = Lanes(loop, net, fleet, ledger, rng or random.Random())
+        self._lanes = Lanes(loop, net, fleet, ledger, random.Random(), body_limit)
         self._lanes.on_room = self._pump
         self._allowances = {}
         self._jobs = set()
@@ -159,6 +162,9 @@
             self._lanes.want(pool)
 
     def _start(self, job, choice):
+        if not self._lanes.reserve(job, choice):
+            self._give_up(job, Refusal(Reason.OVERLOADED, "no free slot"))
+            return
         now, service = self._loop.now(), job.service
         if not job.tried:
             self._allowance(service).earn()
@@ -229,12 +235,17 @@
         choice = self._other_choice(job, failure.sent)
         if choice:
             self._start(job, choice)
-        elif job.answer is not None:
+        else:
+            self._give_up(job, Refusal(Reason.UNAVAILABLE, failure.detail))
+
+    def _give_up(self, job, refusal):
+        """End a request with what is known of it."""
+        if job.answer is not None:
             self._pass_on(job, job.tried[0].vm, job.answer)
         elif job.sent:
-            self._finish(job, may_have_run(failure.detail))
+            self._finish(job, may_have_run(refusal.detail))
         else:
-            self._finish(job, not_run(Refusal(Reason.UNAVAILABLE, failure.detail)))
+            self._finish(job, not_run(refusal))
 
     def _other_choice(self, job, sent):
         """Return a Choice of another endpoint for a request, or a Refusal.
@@ -273,12 +284,8 @@
     def _end_late(self, job):
         if job.attempt is not None:
             self._abandon(job.attempt)
-        if job.answer is not None:
-            self._pass_on(job, job.tried[0].vm, job.answer)
-        elif job.sent:
-            self._finish(job, may_have_run("no answer before the deadline"))
-        else:
-            self._finish(job, not_run(Refusal(Reason.EXPIRED, "too late to be served")))
+        refusal = Refusal(Reason.EXPIRED, "no answer before the deadline")
+        self._give_up(job, refusal)
 
     def _caller_left(self, job):
         """Let a running request end by itself; take a waiting one back."""
--- a/src/cardamomgrade/entry.py
+++ b/src/cardamomgrade/entry.py
@@ -33,6 +33,7 @@
 FINISH_POLL_S = 0.02
 SWEEP_S = 5.0
 KEY_MEMORY_S = 86400
+BODY_MAX_BYTES = 3 * 1024 * 1024
 _ADDRESS = "ip:port"
 
 
@@ -76,8 +77,8 @@
     )
     body_bytes: int = option(
         "limits",
-        settings.number(1, 2**30),
-        "bytes of a request's body, 1 to 2^30",
+        settings.number(1, BODY_MAX_BYTES),
+        f"bytes of the body of a request or an answer, 1 to {BODY_MAX_BYTES}",
         BODY_LIMIT_BYTES,
     )
 
@@ -122,7 +123,13 @@
             loop, self._net, cfg.log, seat, self._memory_ms, self.recent.decide
         )
         self.dispatcher = Dispatcher(
-            loop, self._net, self.member, ledger, self.recent, self.keys
+            loop,
+            self._net,
+            self.member,
+            ledger,
+            self.recent,
+            self.keys,
+            cfg.body_bytes,
         )
         limits = ServerLimits(cfg.body_bytes, cfg.connections)
         self._server = HttpServer(
--- a/src/cardamomgrade/lane.py
+++ b/src/cardamomgrade/lane.py
@@ -53,12 +53,13 @@
 class Lanes:
     """The lanes of all pools; ``on_room(pool)`` is called when a slot is released."""
 
-    def __init__(self, loop, net, fleet, ledger, rng):
+    def __init__(self, loop, net, fleet, ledger, rng, body_limit):
         self._loop = loop
         self._net = net
         self._fleet = fleet
         self._ledger = ledger
         self._rng = rng
+        self._body_limit = body_limit
         self._lanes = {}
         self._endpoints = {}
         self._held = {}
@@ -135,10 +136,16 @@
         if vms:
             self._ledger.want(vms, lane.backlog.size)
 
+    def reserve(self, job, choice):
+        """Take a slot of the chosen endpoint; return whether there was one."""
+        if self._ledger.take(choice.candidate.vm):
+            return True
+        self.lane(job.service.pool).chooser.skip(choice)
+        return False
+
     def start(self, job, choice, on_done):
-        """Send a job to the chosen endpoint; ``on_done(attempt, result)``."""
+        """Send a job on its reserved slot; ``on_done(attempt, result)``."""
         vm = choice.candidate.vm
-        self._ledger.take(vm)
         self._held[vm] = self.held(vm) + 1
         self.lane(job.service.pool).in_flight += 1
         endpoint = self._endpoint(vm)
@@ -159,7 +166,7 @@
             endpoint.close()
         pool = state.bundle.pools[state.vms[vm].pool]
         limit = max(1, pool.connections // len(state.bundle.seats))
-        endpoint = Endpoint(self._loop, self._net, address, limit)
+        endpoint = Endpoint(self._loop, self._net, address, limit, self._body_limit)
         self._endpoints[vm] = endpoint
         return endpoint
 
--- a/tests/entry.feature
+++ b/tests/entry.feature
@@ -143,3 +143,20 @@
     Given an entry and an endpoint that never answers
     When 1500 callers' requests wait and the entry sleeps past their deadline
     Then each has one answer, unknown or not-run, and the entry holds nothing
+
+  Scenario Outline: an answer is passed on whole up to the bound of bodies
+    Given two entries, 1 endpoints and a bundle
+    When a caller sends a body of <size> bytes that comes back
+    Then it gets <given>
+
+    Examples:
+      | size    | given             |
+      | 1000000 | its body whole    |
+      | 1048570 | the word unknown  |
+
+  Scenario: slots are withdrawn between choice and use
+    Given two entries, 1 endpoints and a bundle
+    When the ledger of e1 grants a slot no more that it has shown as free
+    And a caller sends POST /notices/7 with the body "pay"
+    Then the caller is now told not-run
+    And no endpoint ran anything
--- a/tests/steps/entry.py
+++ b/tests/steps/entry.py
@@ -442,3 +442,25 @@
     told = [told_by(exchange) for exchange in context.exchanges]
     assert set(told) == {"unknown", "not-run"}
     assert told.count("unknown") == len(world.endpoints["bad"].requests)
+
+
+@when("a caller sends a body of {size:d} bytes that comes back")
+def sends_large(context, size):
+    context.body = b"x" * size
+    context.answer = context.world.ask("POST", "/notices", body=context.body)
+
+
+@then("it gets its body whole")
+def whole_body(context):
+    assert context.answer.status == 200
+    assert context.answer.body.endswith(context.body)
+
+
+@then("it gets the word unknown")
+def word_unknown(context):
+    assert context.answer.header("cardamom-outcome") == "unknown"
+
+
+@when("the ledger of e1 grants a slot no more that it has shown as free")
+def withdrawn(context):
+    context.world.entries["e1"].mesh.ledger.take = lambda vm: False
