Search slot tokens up to 14 steps

Cause: the search got cheaper. Change: the bound of tests/spec_slots.feature, 12 before, 14 now. Conclusion: no counterexample up to 14 steps.

--- a/tests/spec_slots.feature
+++ b/tests/spec_slots.feature
@@ -5,7 +5,7 @@
 
   Scenario: never more requests than slots
     Given the specification "slots"
-    Then it has no unsafe run of up to 12 steps
+    Then it has no unsafe run of up to 14 steps
 
   Scenario Outline: each rule of the slot tokens is needed
     Given the specification "slots"
