Specify a start during an outage and find four open holes

Cause: an entry that starts without the log now sends on a peer's word, which the specification of members did not know. Ruled out: trusting the reading alone: the search confirms three holes and found a fourth on a draft (a sponsor that loses its lease twice). Conclusion: proved safe with rules that the code does not keep yet: the newcomer has caught up with the heartbeat that it trusts, the heartbeat's age counts from the ping, and the sponsor remembers whom it was linked to.

--- /dev/null
+++ b/tests/spec_newcomer.feature
@@ -0,0 +1,21 @@
+Feature: specification of a start during an outage of the log
+
+  One VM, the last member that has to acknowledge and a newcomer that sends on its
+  word. The proof is by induction and covers any number of steps.
+
+  Scenario: no planned reboot cuts a request of a newcomer
+    Given the specification "newcomer"
+    Then its invariant proves every run safe
+
+  Scenario Outline: each rule of a start during an outage is needed
+    Given the specification "newcomer"
+    Then without the rule "<rule>" <depth> steps lead to an unsafe run
+
+    Examples:
+      | rule               | depth |
+      | hold_acks          | 11    |
+      | hold_for_deadline  | 13    |
+      | hold_when_unlinked | 14    |
+      | proof_ages         | 15    |
+      | newcomer_caught_up | 11    |
+      | outage_only        | 10    |
