Prove the promises on the whole system under failure, and write the pages

Cause: each promise had proofs of its parts; none ran every process together under load with a wave and a failure at once. A first trial of bench_process dialled VMs at addresses of 10.0.0.0/8 of its made-up estate; its addresses are in 127.0.0.0/8 now.

--- a/scripts/bench_estates.py
+++ b/scripts/bench_estates.py
@@ -49,7 +49,7 @@
         pool = (vm + (vm < moved)) % pools
         lines += [f"[vm v{vm}]", f"pool = p{pool}", f"zone = {zone}"]
         lines += [f"rack = {zone}-{rack}"]
-        lines += [f"address = 10.{vm // 60000}.{vm // 240 % 250}.{vm % 240}:80"]
+        lines += [f"address = 127.{vm // 60000 + 1}.{vm // 240 % 250}.{vm % 240}:1"]
     return lines
 
 
--- /dev/null
+++ b/scripts/catalogue.py
@@ -0,0 +1,108 @@
+"""Writes docs/EVENTS.md and docs/SETTINGS.md from the code.
+
+Usage: catalogue.py, from the root of the project; a test compares the pages.
+"""
+
+import importlib
+import inspect
+import pkgutil
+import sys
+from pathlib import Path
+
+import attrs
+
+import cardamomgrade
+from cardamomgrade import bundle, journal
+from cardamomgrade.control import ControlSettings
+from cardamomgrade.entry import EntrySettings
+
+DOCS = Path(__file__).resolve().parent.parent / "docs"
+PROGRAMS = (("cardamom-entry", EntrySettings), ("cardamom-control", ControlSettings))
+BUNDLE_SECTIONS = (
+    ("[bundle]", bundle.Header),
+    ("[pool NAME]", bundle.Pool),
+    ("[service NAME]", bundle.Service),
+    ("[vm NAME]", bundle.Vm),
+    ("[wave NAME]", bundle.Wave),
+)
+
+
+def sentence(cls):
+    """Return the first paragraph of a docstring as one line."""
+    return " ".join(inspect.getdoc(cls).split("\n\n")[0].split())
+
+
+def import_all():
+    """Import every module, so that every event is registered."""
+    for module in pkgutil.iter_modules(cardamomgrade.__path__):
+        importlib.import_module(f"cardamomgrade.{module.name}")
+
+
+def events_page():
+    """Return docs/EVENTS.md."""
+    import_all()
+    lines = [
+        "# Events",
+        "",
+        "Every log line is a JSON object with `time` (seconds), `level`, `program`,",
+        "`node`, `event` (the number), `event_name` and the fields of the event.",
+        "This page is written by `scripts/catalogue.py` and checked by a test.",
+        "",
+        "| number | name | level | fields | meaning |",
+        "|---|---|---|---|---|",
+    ]
+    for number, cls in sorted(journal.EVENTS.items()):
+        names = ", ".join(f"`{field.name}`" for field in attrs.fields(cls))
+        level = journal.logging.getLevelName(cls.LEVEL)
+        row = (str(number), cls.__name__, level, names, sentence(cls))
+        lines.append(f"| {' | '.join(row)} |")
+    return "\n".join(lines) + "\n"
+
+
+def option_rows(cls, section=None):
+    """Yield a table row for each option of a settings or bundle class."""
+    for field in attrs.fields(cls):
+        if "allowed" not in field.metadata:
+            continue
+        title = section or f"[{field.metadata['section']}]"
+        key = field.metadata.get("key") or field.name
+        default = "required" if field.default is attrs.NOTHING else shown(field.default)
+        yield f"| `{title}` | `{key}` | {field.metadata['allowed']} | {default} |"
+
+
+def shown(default):
+    """Return a default as text for a table."""
+    return f"`{default}`" if default not in ("", ()) else "none"
+
+
+def settings_page():
+    """Return docs/SETTINGS.md."""
+    head = ["| section | key | allowed | default |", "|---|---|---|---|"]
+    lines = [
+        "# Settings and bundles",
+        "",
+        "Settings and bundles are INI files. Unknown sections and keys, wrong types",
+        "and values out of range are refused with file, section, key, value and what",
+        "is allowed. `--check-settings` prints the checked settings. This",
+        "page is written by `scripts/catalogue.py` and checked by a test.",
+    ]
+    for program, cls in PROGRAMS:
+        lines += ["", f"## {program}", "", *head, *option_rows(cls)]
+    lines += ["", "## Bundles", "", *head]
+    for section, cls in BUNDLE_SECTIONS:
+        lines += option_rows(cls, section)
+    return "\n".join(lines) + "\n"
+
+
+PAGES = (("EVENTS.md", events_page), ("SETTINGS.md", settings_page))
+
+
+def main():
+    """Write both pages."""
+    for name, page in PAGES:
+        (DOCS / name).write_text(page())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/cardamomgrade/journal.py
+++ b/src/cardamomgrade/journal.py
@@ -44,6 +44,11 @@
     _LOGGER.propagate = False
 
 
+def stop_journal():
+    """Send events nowhere again."""
+    _LOGGER.handlers[:] = [logging.NullHandler()]
+
+
 def note(item):
     """Log an event."""
     if not _LOGGER.isEnabledFor(item.LEVEL):
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -67,9 +67,18 @@
 
 def start(module, *args, log=None):
     """Start ``python -m cardamomgrade.MODULE`` and return its Popen."""
+    return _start(["-m", f"cardamomgrade.{module}", *args], log)
+
+
+def start_script(name, *args):
+    """Start a script of the scripts folder and return its Popen."""
+    return _start([str(ROOT / "scripts" / name), *args], None)
+
+
+def _start(arguments, log):
     env = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
     process = subprocess.Popen(
-        [sys.executable, "-m", f"cardamomgrade.{module}", *args],
+        [sys.executable, *arguments],
         cwd=ROOT,
         env=env,
         stderr=log or subprocess.DEVNULL,
--- /dev/null
+++ b/tests/journal.feature
@@ -0,0 +1,12 @@
+Feature: catalogue of events and settings
+
+  Scenario Outline: the page agrees with the code
+    Then the page <page> is what the catalogue writes
+
+    Examples:
+      | page        |
+      | EVENTS.md   |
+      | SETTINGS.md |
+
+  Scenario: a line carries the number, the name and the fields of its event
+    Then a noted event is one JSON line with its number, name and fields
--- /dev/null
+++ b/tests/steps/whole.py
@@ -0,0 +1,95 @@
+"""Steps for the whole system under failure."""
+
+import signal
+import tempfile
+
+from behave import given, then, when
+
+from system import WAVE_LIMIT_S, Whole
+
+FREEZE_S = 7.0
+
+
+def nothing(world):
+    """Let everything run."""
+
+
+def replace_entry(world):
+    world.later(3.0, lambda: world.signal("entry-e2", signal.SIGKILL))
+    world.later(5.0, lambda: world.start_entry("e2"))
+
+
+def freeze_entry(world):
+    world.later(3.0, lambda: world.signal("entry-e2", signal.SIGSTOP))
+    world.later(3.0 + FREEZE_S, lambda: world.signal("entry-e2", signal.SIGCONT))
+
+
+def stop_log(world):
+    world.later(3.0, lambda: world.faults(log="down"))
+    world.later(3.0 + FREEZE_S, lambda: world.faults(log="up"))
+
+
+def fail_controls(world):
+    world.later(2.0, lambda: world.signal("control-e1", signal.SIGKILL))
+    world.later(2.5, lambda: world.signal("control-e2", signal.SIGSTOP))
+    world.later(2.5 + FREEZE_S, lambda: world.signal("control-e2", signal.SIGCONT))
+
+
+def lose_answers(world):
+    for second in range(2, 10, 2):
+        world.later(second, lambda: world.faults(lose_answers=3, lag_ms=2000))
+
+
+def fail_rack(world):
+    world.later(3.0, lambda: world.signal("rack-2", signal.SIGKILL))
+    world.later(3.0 + FREEZE_S, lambda: world.start_rack(2))
+
+
+FAILURES = {
+    "nothing fails": nothing,
+    "an entry is killed and replaced": replace_entry,
+    "an entry freezes for longer than its lease": freeze_entry,
+    "the log is down for longer than a lease": stop_log,
+    "a control is killed and another one freezes": fail_controls,
+    "answers of the log are lost and the list lags more": lose_answers,
+    "a rack fails and comes back": fail_rack,
+}
+
+
+@given("the whole system serves two pools on three entries")
+def step_whole(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.world = Whole(folder.name)
+    context.world.begin()
+
+
+@when("{failure} while a wave runs under load")
+def step_load(context, failure):
+    FAILURES[failure](context.world)
+    context.world.run_load()
+
+
+@then("no request was cut, run twice, answered wrongly or told not run when it ran")
+def step_safe(context):
+    found = context.world.report
+    broken = (found.cut, found.run_twice, found.wrong, found.not_run_but_ran)
+    assert broken == (0, 0, 0, 0), found
+    assert found.uncounted_endpoints == 0, found
+
+
+@then("at most {count:d} callers lost their connection")
+def step_lost(context, count):
+    assert context.world.report.lost <= count, context.world.report
+
+
+@then("at least {share:d} percent of the requests were answered")
+def step_answered(context, share):
+    found = context.world.report
+    assert 100 * found.outcomes["answered"] >= share * found.sent, found
+    print(found)
+
+
+@then("the wave ends with each VM rebooted")
+def step_wave_done(context):
+    context.world.rig.run_until(context.world.wave_done, WAVE_LIMIT_S)
