Let a follower tell that its process stood still

Cause: an entry that is frozen is listed as failed; after 10 s a control records it as gone, and VMs then drain without its acknowledgement. On waking the entry still holds the old state and, since a log outage is to cost no requests, sends to VMs that serve by that state.

Ruled out: recording an entry as gone only when it is missing from the VM list, since a dead process in a VM that stays listed would hold every wave up for good; a longer time, since a freeze has no bound.

Change: Follower.paused() is true from a standstill of PAUSE_S (5 s, half of the time after which an entry is gone) until a read sent after it has shown the tail. Nobody calls it yet: Member.may_send of the entry is to refuse while it holds.

Conclusion: the guard exists; the entry has to use it.

--- a/src/cardamomgrade/follower.py
+++ b/src/cardamomgrade/follower.py
@@ -9,6 +9,8 @@
 from .replica import Replica, Step
 
 SETTLE_S = 5.0
+BEAT_S = 0.5
+PAUSE_S = 5.0
 MS_PER_S = 1000
 UNKNOWN_OFFSET = -1
 
@@ -40,6 +42,8 @@
         self._pending = []
         self._fresh_s = None
         self._folded_s = 0.0
+        self._beat_s = loop.now()
+        self._paused_until_s = None
         self.replica = Replica()
         self.feed = Feed(
             loop,
@@ -56,8 +60,26 @@
 
     def start(self):
         """Begin reading at the start of the stream."""
+        self._beat_s = self._loop.now()
+        self._loop.call_every(BEAT_S, self._beat)
         self.feed.start()
 
+    def _beat(self):
+        now = self._loop.now()
+        if now - self._beat_s > PAUSE_S:
+            self._paused_until_s = now
+        self._beat_s = now
+
+    def paused(self):
+        """Return whether the process stood still and has not read the tail since.
+
+        A member that stood still may have been recorded as gone meanwhile, so that
+        VMs drain without its acknowledgement.
+        """
+        if self._loop.now() - self._beat_s > PAUSE_S:
+            return True
+        return self._paused_until_s is not None
+
     @property
     def state(self):
         """The folded FleetState."""
@@ -77,6 +99,8 @@
     def freshen(self, sent_s):
         """Note that a peer's read proves that all before ``sent_s`` was folded."""
         self._fresh_s = max(sent_s, self._fresh_s or sent_s)
+        if self._paused_until_s is not None and sent_s >= self._paused_until_s:
+            self._paused_until_s = None
 
     def lose(self, earliest):
         """Begin again at ``earliest``, which is the first record to be had."""
--- a/tests/control.feature
+++ b/tests/control.feature
@@ -38,6 +38,11 @@
     When the log is down for an append
     Then the verdict is unavailable
 
+  Scenario: a process that stood still knows it until it has read the tail
+    Given a follower of a log in this process
+    When the process stands still while the log is down
+    Then the follower is paused until the log is back
+
   Scenario: both example sets load, and a bad setting is named
     Then every example control prints its settings without the key
     And a bad control setting ends with status 2 and its place
--- a/tests/steps/control.py
+++ b/tests/steps/control.py
@@ -13,7 +13,7 @@
 
 from cardamomgrade import follower as follower_module
 from cardamomgrade.estate import ListedVm, RebootTaken
-from cardamomgrade.follower import Follower
+from cardamomgrade.follower import BEAT_S, Follower, PAUSE_S
 from cardamomgrade.intent import IntentBook, rank
 from cardamomgrade.loop import Loop
 from cardamomgrade.net import Net
@@ -323,6 +323,26 @@
     assert verdict.reason is Reason(reason), verdict
 
 
+@when("the process stands still while the log is down")
+def step_stand_still(context):
+    assert not context.follower.paused()
+    context.log.faults.log = "down"
+    now = context.loop.now
+    context.loop.now = lambda: now() + 2 * PAUSE_S
+
+
+@then("the follower is paused until the log is back")
+def step_paused(context):
+    loop, follower = context.loop, context.follower
+    assert follower.paused(), "before the first callback"
+    loop.run_until(lambda: False, 3 * BEAT_S)
+    assert follower.paused(), "forgot the pause"
+    assert not follower.fresh(), "fresh without a read"
+    context.log.faults.log = "up"
+    assert loop.run_until(follower.fresh, SOON_S), "never fresh"
+    assert not follower.paused(), "still paused"
+
+
 def _control(*args):
     return subprocess.run(
         [sys.executable, "-m", "cardamomgrade.control", *args],
