--- a/tests/entry_fleet.feature
+++ b/tests/entry_fleet.feature
@@ -29,3 +29,7 @@
     Then 20 requests all run on the second endpoint
     When the VM list has not answered for longer than it is believed
     Then 20 requests run on both endpoints
+
+  Scenario: settings of an entry
+    Then every example of an entry's settings is accepted and shows no key
+    And settings with peers but without a mesh address are refused
--- a/tests/steps/entry_fleet.py
+++ b/tests/steps/entry_fleet.py
@@ -1,14 +1,20 @@
 """Steps for an entry's part in the fleet and towards operators."""
 
 import json
+import tempfile
+from pathlib import Path
 
 from behave import given, then, when
 from entry_world import KEY, World
 
 from cardamomgrade import records
+from cardamomgrade.entry import EntrySettings
+from cardamomgrade.errors import SettingsError
 from cardamomgrade.ops import OpsClient
 from cardamomgrade.server import HttpServer
+from cardamomgrade.settings import load_settings, settings_text
 from cardamomgrade.wire import HttpResponse
+from harness import ROOT
 
 LEASE_WAIT_S = 5.5
 
@@ -166,3 +172,26 @@
         for number in range(20)
     }
     assert places == {"vm0", "vm1"}
+
+
+@then("every example of an entry's settings is accepted and shows no key")
+def examples_accepted(context):
+    paths = sorted(ROOT.glob("examples/*/entry-*.ini"))
+    assert len(paths) == 13
+    for path in paths:
+        cfg = load_settings(EntrySettings, path)
+        assert dict(cfg.peers)[cfg.name] == cfg.mesh_listen
+        assert "replace-this" not in settings_text(cfg) + repr(cfg)
+
+
+@then("settings with peers but without a mesh address are refused")
+def mesh_missing(context):
+    text = (ROOT / "examples/agence/entry-1.ini").read_text()
+    path = Path(tempfile.mkdtemp()) / "entry.ini"
+    path.write_text(text.replace("[mesh]\nlisten = 127.0.0.1:21070\n", "[mesh]\n"))
+    try:
+        load_settings(EntrySettings, path)
+    except SettingsError as exc:
+        assert "[mesh]" in str(exc)
+    else:
+        raise AssertionError("accepted")
