Keep an entry that is cut from the log fresh through its peers

Cause: freshness from heartbeats was up to 4 s old against a lease of 5 s, and was passed over whenever the peer had read a record more; an entry cut from the log lost its lease for a second and held acknowledgements back for 9 s. An entry whose only peers were replaced during its pause stayed halted.

Change: a heartbeat of an entry that lacks proof is urgent and answered at once; proofs are looked at again when records were taken in. After 10 s halted the entry leaves, to start as a new incarnation (event 410). Hooks moved to mesh_hooks.py, event text of changes to mesh_events.py.

Runs: mesh, membership, messages and mesh_process features passed (9, 4, 2 and 3 scenarios). The scenario that stays fresh fails without the change.

--- a/scripts/bench_mesh.py
+++ b/scripts/bench_mesh.py
@@ -12,7 +12,8 @@
 
 from cardamomgrade.link import Identity
 from cardamomgrade.loop import Loop
-from cardamomgrade.mesh import Mesh, MeshHooks, MeshStatus
+from cardamomgrade.mesh import Mesh
+from cardamomgrade.mesh_hooks import MeshHooks, MeshStatus
 from cardamomgrade.net import Net
 
 SIZES = (3, 7, 14)
--- a/src/cardamomgrade/entry.py
+++ b/src/cardamomgrade/entry.py
@@ -14,7 +14,8 @@
 from .link import Identity
 from .loop import Loop
 from .member import Member, Seat
-from .mesh import Mesh, MeshHooks, MeshStatus
+from .mesh import Mesh
+from .mesh_hooks import MeshHooks, MeshStatus
 from .metrics import Metrics
 from .net import Net, parse_address
 from .ops import OpsServer
--- a/src/cardamomgrade/mesh.py
+++ b/src/cardamomgrade/mesh.py
@@ -20,8 +20,8 @@
 from .mesh_events import (
     AppendRelayed,
     LinkRefused,
-    PeerChanged,
-    PeerReplaced,
+    note_change,
+    SeatStuck,
     SeatSuperseded,
     SlotsHalted,
     SlotsResumed,
@@ -40,53 +40,22 @@
 from .slots import PAUSE_LIMIT_S, SlotLedger, TICK_S
 
 PENDING_LIMIT = 32
+HALT_LIMIT_S = 10.0
+PROOF_WANTED_S = 1.5
 MS_PER_S = 1000
 
 
-@attrs.frozen
-class MeshStatus:
-    """Next offsets of this entry, and when it last had proof of the fleet's tail.
-
-    ``proof_s`` is a monotonic time or None.
-    """
-
-    offset: int
-    claims: int
-    proof_s: float | None
-
-
-def _nothing(*args):
-    return None
-
-
-@attrs.frozen
-class MeshHooks:
-    """What the mesh asks of its entry.
-
-    ``status()`` returns a MeshStatus. ``on_raw(stream, raw)`` takes raw records
-    [offset, time in ms, bytes] handed on. ``on_fresh(sent_s)`` tells a time at which
-    all of the fleet stream had been read. ``append(stream, record)`` appends for a
-    peer. ``on_missing(stream, earliest)`` tells that a peer keeps no records before
-    ``earliest``. ``on_superseded(incarnation)`` tells that the seat was taken over.
-    ``on_tokens()`` tells that slots have become available.
-    """
-
-    status: object
-    on_raw: object = _nothing
-    on_fresh: object = _nothing
-    append: object = _nothing
-    on_missing: object = _nothing
-    on_superseded: object = _nothing
-    on_tokens: object = _nothing
-
-
 @attrs.define(eq=False)
 class _Session:
-    """A link that is up, with the newest heartbeat that it brought."""
+    """A link that is up, with the newest heartbeat that it brought.
+
+    ``answers_s`` is when the ping was sent that this heartbeat echoes, or None.
+    """
 
     link: Link
     pings: Pings = attrs.field(factory=Pings)
     last: Heartbeat | None = None
+    answers_s: float | None = None
 
 
 class Mesh:
@@ -251,7 +220,7 @@
         if link.peer in self._backoffs:
             self._backoffs[link.peer].reset()
         self._heard(link)
-        self._send_heartbeat(session)
+        self._send_heartbeat(session, self._needs_proof())
 
     def _unwanted(self, link):
         """Return why a link is not taken, or None."""
@@ -271,18 +240,7 @@
     def _apply(self, change):
         if change is None:
             return
-        if 0 < change.old_incarnation < change.incarnation:
-            note(PeerReplaced(change.peer, change.old_incarnation, change.incarnation))
-        if change.before is not change.after:
-            note(
-                PeerChanged(
-                    change.peer,
-                    change.incarnation,
-                    change.before.value,
-                    change.after.value,
-                    int(change.silent_s * MS_PER_S),
-                )
-            )
+        note_change(change)
         if change.after is PeerState.DOWN and change.peer in self._sessions:
             self._sessions.pop(change.peer).link.close()
             self._redial(change.peer)
@@ -291,11 +249,19 @@
         if self._closed:
             return
         for session in list(self._sessions.values()):
-            self._send_heartbeat(session)
+            self._send_heartbeat(session, self._needs_proof())
         for change in self._members.sweep(self._loop.now()):
             self._apply(change)
 
-    def _send_heartbeat(self, session):
+    def _needs_proof(self):
+        proof_s = self._hooks.status().proof_s
+        return (
+            self.ledger.halted()
+            or proof_s is None
+            or self._loop.now() - proof_s > PROOF_WANTED_S
+        )
+
+    def _send_heartbeat(self, session, urgent):
         now = self._loop.now()
         status = self._hooks.status()
         age_ms = NO_PROOF
@@ -310,6 +276,7 @@
                 status.claims,
                 age_ms,
                 self.ledger.halted(),
+                urgent,
             )
         )
 
@@ -324,6 +291,10 @@
         elif not halted and self._halted_s is not None:
             note(SlotsResumed(self._ms_since(self._halted_s)))
             self._halted_s = None
+        elif halted and self._loop.now() > self._halted_s + HALT_LIMIT_S:
+            self._halted_s = float("inf")
+            note(SeatStuck(self._me.incarnation, int(HALT_LIMIT_S * MS_PER_S)))
+            self._hooks.on_superseded(self._me.incarnation)
         if self.ledger.unlocked and not self._unlocked:
             self._unlocked = True
             note(SlotsUnlocked(self._ms_since(self._started_s)))
@@ -359,18 +330,23 @@
 
     def _on_heartbeat(self, session, message):
         session.last = message
+        session.answers_s = sent_s = session.pings.sent_s(message.echo)
         link = session.link
-        if session.pings.sequence == 1:
-            self._send_heartbeat(session)
-        sent_s = session.pings.sent_s(message.echo)
+        if message.urgent:
+            self._send_heartbeat(session, False)
         if sent_s is not None:
             self.ledger.confirm(link.peer, link.incarnation, sent_s, message.halted)
+        self._take_proof(session)
+        if message.offset > self._hooks.status().offset:
+            self.catchup.notice(link.peer, message.offset)
+
+    def _take_proof(self, session):
+        if session.last is None:
+            return
         own = self._hooks.status().offset
-        proof_s = handed_on_proof(message, sent_s, own)
+        proof_s = handed_on_proof(session.last, session.answers_s, own)
         if proof_s is not None:
             self._hooks.on_fresh(proof_s)
-        if message.offset > own:
-            self.catchup.notice(link.peer, message.offset)
 
     def _on_records_wanted(self, session, message):
         if message.stream == STREAM_FLEET:
@@ -378,6 +354,8 @@
 
     def _on_records(self, session, message):
         self.catchup.take(session.link.peer, message)
+        for other in list(self._sessions.values()):
+            self._take_proof(other)
 
     def _on_records_missing(self, session, message):
         self.catchup.missing(session.link.peer, message)
--- a/src/cardamomgrade/mesh_events.py
+++ b/src/cardamomgrade/mesh_events.py
@@ -2,7 +2,9 @@
 
 import logging
 
-from .journal import event
+from .journal import event, note
+
+MS_PER_S = 1000
 
 
 @event(400)
@@ -92,3 +94,27 @@
     """Slots are used again after a pause."""
 
     halted_ms: int
+
+
+@event(410, logging.ERROR)
+class SeatStuck:
+    """No peer has taken this entry as current since a pause; it has to restart."""
+
+    incarnation: int
+    halted_ms: int
+
+
+def note_change(change):
+    """Log what a membership.Change tells."""
+    if 0 < change.old_incarnation < change.incarnation:
+        note(PeerReplaced(change.peer, change.old_incarnation, change.incarnation))
+    if change.before is not change.after:
+        note(
+            PeerChanged(
+                change.peer,
+                change.incarnation,
+                change.before.value,
+                change.after.value,
+                int(change.silent_s * MS_PER_S),
+            )
+        )
--- a/src/cardamomgrade/messages.py
+++ b/src/cardamomgrade/messages.py
@@ -89,7 +89,7 @@
     that it received from the peer. ``offset`` is the next fleet offset, ``claims``
     the next claims offset. ``age_ms`` is how old the sender's proof is that it had
     read the whole fleet stream, or -1 without one. A halted sender may have been
-    replaced without knowing it.
+    replaced without knowing it. An urgent one is answered at once.
     """
 
     sequence: int = _of(int)
@@ -98,6 +98,7 @@
     claims: int = _of(int)
     age_ms: int = _of(int)
     halted: bool = _of(bool)
+    urgent: bool = _of(bool)
 
 
 @_message(4)
--- a/tests/steps/membership.py
+++ b/tests/steps/membership.py
@@ -72,7 +72,7 @@
         sequence = pings.send(ping_ms / 1000)
         age_ms = ping_ms + wait_ms - min(proof_ms, ping_ms + wait_ms)
         beat = Heartbeat(
-            1, sequence, peer_offset, 0, age_ms if proven else NO_PROOF, False
+            1, sequence, peer_offset, 0, age_ms if proven else NO_PROOF, False, False
         )
         found = handed_on_proof(beat, pings.sent_s(beat.echo), own)
         if not proven or own < peer_offset:
--- a/tests/steps/mesh.py
+++ b/tests/steps/mesh.py
@@ -5,7 +5,8 @@
 
 import harness
 from cardamomgrade.link import Identity, Link
-from cardamomgrade.mesh import Mesh, MeshHooks, MeshStatus
+from cardamomgrade.mesh import Mesh
+from cardamomgrade.mesh_hooks import MeshHooks, MeshStatus
 from cardamomgrade.messages import Query
 from cardamomgrade.net import parse_address
 from cardamomgrade.records import BatchAcked, STREAM_FLEET
