--- a/src/cardamomgrade/member.py
+++ b/src/cardamomgrade/member.py
@@ -82,14 +82,18 @@
 
     ``on_change()`` is called when the state has changed, ``on_replaced()`` when a
     later incarnation has taken the seat, ``on_first()`` when the log shows that the
-    seat had no incarnation before. ``held(vm)`` counts requests in flight,
+    seat had no incarnation before, ``on_vacant(seats)`` after a read that shows no
+    members in other seats. ``held(vm)`` counts requests in flight,
     ``relay(record)`` asks a peer to append and tells whether one could, ``on_raw``
     is given raw records. ``outage(members)`` tells whether a peer that is a member
-    has lost its lease on the log.
+    has lost its lease on the log, ``departures`` contains the VMs that the platform
+    shows as leaving, ``strangers(members)`` names linked peers that are
+    no members.
 
     An entry that starts during an outage of the log cannot become a member. It may
-    send while such a peer is alive: that peer holds its acknowledgements back after
-    the outage until this entry has heard of its end and what it sent is answered.
+    send while such a peer is alive. That peer holds its acknowledgements back after
+    the outage until this entry has heard of its end and has become a member, or what
+    it sent is answered.
     """
 
     def __init__(self, loop, net, log, seat, **hooks):
@@ -98,8 +102,11 @@
         self._on_change = hooks["on_change"]
         self._on_replaced = hooks["on_replaced"]
         self._on_first = hooks.get("on_first") or (lambda: None)
+        self._on_vacant = hooks.get("on_vacant") or (lambda seats: None)
         self._held = hooks["held"]
         self._outage = hooks.get("outage") or (lambda members: False)
+        self._strangers = hooks.get("strangers") or (lambda members: ())
+        self._departures = hooks.get("departures") or ()
         self._relay = hooks.get("relay") or (lambda record: False)
         self.follower = Follower(
             loop,
@@ -146,6 +153,8 @@
         fresh = self.follower.fresh()
         if not self.is_member() and (fresh or not self._outage(self.state.members)):
             return Refusal(Reason.NOT_ACKNOWLEDGED, "the entry is no member")
+        if vm in self._departures:
+            return Refusal(Reason.NOT_SERVING, f"{vm}: the platform shows it leaving")
         return may_send(self.state, vm, fresh)
 
     def tick(self):
@@ -157,8 +166,7 @@
     def _note_freshness(self):
         fresh = self.follower.fresh()
         if fresh and not self._was_fresh and self._caught_up:
-            hold_s = ACK_HOLD_S + self.state.deadline_peak_ms / MS_PER_S
-            self._ack_after = self._loop.now() + hold_s
+            self._ack_after = self._loop.now() + ACK_HOLD_S
         if fresh != self._was_fresh:
             event = FreshnessRegained if fresh else FreshnessLost
             note(event(self.state.offset))
@@ -178,7 +186,11 @@
                 self._append(record)
 
     def _may_ack(self, now):
-        return self.follower.fresh() and now >= self._ack_after
+        if not self.follower.fresh() or now < self._ack_after:
+            return False
+        hold_s = self.state.deadline_peak_ms / MS_PER_S
+        held = now < self._ack_after + hold_s
+        return not (held and self._strangers(self.state.members))
 
     def _append(self, record):
         name = type(record).__name__
@@ -203,6 +215,9 @@
         self._note_freshness()
         if not self._caught_up and self.follower.fresh():
             self._catch_up()
+        if self.state.bundle is not None and self.follower.fresh():
+            taken = {self.seat.name, *self.state.members}
+            self._on_vacant(set(self.state.bundle.seats) - taken)
         self.tick()
 
     def _catch_up(self):
