Count a peer's word on an outage only while recent and caught up with

Cause: holes 14 and 15 of docs/PROMISES.md, found by the model of a newcomer: it sent while behind its sponsor's offset, and after a freeze it trusted a heartbeat of any age.

Change: outage_known asks that the heartbeat answers a ping of the last 3 s, less than the 5 s for which the sponsor holds acknowledgements back, and that all records the peer had read have been read here. peering.py holds what the newest heartbeats tell. Holes 16 and 17 are in the member's hold and stay.

--- a/src/cardamomgrade/mesh.py
+++ b/src/cardamomgrade/mesh.py
@@ -2,8 +2,6 @@
 
 import random
 
-import attrs
-
 from .catchup import CatchUp
 from .errors import PeerError, RecordError
 from .feed import Backoff
@@ -15,7 +13,6 @@
     Membership,
     NO_PROOF,
     PeerState,
-    Pings,
 )
 from .mesh_events import (
     AppendRelayed,
@@ -36,28 +33,17 @@
     Superseded,
 )
 from .net import parse_address
+from .peering import PeerSession
 from .records import decode_record, encode_record, STREAM_FLEET
 from .slots import PAUSE_LIMIT_S, SlotLedger, TICK_S
 
 PENDING_LIMIT = 32
 HALT_LIMIT_S = 10.0
 PROOF_WANTED_S = 1.5
+WORD_LIFETIME_S = 3.0
 MS_PER_S = 1000
 
 
-@attrs.define(eq=False)
-class _Session:
-    """A link that is up, with the newest heartbeat that it brought.
-
-    ``answers_s`` is when the ping was sent that this heartbeat echoes, or None.
-    """
-
-    link: Link
-    pings: Pings = attrs.field(factory=Pings)
-    last: Heartbeat | None = None
-    answers_s: float | None = None
-
-
 class Mesh:
     """The links of one entry; a context manager that closes them.
 
@@ -122,27 +108,20 @@
         """Return whether an alive peer among ``members`` has lost its lease.
 
         ``members`` maps names to the log's members. Such a peer told in its last
-        heartbeat that its proof of the log's tail is older than ``lease_ms``.
+        heartbeat that its proof of the log's tail is older than ``lease_ms``. Its
+        word counts while it answers a ping sent less than ``WORD_LIFETIME_S`` ago,
+        and once all that it had read has been read here.
         """
+        own, since_s = self._hooks.status().offset, self._loop.now() - WORD_LIFETIME_S
         for name in self._members.alive():
             session, member = self._sessions.get(name), members.get(name)
-            if session is None or session.last is None or member is None:
+            if session is None or member is None:
                 continue
-            age_ms = session.last.age_ms
             known = member.incarnation == session.link.incarnation
-            if known and (age_ms == NO_PROOF or age_ms > lease_ms):
+            if known and session.says_outage(lease_ms, own, since_s):
                 return True
         return False
 
-    def strangers(self, members):
-        """Return the names of linked peers whose incarnation is not in ``members``."""
-        found = []
-        for name, session in self._sessions.items():
-            member = members.get(name)
-            if member is None or member.incarnation != session.link.incarnation:
-                found.append(name)
-        return found
-
     def links(self):
         """Return the links that are up."""
         return [session.link for session in self._sessions.values()]
@@ -225,7 +204,7 @@
             if old.link.incarnation < link.incarnation:
                 old.link.send(Superseded(link.incarnation))
             old.link.close()
-        session = self._sessions[link.peer] = _Session(link)
+        session = self._sessions[link.peer] = PeerSession(link)
         if link.peer in self._backoffs:
             self._backoffs[link.peer].reset()
         self._heard(link)
@@ -338,13 +317,14 @@
             raise PeerError(f"{type(message).__name__} on a link that is up")
 
     def _on_heartbeat(self, session, message):
-        session.last = message
-        session.answers_s = sent_s = session.pings.sent_s(message.echo)
+        session.take(message)
         link = session.link
         if message.urgent:
             self._send_heartbeat(session, False)
-        if sent_s is not None:
-            self.ledger.confirm(link.peer, link.incarnation, sent_s, message.halted)
+        if session.answers_s is not None:
+            self.ledger.confirm(
+                link.peer, link.incarnation, session.answers_s, message.halted
+            )
         self._take_proof(session)
         if message.offset > self._hooks.status().offset:
             self.catchup.notice(link.peer, message.offset)
--- a/tests/mesh.feature
+++ b/tests/mesh.feature
@@ -51,3 +51,9 @@
       | entries |
       | 3       |
       | 7       |
+
+  Scenario: a newcomer trusts the recent word of a peer whose records it has
+    Given a mesh of 2 entries over endpoint x with 8 slots
+    Then mesh entry e0 knows of an outage from the member e1
+    And it knows of none right after it was paused, but soon again
+    And it knows of none while e1 has read records that it lacks
--- a/tests/steps/mesh.py
+++ b/tests/steps/mesh.py
@@ -1,11 +1,14 @@
 """Steps for the mesh and link modules: several entries on one loop."""
 
+import time
+
 import attrs
 from behave import given, then, when
 
 import harness
+from cardamomgrade.fleet import LEASE_MS, Member
 from cardamomgrade.link import Identity, Link
-from cardamomgrade.mesh import Mesh
+from cardamomgrade.mesh import Mesh, WORD_LIFETIME_S
 from cardamomgrade.mesh_hooks import MeshHooks, MeshStatus
 from cardamomgrade.messages import Query
 from cardamomgrade.net import parse_address
@@ -270,3 +273,32 @@
 def totals(world):
     links = [link for peer in peers(world) for link in peer.mesh.links()]
     return {link: link.bytes_out for link in links}
+
+
+def knows_outage(world):
+    member = Member("e1", 1, "z0", "", 0)
+    return world.peers["e0"].mesh.outage_known({"e1": member}, LEASE_MS)
+
+
+@then("mesh entry e0 knows of an outage from the member e1")
+def step_outage(context):
+    world = context.mesh_world
+    world.rig.run_until(lambda: knows_outage(world))
+
+
+@then("it knows of none right after it was paused, but soon again")
+def step_paused(context):
+    time.sleep(WORD_LIFETIME_S + 0.1)
+    assert not knows_outage(context.mesh_world)
+    context.mesh_world.rig.run_until(lambda: knows_outage(context.mesh_world))
+
+
+@then("it knows of none while e1 has read records that it lacks")
+def step_lacks(context):
+    world = context.mesh_world
+    world.peers["e1"].offset = 5
+    world.rig.run_until(lambda: not knows_outage(world))
+    world.rig.run_for(1.5)
+    assert not knows_outage(world)
+    world.peers["e0"].offset = 5
+    world.rig.run_until(lambda: knows_outage(world))
