Test the start during an outage on the code, failing

Cause: two rules of specs/newcomer.py are not kept by the mesh. Conclusion: open until the mesh keeps both rules.

--- a/tests/spec_newcomer.feature
+++ b/tests/spec_newcomer.feature
@@ -19,3 +19,13 @@
       | proof_ages         | 15    |
       | newcomer_caught_up | 11    |
       | outage_only        | 10    |
+
+  Scenario: the code makes a newcomer catch up before it trusts
+    Given a sponsor without the log and a newcomer that lacks its last records
+    Then the newcomer does not send on its sponsor's word
+
+  Scenario: the code lets a sponsor's word age
+    Given a sponsor without the log and a newcomer that lacks its last records
+    When the newcomer has its sponsor's records
+    And the newcomer wakes after a freeze
+    Then the newcomer does not send on its sponsor's word
