--- a/scripts/bare_web.py
+++ b/scripts/bare_web.py
@@ -9,11 +9,9 @@
 
 
 class Root(Controller):
-    """Answers every path with a line."""
+    """Answers its path with a line."""
 
-    channel = "/"
-
-    def default(self, *args, **kwargs):
+    def index(self):
         """Return the body of the answer."""
         return "answered\n"
 
