--- a/src/cardamomgrade/entry.py
+++ b/src/cardamomgrade/entry.py
@@ -165,7 +165,6 @@
                 "on_vacant": self.mesh.ledger.note_vacant,
                 "on_raw": self.mesh.catchup.keep,
                 "relay": lambda record: self.mesh.relay(STREAM_FLEET, record),
-                "strangers": lambda members: self.mesh.strangers(members),
                 "outage": lambda members: self.mesh.outage_known(members, LEASE_MS),
             }
         return Member(
@@ -180,6 +179,7 @@
         )
 
     def _mesh_status(self):
+        self.member.note_freshness()
         follower = self.member.follower
         return MeshStatus(
             follower.feed.next_offset, self.keys.next_offset, follower.proof_s
--- a/src/cardamomgrade/fleet.py
+++ b/src/cardamomgrade/fleet.py
@@ -114,6 +114,16 @@
 
 
 def _leave_member(state, record, offset):
+    """Fold MemberLeft: who leaves by its own word has no request running."""
+    if not is_member(state, record.entry, record.incarnation):
+        return _no_member(record)
+    quiet_after_ms = state.quiet_after_ms
+    state = _drop_member(state, record.entry)
+    return attrs.evolve(state, quiet_after_ms=quiet_after_ms)
+
+
+def _lose_member(state, record, offset):
+    """Fold MemberGone."""
     if not is_member(state, record.entry, record.incarnation):
         return _no_member(record)
     return _drop_member(state, record.entry)
@@ -169,7 +179,7 @@
     records.BundleRolled: rollout.roll,
     records.MemberJoined: _join_member,
     records.MemberLeft: _leave_member,
-    records.MemberGone: _leave_member,
+    records.MemberGone: _lose_member,
     records.BatchOpened: open_batch,
     records.BatchAcked: _by_member(ack_batch),
     records.DrainStarted: start_drain,
--- a/src/cardamomgrade/loop.py
+++ b/src/cardamomgrade/loop.py
@@ -74,9 +74,12 @@
     def on_stop(self, callback):
         """Call ``callback`` at the first SIGTERM or SIGINT, to leave in order.
 
-        The callback ends the loop with ``finish``; a second signal ends it at once.
+        The callback ends the loop with ``finish``; a second signal ends it at once. A
+        signal counts from here on, also before ``run``.
         """
         self._on_stop = callback
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
 
     def _on_signal(self, signo, frame):
         if self._stopping or self._on_stop is None:
@@ -91,8 +94,6 @@
 
     def run(self, socket=None):
         """Run until ``finish`` is called."""
-        signal.signal(signal.SIGTERM, self._on_signal)
-        signal.signal(signal.SIGINT, self._on_signal)
         self._running = True
         while self._running:
             self.tick()
--- a/src/cardamomgrade/member.py
+++ b/src/cardamomgrade/member.py
@@ -87,13 +87,12 @@
     ``relay(record)`` asks a peer to append and tells whether one could, ``on_raw``
     is given raw records. ``outage(members)`` tells whether a peer that is a member
     has lost its lease on the log, ``departures`` contains the VMs that the platform
-    shows as leaving, ``strangers(members)`` names linked peers that are
-    no members.
+    shows as leaving.
 
     An entry that starts during an outage of the log cannot become a member. It may
-    send while such a peer is alive. That peer holds its acknowledgements back after
-    the outage until this entry has heard of its end and has become a member, or what
-    it sent is answered.
+    send while such a peer is alive. Every member that lost its lease therefore holds
+    its acknowledgements back, after it has the lease again, until such an entry has
+    heard of that and the longest deadline has passed.
     """
 
     def __init__(self, loop, net, log, seat, **hooks):
@@ -105,7 +104,6 @@
         self._on_vacant = hooks.get("on_vacant") or (lambda seats: None)
         self._held = hooks["held"]
         self._outage = hooks.get("outage") or (lambda members: False)
-        self._strangers = hooks.get("strangers") or (lambda members: ())
         self._departures = hooks.get("departures") or ()
         self._relay = hooks.get("relay") or (lambda record: False)
         self.follower = Follower(
@@ -159,14 +157,16 @@
 
     def tick(self):
         """Notice changes of freshness and append what is owed."""
-        self._note_freshness()
+        self.note_freshness()
         if self._caught_up and not self._leaving:
             self._settle()
 
-    def _note_freshness(self):
+    def note_freshness(self):
+        """Notice a lease lost or regained; call it before a peer is told its age."""
         fresh = self.follower.fresh()
         if fresh and not self._was_fresh and self._caught_up:
-            self._ack_after = self._loop.now() + ACK_HOLD_S
+            deadline_s = self.state.deadline_peak_ms / MS_PER_S
+            self._ack_after = self._loop.now() + ACK_HOLD_S + deadline_s
         if fresh != self._was_fresh:
             event = FreshnessRegained if fresh else FreshnessLost
             note(event(self.state.offset))
@@ -186,11 +186,7 @@
                 self._append(record)
 
     def _may_ack(self, now):
-        if not self.follower.fresh() or now < self._ack_after:
-            return False
-        hold_s = self.state.deadline_peak_ms / MS_PER_S
-        held = now < self._ack_after + hold_s
-        return not (held and self._strangers(self.state.members))
+        return self.follower.fresh() and now >= self._ack_after
 
     def _append(self, record):
         name = type(record).__name__
@@ -212,7 +208,7 @@
         self._on_fresh()
 
     def _on_fresh(self):
-        self._note_freshness()
+        self.note_freshness()
         if not self._caught_up and self.follower.fresh():
             self._catch_up()
         if self.state.bundle is not None and self.follower.fresh():
--- a/tests/fleet.feature
+++ b/tests/fleet.feature
@@ -109,6 +109,17 @@
       | BundleSigned   | by=bob signer=eve                                 | taken   |
       | BundleRolled   | by=bob                                            | wrong-state: was that of a3 |
 
+  Scenario: an entry that left in order leaves no wait
+    Given a fleet log with bundle version 1 rolled
+    When the fleet log reads
+      | record         | fields   | outcome |
+      | MemberLeft     | entry=e2 | taken   |
+      | BatchOpened    | vms=a0   | taken   |
+      | BatchAcked     | entry=e1 | taken   |
+      | DrainStarted   |          | taken   |
+      | DrainConfirmed | entry=e1 | taken   |
+      | RebootOrdered  | vm=a0    | taken   |
+
   Scenario: no drain starts without a member
     Given a fleet log with bundle version 1 rolled
     When the fleet log reads
--- a/tests/loop.feature
+++ b/tests/loop.feature
@@ -6,3 +6,8 @@
     Then the poller waits 0 seconds
     When its awaited condition holds
     Then the poller waits 0 seconds
+
+  Scenario: a signal that comes before the loop runs is not lost
+    Given a loop that is told what to do at a stop
+    When SIGTERM comes before it runs
+    Then the loop runs and leaves in order
--- a/tests/steps/loop.py
+++ b/tests/steps/loop.py
@@ -1,5 +1,7 @@
 """Steps for the loop."""
 
+import os
+import signal
 from threading import Lock
 
 from behave import given, then, when
@@ -39,3 +41,25 @@
 @then("the poller waits 0 seconds")
 def step_waits(context):
     assert context.waits == 0, context.waits
+
+
+@given("a loop that is told what to do at a stop")
+def step_told(context):
+    context.loop = Loop()
+    context.stopped = []
+
+    def leave():
+        context.stopped.append(True)
+        context.loop.finish()
+
+    context.loop.on_stop(leave)
+
+
+@when("SIGTERM comes before it runs")
+def step_early_signal(context):
+    os.kill(os.getpid(), signal.SIGTERM)
+
+
+@then("the loop runs and leaves in order")
+def step_left(context):
+    assert context.loop.run_until(lambda: context.stopped, 5.0)
