--- a/src/cardamomgrade/records.py
+++ b/src/cardamomgrade/records.py
@@ -235,12 +235,19 @@
 
 @_record(51)
 class TaskPlaced:
-    """A task may start on a worker under a lease; the offset is the fence."""
+    """A task may start on a worker under a lease; the offset is the fence.
+
+    ``cores`` and ``memory_mb`` are the room held for it; ``builds_on`` is the offset
+    of the last record that the placer had folded.
+    """
 
     task: str
     worker: str
     attempt: int
     lease_ms: int
+    cores: float
+    memory_mb: int
+    builds_on: int
     control: str
 
 
