--- a/src/cardamomgrade/placement.py
+++ b/src/cardamomgrade/placement.py
@@ -38,7 +38,7 @@
 from .tasks import OUTCOME_DONE, OUTCOME_FAILED, OUTCOME_LAPSED, Step, TaskState
 from .waiting import Waiting
 
-LEASE_MS = 30_000
+LEASE_MS = 300_000
 APPEND_WAIT_MS = 5000
 SETTLE_MS = 60_000
 SENT_PER_POOL = 32
