--- a/src/cardamomgrade/mesh.py
+++ b/src/cardamomgrade/mesh.py
@@ -2,8 +2,6 @@
 
 import random
 
-import attrs
-
 from .catchup import CatchUp
 from .errors import PeerError, RecordError
 from .feed import Backoff
@@ -15,13 +13,12 @@
     Membership,
     NO_PROOF,
     PeerState,
-    Pings,
 )
 from .mesh_events import (
     AppendRelayed,
     LinkRefused,
-    PeerChanged,
-    PeerReplaced,
+    note_change,
+    SeatStuck,
     SeatSuperseded,
     SlotsHalted,
     SlotsResumed,
@@ -36,59 +33,17 @@
     Superseded,
 )
 from .net import parse_address
+from .peering import PeerSession
 from .records import decode_record, encode_record, STREAM_FLEET
 from .slots import PAUSE_LIMIT_S, SlotLedger, TICK_S
 
 PENDING_LIMIT = 32
+HALT_LIMIT_S = 10.0
+PROOF_WANTED_S = 1.5
+WORD_LIFETIME_S = 3.0
 MS_PER_S = 1000
 
 
-@attrs.frozen
-class MeshStatus:
-    """Next offsets of this entry, and when it last had proof of the fleet's tail.
-
-    ``proof_s`` is a monotonic time or None.
-    """
-
-    offset: int
-    claims: int
-    proof_s: float | None
-
-
-def _nothing(*args):
-    return None
-
-
-@attrs.frozen
-class MeshHooks:
-    """What the mesh asks of its entry.
-
-    ``status()`` returns a MeshStatus. ``on_raw(stream, raw)`` takes raw records
-    [offset, time in ms, bytes] handed on. ``on_fresh(sent_s)`` tells a time at which
-    all of the fleet stream had been read. ``append(stream, record)`` appends for a
-    peer. ``on_missing(stream, earliest)`` tells that a peer keeps no records before
-    ``earliest``. ``on_superseded(incarnation)`` tells that the seat was taken over.
-    ``on_tokens()`` tells that slots have become available.
-    """
-
-    status: object
-    on_raw: object = _nothing
-    on_fresh: object = _nothing
-    append: object = _nothing
-    on_missing: object = _nothing
-    on_superseded: object = _nothing
-    on_tokens: object = _nothing
-
-
-@attrs.define(eq=False)
-class _Session:
-    """A link that is up, with the newest heartbeat that it brought."""
-
-    link: Link
-    pings: Pings = attrs.field(factory=Pings)
-    last: Heartbeat | None = None
-
-
 class Mesh:
     """The links of one entry; a context manager that closes them.
 
@@ -153,27 +108,20 @@
         """Return whether an alive peer among ``members`` has lost its lease.
 
         ``members`` maps names to the log's members. Such a peer told in its last
-        heartbeat that its proof of the log's tail is older than ``lease_ms``.
+        heartbeat that its proof of the log's tail is older than ``lease_ms``. Its
+        word counts while it answers a ping sent less than ``WORD_LIFETIME_S`` ago,
+        and once all that it had read has been read here.
         """
+        own, since_s = self._hooks.status().offset, self._loop.now() - WORD_LIFETIME_S
         for name in self._members.alive():
             session, member = self._sessions.get(name), members.get(name)
-            if session is None or session.last is None or member is None:
+            if session is None or member is None:
                 continue
-            age_ms = session.last.age_ms
             known = member.incarnation == session.link.incarnation
-            if known and (age_ms == NO_PROOF or age_ms > lease_ms):
+            if known and session.says_outage(lease_ms, own, since_s):
                 return True
         return False
 
-    def strangers(self, members):
-        """Return the names of linked peers whose incarnation is not in ``members``."""
-        found = []
-        for name, session in self._sessions.items():
-            member = members.get(name)
-            if member is None or member.incarnation != session.link.incarnation:
-                found.append(name)
-        return found
-
     def links(self):
         """Return the links that are up."""
         return [session.link for session in self._sessions.values()]
@@ -256,11 +204,11 @@
             if old.link.incarnation < link.incarnation:
                 old.link.send(Superseded(link.incarnation))
             old.link.close()
-        session = self._sessions[link.peer] = _Session(link)
+        session = self._sessions[link.peer] = PeerSession(link)
         if link.peer in self._backoffs:
             self._backoffs[link.peer].reset()
         self._heard(link)
-        self._send_heartbeat(session)
+        self._send_heartbeat(session, self._needs_proof())
 
     def _unwanted(self, link):
         """Return why a link is not taken, or None."""
@@ -280,18 +228,7 @@
     def _apply(self, change):
         if change is None:
             return
-        if 0 < change.old_incarnation < change.incarnation:
-            note(PeerReplaced(change.peer, change.old_incarnation, change.incarnation))
-        if change.before is not change.after:
-            note(
-                PeerChanged(
-                    change.peer,
-                    change.incarnation,
-                    change.before.value,
-                    change.after.value,
-                    int(change.silent_s * MS_PER_S),
-                )
-            )
+        note_change(change)
         if change.after is PeerState.DOWN and change.peer in self._sessions:
             self._sessions.pop(change.peer).link.close()
             self._redial(change.peer)
@@ -300,11 +237,19 @@
         if self._closed:
             return
         for session in list(self._sessions.values()):
-            self._send_heartbeat(session)
+            self._send_heartbeat(session, self._needs_proof())
         for change in self._members.sweep(self._loop.now()):
             self._apply(change)
 
-    def _send_heartbeat(self, session):
+    def _needs_proof(self):
+        proof_s = self._hooks.status().proof_s
+        return (
+            self.ledger.halted()
+            or proof_s is None
+            or self._loop.now() - proof_s > PROOF_WANTED_S
+        )
+
+    def _send_heartbeat(self, session, urgent):
         now = self._loop.now()
         status = self._hooks.status()
         age_ms = NO_PROOF
@@ -319,6 +264,7 @@
                 status.claims,
                 age_ms,
                 self.ledger.halted(),
+                urgent,
             )
         )
 
@@ -333,6 +279,10 @@
         elif not halted and self._halted_s is not None:
             note(SlotsResumed(self._ms_since(self._halted_s)))
             self._halted_s = None
+        elif halted and self._loop.now() > self._halted_s + HALT_LIMIT_S:
+            self._halted_s = float("inf")
+            note(SeatStuck(self._me.incarnation, int(HALT_LIMIT_S * MS_PER_S)))
+            self._hooks.on_superseded(self._me.incarnation)
         if self.ledger.unlocked and not self._unlocked:
             self._unlocked = True
             note(SlotsUnlocked(self._ms_since(self._started_s)))
@@ -367,19 +317,25 @@
             raise PeerError(f"{type(message).__name__} on a link that is up")
 
     def _on_heartbeat(self, session, message):
-        session.last = message
+        session.take(message)
         link = session.link
-        if session.pings.sequence == 1:
-            self._send_heartbeat(session)
-        sent_s = session.pings.sent_s(message.echo)
-        if sent_s is not None:
-            self.ledger.confirm(link.peer, link.incarnation, sent_s, message.halted)
+        if message.urgent:
+            self._send_heartbeat(session, False)
+        if session.answers_s is not None:
+            self.ledger.confirm(
+                link.peer, link.incarnation, session.answers_s, message.halted
+            )
+        self._take_proof(session)
+        if message.offset > self._hooks.status().offset:
+            self.catchup.notice(link.peer, message.offset)
+
+    def _take_proof(self, session):
+        if session.last is None:
+            return
         own = self._hooks.status().offset
-        proof_s = handed_on_proof(message, sent_s, own)
+        proof_s = handed_on_proof(session.last, session.answers_s, own)
         if proof_s is not None:
             self._hooks.on_fresh(proof_s)
-        if message.offset > own:
-            self.catchup.notice(link.peer, message.offset)
 
     def _on_records_wanted(self, session, message):
         if message.stream == STREAM_FLEET:
@@ -387,6 +343,8 @@
 
     def _on_records(self, session, message):
         self.catchup.take(session.link.peer, message)
+        for other in list(self._sessions.values()):
+            self._take_proof(other)
 
     def _on_records_missing(self, session, message):
         self.catchup.missing(session.link.peer, message)
