--- a/scripts/catalogue.py
+++ b/scripts/catalogue.py
@@ -1,6 +1,6 @@
-"""Writes docs/EVENTS.md and docs/SETTINGS.md from the code.
+"""Writes docs/EVENTS.md, docs/SETTINGS.md and docs/MODULES.md from the code.
 
-Usage: catalogue.py, from the root of the project; a test compares the pages.
+Usage: catalogue.py, from the root of the project; a test compares them.
 """
 
 import importlib
@@ -94,11 +94,32 @@
     return "\n".join(lines) + "\n"
 
 
-PAGES = (("EVENTS.md", events_page), ("SETTINGS.md", settings_page))
+def modules_page():
+    """Return docs/MODULES.md."""
+    lines = [
+        "# Modules",
+        "",
+        "Every module of the package with the first words of its docstring. This page",
+        "is written by `scripts/catalogue.py` and checked by a test.",
+        "",
+        "| module | job |",
+        "|---|---|",
+    ]
+    for module in pkgutil.iter_modules(cardamomgrade.__path__):
+        loaded = importlib.import_module(f"cardamomgrade.{module.name}")
+        lines.append(f"| `{module.name}` | {sentence(loaded)} |")
+    return "\n".join(lines) + "\n"
+
+
+PAGES = (
+    ("EVENTS.md", events_page),
+    ("SETTINGS.md", settings_page),
+    ("MODULES.md", modules_page),
+)
 
 
 def main():
-    """Write both pages."""
+    """Write the pages."""
     for name, page in PAGES:
         (DOCS / name).write_text(page())
     return 0
--- a/src/cardamomgrade/messages.py
+++ b/src/cardamomgrade/messages.py
@@ -8,22 +8,12 @@
 import cbor2
 
 from .errors import PeerError
+from .kinds import numbered
 
 MESSAGE_VERSION = 1
 
 _CLASSES = {}
-
-
-def _message(kind):
-    """Return a class decorator that registers a message under its kind number."""
-
-    def register(cls):
-        cls = attrs.frozen(cls)
-        cls.KIND = kind
-        _CLASSES[kind] = cls
-        return cls
-
-    return register
+_message = numbered(_CLASSES)
 
 
 @attrs.frozen
--- a/src/cardamomgrade/records.py
+++ b/src/cardamomgrade/records.py
@@ -8,6 +8,7 @@
 import cbor2
 
 from .errors import RecordError
+from .kinds import numbered
 
 RECORD_VERSION = 1
 STREAM_FLEET = "fleet"
@@ -15,18 +16,7 @@
 STREAM_TASKS = "tasks"
 
 _CLASSES = {}
-
-
-def _record(kind):
-    """Return a class decorator that registers a record under its kind number."""
-
-    def register(cls):
-        cls = attrs.frozen(cls)
-        cls.KIND = kind
-        _CLASSES[kind] = cls
-        return cls
-
-    return register
+_record = numbered(_CLASSES)
 
 
 @attrs.frozen
