End a process whose reader of a stream failed

Cause: circuits swallows an exception of a handler; after one in a fold the feed stopped reading without a word and the process went on with an old state. Ruled out: skipping the record (the state would differ from everybody's); ending on any exception (a request's error would end the other requests). Conclusion: the platform replaces a process that cannot follow the log.

--- a/src/cardamomgrade/feed.py
+++ b/src/cardamomgrade/feed.py
@@ -6,6 +6,7 @@
 byte strings and answers a CBOR map ``first`` with the offset of the first of them.
 """
 
+import logging
 import random
 from collections import deque
 
@@ -14,6 +15,7 @@
 
 from .client import Requester
 from .errors import RecordError
+from .journal import event, note
 from .records import decode_record, encode_record, Logged, UnknownRecord
 from .refusal import Reason, Refusal
 from .wire import HttpRequest, HttpResponse
@@ -29,6 +31,15 @@
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
 
 
+@event(1, logging.ERROR)
+class ReaderFailed:
+    """The reader of a stream raised an error; the process ends."""
+
+    stream: str
+    offset: int
+    detail: str
+
+
 @attrs.frozen
 class Appended:
     """The offset that the log gave to an appended record."""
@@ -159,7 +170,15 @@
         if taken:
             self._on_raw(taken)
         if batch:
+            self._deliver(batch)
+
+    def _deliver(self, batch):
+        try:
             self._on_records(batch)
+        except Exception as exc:
+            note(ReaderFailed(self._stream, batch[0].offset, repr(exc)))
+            self._loop.fail()
+            raise
 
     def _decode(self, offset, data):
         try:
--- a/src/cardamomgrade/loop.py
+++ b/src/cardamomgrade/loop.py
@@ -8,6 +8,8 @@
 from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
 
+EXIT_INTERNAL = 70
+
 
 class Timer:
     """A pending call; ``cancel`` drops it."""
@@ -38,6 +40,7 @@
         self._order = itertools.count()
         self._on_stop = None
         self._stopping = False
+        self._failed = False
         self._done = lambda: False
 
     @staticmethod
@@ -92,11 +95,21 @@
         """End ``run`` after the current tick."""
         self._running = False
 
+    def fail(self):
+        """End the process with EXIT_INTERNAL after the current tick.
+
+        For a component whose state is no longer known; the platform replaces it.
+        """
+        self._failed = True
+        self._running = False
+
     def run(self, socket=None):
-        """Run until ``finish`` is called."""
+        """Run until ``finish`` is called; SystemExit after ``fail``."""
         self._running = True
         while self._running:
             self.tick()
+        if self._failed:
+            raise SystemExit(EXIT_INTERNAL)
 
     def run_until(self, done, timeout):
         """Run until ``done()`` holds or ``timeout`` seconds passed; return it."""
