--- a/tests/steps/whole.py
+++ b/tests/steps/whole.py
@@ -45,6 +45,17 @@
     world.later(3.0 + FREEZE_S, lambda: world.start_rack(2))
 
 
+def stop_log_and_replace(world):
+    stop_log(world)
+    world.later(4.0, lambda: world.signal("entry-e2", signal.SIGKILL))
+    world.later(5.0, lambda: world.start_entry("e2"))
+
+
+def fail_rack_and_freeze(world):
+    fail_rack(world)
+    freeze_entry(world)
+
+
 FAILURES = {
     "nothing fails": nothing,
     "an entry is killed and replaced": replace_entry,
@@ -53,6 +64,8 @@
     "a control is killed and another one freezes": fail_controls,
     "answers of the log are lost and the list lags more": lose_answers,
     "a rack fails and comes back": fail_rack,
+    "the log is down and an entry is replaced meanwhile": stop_log_and_replace,
+    "a rack fails while an entry freezes": fail_rack_and_freeze,
 }
 
 
--- a/tests/whole.feature
+++ b/tests/whole.feature
@@ -17,3 +17,5 @@
       | a control is killed and another one freezes         | 0    | 95       |
       | answers of the log are lost and the list lags more  | 0    | 80       |
       | a rack fails and comes back                         | 0    | 50       |
+      | the log is down and an entry is replaced meanwhile  | 5    | 30       |
+      | a rack fails while an entry freezes                 | 0    | 40       |
