Send nothing after a stand-still until the tail was read

Cause: Follower.paused() had a test and no caller: a member whose VM was out of the list for longer than 10 s while it stood still may have been recorded as gone. Ruled out: leaving it to the VM list alone (it lags, and may drop a VM that comes back). Change: may_send refuses then. Conclusion: a frozen entry that was taken for gone wakes without harm, but for a pause between the check and the send.

--- a/src/cardamomgrade/member.py
+++ b/src/cardamomgrade/member.py
@@ -151,6 +151,8 @@
         fresh = self.follower.fresh()
         if not self.is_member() and (fresh or not self._outage(self.state.members)):
             return Refusal(Reason.NOT_ACKNOWLEDGED, "the entry is no member")
+        if self.follower.paused():
+            return Refusal(Reason.NOT_SERVING, "the process stood still")
         if vm in self._departures:
             return Refusal(Reason.NOT_SERVING, f"{vm}: the platform shows it leaving")
         return may_send(self.state, vm, fresh)
--- a/tests/member.feature
+++ b/tests/member.feature
@@ -1,4 +1,4 @@
-Feature: an entry's acknowledgements after it lost its lease
+Feature: an entry's part in the fleet
 
   Scenario Outline: they wait for what a newcomer may have sent on its word
     Given a member of the fleet that reads the log
@@ -10,3 +10,8 @@
       | a tick         | once  |
       | a tick         | twice |
       | a heartbeat    | once  |
+
+  Scenario: a member that stood still sends nothing before it has read the tail
+    Given a member of the fleet that reads the log
+    When its process stands still for a minute
+    Then it sends to no VM until it has read the tail
--- a/tests/steps/member.py
+++ b/tests/steps/member.py
@@ -10,6 +10,7 @@
     encode_record,
     MemberJoined,
 )
+from cardamomgrade.refusal import Reason
 from fleets import bundle_text, ENTRIES, rollout
 from harness import free_address, Rig
 
@@ -85,3 +86,21 @@
         assert not lone.acked(), lone.now
         lone.now += STEP_S
     assert lone.acked()
+
+
+@when("its process stands still for a minute")
+def step_stand_still(context):
+    lone = context.lone
+    assert lone.member.may_send("a1") is True
+    lone.now += 60.0
+
+
+@then("it sends to no VM until it has read the tail")
+def step_sends_nothing(context):
+    lone = context.lone
+    assert lone.member.may_send("a1").reason is Reason.NOT_SERVING
+    lone.member.freshen(lone.now - 1.0)
+    assert lone.member.may_send("a1").reason is Reason.NOT_SERVING
+    lone.member.follower._beat()
+    lone.member.freshen(lone.now + 0.1)
+    assert lone.member.may_send("a1") is True
