Let the demo's load last as long as its wave

Cause: since VM lists are read less often during a wave, a step takes about 3.4 s, and the demo's wave of eight steps outlasted the load of 27 s: 14 of 16 VMs, exit 1. Ruled out: judging a wave that has not ended. Change: the load lasts 32 s.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -58,7 +58,7 @@
 done <"$OUT/endpoints.txt"
 "$PYTHON" -m cardamomgrade.load --entry 127.0.0.1:21010 --entry 127.0.0.1:21011 \
     --path /fines --path /formal-notices --path /reminders "$@" \
-    --rate 60 --seconds 27 --work-ms 20 >"$OUT/load.json" &
+    --rate 60 --seconds 32 --work-ms 20 >"$OUT/load.json" &
 LOAD=$!
 sleep 1
 release "$OUT/bundle-2.ini"
