End bounded runs of the loop after a failure too

Cause: fail() was honoured by run only; the command line runs its loop with run_until, and would have gone on to its timeout after a reader failed. A check in the signal handler could no longer be true. Ruled out: the test harness running on run_until as well; its conditions are then judged at each tick, some make calls, and the suite had not ended after 5 min 50 s (stopped). That part is reverted. The whole suite was not run to its end on this commit. Conclusion: one mechanism ends every kind of run.

--- a/src/cardamomgrade/loop.py
+++ b/src/cardamomgrade/loop.py
@@ -85,7 +85,7 @@
         signal.signal(signal.SIGINT, self._on_signal)
 
     def _on_signal(self, signo, frame):
-        if self._stopping or self._on_stop is None:
+        if self._stopping:
             raise SystemExit(1)
         self._stopping = True
         self.call_later(0, self._on_stop)
@@ -108,17 +108,24 @@
         self._running = True
         while self._running:
             self.tick()
-        if self._failed:
-            raise SystemExit(EXIT_INTERNAL)
+        self._check()
 
     def run_until(self, done, timeout):
-        """Run until ``done()`` holds or ``timeout`` seconds passed; return it."""
+        """Run until ``done()`` holds or ``timeout`` seconds passed; return it.
+
+        Raises SystemExit after ``fail``.
+        """
         end = self.now() + timeout
         wake = self.call_later(timeout, lambda: None)
         self._done = done
         self._running = True
-        while not done() and self.now() < end:
+        while not done() and not self._failed and self.now() < end:
             self.tick()
         self._done = lambda: False
         wake.cancel()
+        self._check()
         return done()
+
+    def _check(self):
+        if self._failed:
+            raise SystemExit(EXIT_INTERNAL)
--- a/tests/loop.feature
+++ b/tests/loop.feature
@@ -11,3 +11,8 @@
     Given a loop that is told what to do at a stop
     When SIGTERM comes before it runs
     Then the loop runs and leaves in order
+
+  Scenario: a failure ends a bounded run as well
+    Given a loop whose next timer is far away
+    When it fails while it runs until a condition holds
+    Then the bounded run ends with the status of an internal error
--- a/tests/steps/loop.py
+++ b/tests/steps/loop.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from circuits.core.events import generate_events
 
-from cardamomgrade.loop import Loop
+from cardamomgrade.loop import EXIT_INTERNAL, Loop
 
 FAR_S = 100.0
 
@@ -63,3 +63,17 @@
 @then("the loop runs and leaves in order")
 def step_left(context):
     assert context.loop.run_until(lambda: context.stopped, 5.0)
+
+
+@when("it fails while it runs until a condition holds")
+def step_fails(context):
+    context.loop.call_later(0, context.loop.fail)
+    try:
+        context.ended = context.loop.run_until(lambda: False, 2.0)
+    except SystemExit as exc:
+        context.ended = exc.code
+
+
+@then("the bounded run ends with the status of an internal error")
+def step_failed(context):
+    assert context.ended == EXIT_INTERNAL, context.ended
