Give each test process ports of its own below the ephemeral range

A port picked by binding port 0 lies in the ephemeral range, where the next outgoing connection of any of five parallel test processes can take it. Ruled out: a second user of the address in the same test, since the pick is closed before the bind. Ports now come from a range below 32768, one slice for each process.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -1,5 +1,6 @@
 """Runs a loop inside a test and programs of the package as processes."""
 
+import itertools
 import json
 import os
 import signal
@@ -53,11 +54,27 @@
         self.loop.run()
 
 
+# Ports below the ephemeral range of Linux (32768 and up): an outgoing connection of
+# another test cannot take one between the pick and the bind.
+PORTS_FIRST = 10_240
+PORTS_PER_PROCESS = 512
+PORT_SLOTS = 43
+_ports = itertools.count(os.getpid() // PORT_SLOTS * 97)
+
+
 def free_port():
-    """Return a TCP port of 127.0.0.1 that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a TCP port of 127.0.0.1 that is free now, of this process's own range."""
+    base = PORTS_FIRST + os.getpid() % PORT_SLOTS * PORTS_PER_PROCESS
+    for _ in range(PORTS_PER_PROCESS):
+        port = base + next(_ports) % PORTS_PER_PROCESS
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError(f"no free port from {base}")
 
 
 def free_address():
