--- /dev/null
+++ b/bin/cardamom_jobs.py
@@ -0,0 +1,10 @@
+"""Starts ``cardamom-jobs`` from a checkout, where the package is not installed."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from cardamomgrade.jobsd import main  # noqa: E402
+
+main()
--- a/scripts/catalogue.py
+++ b/scripts/catalogue.py
@@ -33,9 +33,14 @@
 
 
 def import_all():
-    """Import every module, so that every event is registered."""
-    for module in pkgutil.iter_modules(cardamomgrade.__path__):
-        importlib.import_module(f"cardamomgrade.{module.name}")
+    """Import every module, so that every event is registered; return them by name."""
+    names = [
+        module.name
+        for module in pkgutil.walk_packages(
+            cardamomgrade.__path__, f"{cardamomgrade.__name__}."
+        )
+    ]
+    return {name: importlib.import_module(name) for name in names}
 
 
 def events_page():
@@ -105,9 +110,9 @@
         "| module | job |",
         "|---|---|",
     ]
-    for module in pkgutil.iter_modules(cardamomgrade.__path__):
-        loaded = importlib.import_module(f"cardamomgrade.{module.name}")
-        lines.append(f"| `{module.name}` | {sentence(loaded)} |")
+    for name, module in import_all().items():
+        short = name.partition(".")[2]
+        lines.append(f"| `{short}` | {sentence(module)} |")
     return "\n".join(lines) + "\n"
 
 
--- a/src/cardamomgrade/health.py
+++ b/src/cardamomgrade/health.py
@@ -20,15 +20,29 @@
 @attrs.define
 class _Record:
     pool: str
+    delay_ms: int
     tasks: dict = attrs.field(factory=dict)
-    delay_ms: int = ASIDE_MIN_MS
     aside: bool = False
 
 
 class Health:
-    """Failures in a row of each worker that has any."""
-
-    def __init__(self):
+    """Failures in a row of each worker that has any.
+
+    ``streak_limit`` distinct tasks in a row set a worker aside, for ``aside_min_ms``
+    at first and ``aside_max_ms`` at most, and at most ``aside_share`` of a pool.
+    """
+
+    def __init__(
+        self,
+        streak_limit=STREAK_LIMIT_TASKS,
+        aside_min_ms=ASIDE_MIN_MS,
+        aside_max_ms=ASIDE_MAX_MS,
+        aside_share=ASIDE_SHARE,
+    ):
+        self._streak_limit = streak_limit
+        self._aside_min_ms = aside_min_ms
+        self._aside_max_ms = aside_max_ms
+        self._aside_share = aside_share
         self._records = {}
         self._aside = {}
         self._due = []
@@ -38,16 +52,16 @@
 
         A time in ms means that the worker is set aside from now on.
         """
-        record = self._records.setdefault(worker, _Record(pool))
+        record = self._records.setdefault(worker, _Record(pool, self._aside_min_ms))
         record.tasks[task] = True
-        if record.aside or len(record.tasks) < STREAK_LIMIT_TASKS:
+        if record.aside or len(record.tasks) < self._streak_limit:
             return None
-        if self._aside.get(pool, 0) >= max(1, int(pool_workers * ASIDE_SHARE)):
+        if self._aside.get(pool, 0) >= max(1, int(pool_workers * self._aside_share)):
             return None
         record.aside = True
         self._aside[pool] = self._aside.get(pool, 0) + 1
         until_ms = now_ms + record.delay_ms
-        record.delay_ms = min(record.delay_ms * 2, ASIDE_MAX_MS)
+        record.delay_ms = min(record.delay_ms * 2, self._aside_max_ms)
         heapq.heappush(self._due, (until_ms, worker))
         return until_ms
 
@@ -81,7 +95,7 @@
             record = self._records[worker]
             record.aside = False
             self._aside[record.pool] -= 1
-            kept = list(record.tasks)[: STREAK_LIMIT_TASKS - 1]
+            kept = list(record.tasks)[: self._streak_limit - 1]
             record.tasks = dict.fromkeys(kept, True)
             workers.append(worker)
         return workers
--- /dev/null
+++ b/src/cardamomgrade/jobs/driver.py
@@ -0,0 +1,459 @@
+"""Runs the scheduler of one term: feeds it, stores its decisions, sends its orders."""
+
+import time
+
+from ..errors import RecordError
+from ..journal import event, note
+from .agent import ExecutorAgent
+from .follow import TopicFollower
+from .lease import CLOCK_SLOWEST, LAPSE_MARGIN_MS, LEASE_MS
+from .pace import Pacer
+from .records import (
+    encode,
+    PREFIX_CANCEL,
+    PREFIX_JOB,
+    PREFIX_PROGRESS,
+    PREFIX_UPKEEP,
+    UpkeepRecord,
+)
+from .reports import OrderResult, Outcome, VmOrderResult
+from .scheduler import Scheduler
+from .spec import parse_task
+from .upkeep import UpkeepPlanner
+from .writer import Writer
+
+PLAN_PAUSE_S = 0.01  # decisions of this long share an append
+TICK_S = 0.25  # occurrences that come due, executors that come back
+LIST_S = 0.5  # the platform's upkeeps take seconds
+UNHEALTHY_REST_MS = 1000
+VM_LEASE_MARGIN_S = 0.3
+FORGET_MARGIN_S = 30.0
+MS = 1000
+
+
+@event(510)
+class WaveChanged:
+    """A wave began, or every VM of it has begun its upkeep."""
+
+    wave: int
+    state: str
+    vms: int
+    left: int
+
+
+@event(511)
+class UpkeepOrdered:
+    """The upkeep of a VM was ordered and answered."""
+
+    vm: str
+    wave: int
+    executor: str
+    result: str
+
+
+@event(512)
+class PaceOrdered:
+    """A task that fills is to work at another pace beside a task that serves."""
+
+    task: str
+    run: int
+    executor: str
+    percent: int
+
+
+class Driver:
+    """One term of the scheduler; ``on_deposed(why)`` is called when it is over.
+
+    ``first_term`` tells that no node scheduled before.
+    """
+
+    def __init__(self, loop, cfg, platform, term, view, queue_cfg, on_deposed):
+        self._loop = loop
+        self._cfg = cfg
+        self._platform = platform
+        self._view = view
+        self._on_deposed = on_deposed
+        self._epoch = term.epoch
+        self._since = loop.now()
+        self._agents = {}
+        self._marks = {}
+        self._at_work = {}
+        self._plan_timer = None
+        self._closed = False
+        self._listed = {}
+        self._listing = False
+        self._ordering = set()
+        self._announced = set()
+        self._forget_at = {}
+        self._pacer = Pacer()
+        self._upkeep = UpkeepPlanner()
+        self._scheduler = Scheduler(queue_cfg)
+        self._jobs_topic = platform.jobs_topic()
+        self._status_topic = platform.status_topic()
+        self._machines = platform.machines(term.epoch)
+        self._writer = Writer(loop, self._jobs_topic, term, self._depose)
+        self._executors = TopicFollower(
+            loop,
+            platform.executors_topic(),
+            "executors",
+            self._on_executor,
+            self._on_executors_read,
+        )
+        self._restore()
+        self._executors.start()
+        self._timers = [loop.call_later(TICK_S, self._tick)]
+
+    def _restore(self):
+        self._view.on_job = self._on_job
+        self._view.on_cancel = self._on_cancel
+        for name, row in self._view.rows.items():
+            if row.spec is not None:
+                self._scheduler.add_job(row.spec, row.progress)
+                if row.cancelled:
+                    self._scheduler.cancel(name)
+
+    def close(self, resign=False):
+        """End the term; ``resign`` tells the other nodes first."""
+        if self._closed:
+            return
+        self._closed = True
+        self._view.on_job = self._view.on_cancel = None
+        for timer in self._timers:
+            timer.cancel()
+        self._executors.close()
+        self._machines.close()
+        self._status_topic.close()
+        for agent in self._agents.values():
+            agent.close()
+        if resign:
+            self._writer.resign()
+        else:
+            self._writer.close()
+            self._jobs_topic.close()
+
+    def _depose(self, why):
+        if not self._closed:
+            self.close()
+            self._on_deposed(why)
+
+    # What the scheduler is told
+
+    def set_config(self, queue_cfg):
+        """Take a new version of the configuration."""
+        self._scheduler.set_config(queue_cfg)
+        self._request_plan()
+
+    def add_wave(self, request):
+        """Take in an operator's WaveRequest."""
+        self._upkeep.add(request, self._loop.now())
+        for vm, record in self._view.upkeeps.items():
+            if record.wave == request.wave and vm in request.vms:
+                self._upkeep.waves[request.wave].ordered[vm] = record.executor
+        self._list_vms()
+
+    def _on_job(self, spec):
+        self._scheduler.add_job(spec)
+        self._request_plan()
+
+    def _on_cancel(self, name):
+        self._scheduler.cancel(name)
+        self._request_plan()
+
+    def _on_executor(self, entry):
+        prefix, _, name = entry.key.rpartition("/")
+        if not entry.value:
+            self._scheduler.unlist_executor(name)
+            self._request_plan()
+            return
+        try:
+            found = self._platform.decode_executor(name, entry.value)
+        except RecordError as exc:
+            note(EntryUnreadable(name, str(exc)))
+            return
+        known = name in self._scheduler.executors
+        self._scheduler.put_executor(found)
+        if not known and self._scheduler.executors[name].holdings:
+            self._agent(name)
+        self._request_plan()
+
+    def _on_executors_read(self):
+        if self._executors.loaded:
+            self._request_plan()
+
+    # Decisions
+
+    def _request_plan(self):
+        if self._plan_timer is None and not self._closed:
+            self._plan_timer = self._loop.call_later(PLAN_PAUSE_S, self._plan)
+
+    def _plan(self):
+        self._plan_timer = None
+        if self._closed or not self._executors.loaded:
+            return
+        now_ms = self._loop.now() * MS
+        starts = self._scheduler.plan(now_ms, time.time() * MS)
+        stops = self._scheduler.take_stops()
+        dirty = self._scheduler.take_dirty()
+        marks, self._marks = self._marks, {}
+        if not (dirty or marks or stops):
+            return
+
+        def stored():
+            if not self._closed:
+                self._send(starts, stops, marks)
+
+        self._writer.store(dirty, stored)
+
+    def _send(self, starts, stops, marks):
+        for name, number in marks.items():
+            agent = self._agents.get(name)
+            if agent is not None:
+                agent.ends_stored(number)
+        for order in starts:
+            if order.executor in self._scheduler.executors:
+                self._agent(order.executor).start(order)
+        for order in stops:
+            if order.executor in self._scheduler.executors:
+                self._agent(order.executor).stop(order.task, order.run)
+
+    def _agent(self, name):
+        agent = self._agents.get(name)
+        if agent is None:
+            executor = self._scheduler.executors[name]
+            inherited = bool(executor.holdings) and not self._is_new(executor)
+            client = self._platform.executor(executor.entry, self._epoch)
+            agent = ExecutorAgent(self._loop, client, executor, self, inherited)
+            self._agents[name] = agent
+            agent.wake()
+        return agent
+
+    def _is_new(self, executor):
+        """Return whether all runs on an executor were placed in this term."""
+        return executor.name in self._scheduler.placed_here
+
+    def _tick(self):
+        if self._closed:
+            return
+        self._timers = [self._loop.call_later(TICK_S, self._tick)]
+        now = self._loop.now()
+        self._scheduler.next_due_ms(time.time() * MS)
+        lease_s = (LEASE_MS / CLOCK_SLOWEST + LAPSE_MARGIN_MS) / MS
+        if now - self._since > lease_s:
+            for name in self._scheduler.lost_executors():
+                self._scheduler.lose_runs(name, now * MS)
+        self._forget_jobs(now)
+        self._request_plan()
+        self._list_vms()
+
+    def _forget_jobs(self, now):
+        for name in self._scheduler.finished():
+            due = self._forget_at.setdefault(
+                name, now + self._cfg.status_ms / MS + FORGET_MARGIN_S
+            )
+            if due < now:
+                self._scheduler.forget_job(name)
+                del self._forget_at[name]
+                keys = (PREFIX_JOB, PREFIX_CANCEL, PREFIX_PROGRESS)
+                self._writer.store([(prefix + name, b"") for prefix in keys])
+
+    # What executors tell
+
+    def on_ends(self, name, ends):
+        """Runs ended on an executor."""
+        for item in ends:
+            self._scheduler.end(
+                name,
+                item.task,
+                item.run,
+                item.outcome,
+                item.checkpoint,
+                self._loop.now() * MS,
+            )
+            self._at_work.pop(item.task, None)
+            self._marks[name] = max(self._marks.get(name, 0), item.number)
+        self._request_plan()
+
+    def on_withdraw(self, name, task, run):
+        """A run surely never began."""
+        self._scheduler.withdraw(name, task, run)
+        self._request_plan()
+
+    def on_missing(self, name, task, run):
+        """A run that had begun is neither running nor listed as ended."""
+        now_ms = self._loop.now() * MS
+        self._scheduler.end(name, task, run, Outcome.LAPSED, "", now_ms)
+        self._request_plan()
+
+    def on_unhealthy(self, name):
+        """An executor refuses work for now."""
+        self._scheduler.set_aside(name, self._loop.now() * MS + UNHEALTHY_REST_MS)
+
+    def on_heard(self, name):
+        """An executor answers again."""
+        self._scheduler.reopen(name)
+        self._request_plan()
+
+    def on_lapsed(self, name):
+        """The lease of an executor surely lapsed; its life may go on."""
+        self._scheduler.lose_runs(name, self._loop.now() * MS)
+        self._request_plan()
+
+    def on_over(self, name):
+        """The life of an executor is over."""
+        self._scheduler.lose_runs(name, self._loop.now() * MS)
+        self._scheduler.forget_executor(name)
+        agent = self._agents.pop(name, None)
+        if agent is not None:
+            agent.close()
+        self._request_plan()
+
+    def on_fenced(self, name):
+        """An executor has seen a newer epoch."""
+        self._depose(f"executor {name} has seen a newer epoch")
+
+    def on_loads(self, name, running):
+        """An executor told what runs there, and how it fares."""
+        serving, fills = [], []
+        for item in running:
+            step = self._step(item.task)
+            if step is None:
+                continue
+            if step.lasting:
+                self._at_work[item.task] = item.percent >= 100
+            if step.fills:
+                fills.append((item.task, item.run))
+            elif step.target_ms:
+                serving.append((item.load, step.target_ms))
+        agent = self._agents.get(name)
+        if agent is None or not fills:
+            return
+        for order in self._pacer.decide(name, serving, fills, self._loop.now()):
+            note(PaceOrdered(order.task, order.run, name, order.percent))
+            agent.pace(order, lambda answer, order=order: self._paced(order, answer))
+
+    def _paced(self, order, answer):
+        if answer.result is not OrderResult.TAKEN:
+            self._pacer.failed(order)
+
+    def _step(self, task_name):
+        task_id = parse_task(task_name)
+        job = self._scheduler.jobs.get(task_id.job) if task_id is not None else None
+        return job.spec.steps[task_id.step] if job is not None else None
+
+    # Upkeep of VMs
+
+    def _list_vms(self):
+        due = any(state.left() for state in self._upkeep.waves.values())
+        if self._closed or self._listing or not due:
+            return
+        self._listing = True
+
+        def done(listed):
+            self._listing = False
+            if self._closed:
+                return
+            if isinstance(listed, tuple):
+                self._listed = {item.vm: item for item in listed}
+                self._plan_upkeep()
+
+        self._machines.list_vms(done)
+
+    def _plan_upkeep(self):
+        now = self._loop.now()
+        for wave, state in self._upkeep.waves.items():
+            self._settle_wave(wave, state)
+        plan = self._upkeep.plan(
+            self._listed, self._scheduler.executors, now, self._may_end
+        )
+        self._scheduler.cordon(plan.cordoned)
+        self._request_plan()
+        wait_s = self._cfg.machine_lease_ms / MS + VM_LEASE_MARGIN_S
+        if self._epoch > 1 and now - self._since < wait_s:
+            return
+        for vm, wave, executor in plan.orders:
+            if vm not in self._ordering:
+                self._order_upkeep(vm, wave, executor)
+
+    def _settle_wave(self, wave, state):
+        """Take note of upkeeps that the VM list shows as begun."""
+        for vm, executor in state.ordered.items():
+            machine = self._listed.get(vm)
+            if machine is not None and (
+                machine.state == "upkeep" or machine.executor not in ("", executor)
+            ):
+                self._upkeep.begun(wave, vm)
+        for vm in state.left():
+            if self._listed and vm not in self._listed:
+                self._upkeep.begun(wave, vm)
+        self._announce(wave, state)
+
+    def _announce(self, wave, state):
+        completed = self._upkeep.is_complete(wave)
+        if (wave, completed) in self._announced:
+            return
+        name = "completed" if completed else "running"
+        note(WaveChanged(wave, name, len(state.request.vms), len(state.left())))
+        self._announced.add((wave, completed))
+
+        def done(result):
+            if not result and not self._closed:
+                self._announced.discard((wave, completed))
+
+        item = self._platform.encode_wave_status(wave, completed)
+        self._status_topic.append([item], done, 1.0)
+
+    def _may_end(self, executor):
+        """Return whether ending all that runs there keeps every availability budget."""
+        ending = {}
+        for name in executor.holdings:
+            step = self._step(name)
+            if step is not None and step.lasting and step.may_miss >= 0:
+                ending.setdefault(name.rpartition(".")[0], []).append(name)
+        for step_name, names in ending.items():
+            if not any(self._at_work.get(name) for name in names):
+                continue
+            job, occurrence, number = step_name.split(".")
+            step = self._scheduler.jobs[job].spec.steps[int(number)]
+            others = [
+                f"{step_name}.{index}"
+                for index in range(step.tasks)
+                if f"{step_name}.{index}" not in names
+            ]
+            away = sum(not self._at_work.get(name) for name in others)
+            if away + len(names) > step.may_miss:
+                return False
+        return True
+
+    def _order_upkeep(self, vm, wave, executor):
+        self._ordering.add(vm)
+        state = self._upkeep.waves[wave]
+        state.ordered[vm] = executor
+        record = UpkeepRecord(wave, executor, self._epoch)
+
+        def answered(result):
+            self._ordering.discard(vm)
+            if self._closed:
+                return
+            note(UpkeepOrdered(vm, wave, executor, result.value))
+            if result is VmOrderResult.DONE:
+                self._upkeep.begun(wave, vm)
+                self._announce(wave, state)
+                self.on_over(executor)
+            elif result in (VmOrderResult.BUSY, VmOrderResult.NOT_DONE):
+                state.ordered.pop(vm, None)
+            elif result is VmOrderResult.FENCED:
+                self._depose("the platform has seen a newer holder")
+
+        def stored():
+            if not self._closed:
+                self._machines.upkeep(vm, wave, answered)
+
+        self._writer.store([(PREFIX_UPKEEP + vm, encode(record))], stored)
+
+
+@event(513)
+class EntryUnreadable:
+    """What an executor registered cannot be read; it gets no runs through it."""
+
+    executor: str
+    detail: str
--- /dev/null
+++ b/src/cardamomgrade/jobs/entry.py
@@ -0,0 +1,177 @@
+"""Answers callers: stores what they submit and cancel, tells what became of it.
+
+Nothing is answered with success before the store acknowledged it, and nothing is
+said of jobs or queues from a copy that is older than the store's last answer allows.
+"""
+
+import time
+
+from ..journal import event, note
+from .calls import Answer, AnswerKind, CallKind
+from .records import CancelRecord, encode, PREFIX_CANCEL, PREFIX_JOB
+from .spec import JobSpec
+from .store import Appended, AppendFate
+
+STALE_S = 2.0  # a copy this old says nothing of jobs or queues: below visible_ms
+APPEND_TIMEOUT_S = 1.0  # a third of a caller's deadline
+RETRY_AFTER_S = 1
+MS = 1000
+
+
+@event(530)
+class JobAnswered:
+    """A caller's call on a job was answered; ``age_ms`` is that of the copy used."""
+
+    call: str
+    job: str
+    queue: str
+    answer: str
+    state: str
+    age_ms: int
+    took_ms: float
+    detail: str
+
+
+class Intake:
+    """Appends of one node, one call at a time; what waits meanwhile shares the next."""
+
+    def __init__(self, client):
+        self._client = client
+        self._waiting = []
+        self._busy = False
+
+    def store(self, key, value, on_done):
+        """Store one record; ``on_done(Appended | AppendFailed)``."""
+        self._waiting.append((key, value, on_done))
+        self._flush()
+
+    def _flush(self):
+        if self._busy or not self._waiting:
+            return
+        self._busy = True
+        batch, self._waiting = self._waiting, []
+        items = list({key: value for key, value, _ in batch}.items())
+
+        def done(result):
+            self._busy = False
+            for _, _, on_done in batch:
+                on_done(result)
+            self._flush()
+
+        self._client.append(items, done, APPEND_TIMEOUT_S)
+
+
+class JobEntry:
+    """Serves checked calls; ``on_done(Answer)`` follows each, once.
+
+    ``sync(on_done)`` brings the view up to date before a job is called unknown.
+    """
+
+    def __init__(self, loop, view, follower, intake, sync, wall_ms=None):
+        self._loop = loop
+        self._view = view
+        self._follower = follower
+        self._intake = intake
+        self._sync = sync
+        self._wall_ms = wall_ms or (lambda: int(time.time() * MS))
+
+    @property
+    def fresh(self):
+        """Whether this node's copy is new enough to speak from."""
+        return self._follower.loaded and self._follower.age() < STALE_S
+
+    def serve(self, call, queue, on_done):
+        """Serve a JobCall on a Queue."""
+        started = self._loop.now()
+
+        def answer(result):
+            now = self._loop.now()
+            state = result.state.name.lower() if result.state is not None else ""
+            note(
+                JobAnswered(
+                    call.kind.value,
+                    call.job,
+                    call.queue,
+                    result.kind.value,
+                    state,
+                    int(min(self._follower.age(), 3600) * MS),
+                    round((now - started) * MS, 1),
+                    result.detail,
+                )
+            )
+            on_done(result)
+
+        if call.kind is CallKind.SUBMIT:
+            self._submit(call, queue, answer)
+        elif not self.fresh:
+            answer(unavailable("this node's copy of the jobs is too old"))
+        elif call.kind is CallKind.COUNT:
+            waiting = self._view.waiting(call.queue)
+            answer(Answer(AnswerKind.DONE, waiting=waiting))
+        else:
+            self._find(call, answer)
+
+    def _submit(self, call, queue, answer):
+        if self._view.find(call.job) is not None:
+            answer(Answer(AnswerKind.DONE))
+            return
+        spec = JobSpec(
+            call.job,
+            queue.name,
+            queue.service,
+            call.text,
+            self._wall_ms(),
+            call.steps,
+            call.repeat,
+            call.start_at_ms,
+            call.interval_ms,
+        )
+
+        def stored(result):
+            answer(_stored_answer(result))
+
+        self._intake.store(PREFIX_JOB + call.job, encode(spec), stored)
+
+    def _find(self, call, answer):
+        row = self._view.find(call.job)
+        if row is not None:
+            self._answer_found(call, row, answer)
+            return
+
+        def synced(reached):
+            row = self._view.find(call.job)
+            if row is not None:
+                self._answer_found(call, row, answer)
+            elif reached:
+                answer(Answer(AnswerKind.NO_JOB))
+            else:
+                answer(unavailable("the store did not answer"))
+
+        self._sync(synced)
+
+    def _answer_found(self, call, row, answer):
+        if call.kind is CallKind.STATUS:
+            answer(Answer(AnswerKind.DONE, state=row.state))
+            return
+        if row.state.final:
+            answer(Answer(AnswerKind.DONE))
+            return
+
+        def stored(result):
+            answer(_stored_answer(result))
+
+        value = encode(CancelRecord(self._wall_ms()))
+        self._intake.store(PREFIX_CANCEL + call.job, value, stored)
+
+
+def unavailable(detail):
+    """Return the Answer to a call that cannot be served now and was not done."""
+    return Answer(AnswerKind.UNAVAILABLE, retry_after_s=RETRY_AFTER_S, detail=detail)
+
+
+def _stored_answer(result):
+    if isinstance(result, Appended):
+        return Answer(AnswerKind.DONE)
+    if result.fate is AppendFate.NOT_DONE:
+        return unavailable(f"not stored: {result.detail}")
+    return Answer(AnswerKind.UNKNOWN, detail=f"may be stored: {result.detail}")
--- /dev/null
+++ b/src/cardamomgrade/jobs/records.py
@@ -0,0 +1,146 @@
+"""Records of the jobs' store: one key an item, the newest value of a key counts.
+
+| key | record | written by |
+|---|---|---|
+| ``job/ID`` | JobSpec | the entry that accepted the job |
+| ``cancel/ID`` | CancelRecord | the entry that took the cancellation |
+| ``progress/ID`` | ProgressRecord | the scheduler |
+| ``upkeep/VM`` | UpkeepRecord | the scheduler |
+| ``term`` | TermRecord | the scheduler and its candidates |
+
+A value is CBOR. Writing a record again changes nothing, so an append whose answer
+was lost may be repeated.
+"""
+
+from enum import IntEnum, unique
+
+import attrs
+import cbor2
+
+from ..errors import RecordError
+from .spec import JobSpec, Step
+
+KEY_TERM = "term"
+PREFIX_JOB = "job/"
+PREFIX_CANCEL = "cancel/"
+PREFIX_PROGRESS = "progress/"
+PREFIX_UPKEEP = "upkeep/"
+
+
+@unique
+class JobState(IntEnum):
+    """What a caller is told of a job."""
+
+    PENDING = 0
+    RUNNING = 1
+    COMPLETED = 2
+    FAILED = 3
+    CANCELLED = 4
+
+    @property
+    def final(self):
+        """Whether the state never changes again."""
+        return self in (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+
+
+@unique
+class Phase(IntEnum):
+    """What the newest run of a task is doing."""
+
+    WAITING = 0
+    PLACED = 1
+    DONE = 2
+    EXHAUSTED = 3
+
+
+@attrs.frozen
+class TaskRecord:
+    """One task that was started at least once; ``run`` is its newest run."""
+
+    occurrence: int
+    step: int
+    index: int
+    run: int
+    phase: int
+    executor: str
+    failures: int
+    checkpoint: str
+
+
+@attrs.frozen
+class ProgressRecord:
+    """All that the scheduler decided about a job."""
+
+    state: int
+    tasks: tuple
+
+
+@attrs.frozen
+class CancelRecord:
+    """A caller's cancellation, by the wall clock of the entry."""
+
+    at_ms: int
+
+
+@attrs.frozen
+class UpkeepRecord:
+    """An upkeep that is about to be ordered; ``executor`` is the life it ends."""
+
+    wave: int
+    executor: str
+    epoch: int
+
+
+@attrs.frozen
+class TermRecord:
+    """The scheduler of one epoch; ``beat`` counts up while it lives."""
+
+    epoch: int
+    node: str
+    incarnation: str
+    beat: int
+    resigned: bool
+
+
+def encode(record):
+    """Return the bytes of a record."""
+    return cbor2.dumps(attrs.astuple(record))
+
+
+def _load(cls, data):
+    try:
+        fields = cbor2.loads(data)
+        return cls(*fields)
+    except (cbor2.CBORError, ValueError, TypeError, OverflowError) as exc:
+        raise RecordError(f"{cls.__name__}: {exc}") from exc
+
+
+def decode_job(data):
+    """Return the JobSpec of a ``job/`` key; raise RecordError."""
+    spec = _load(JobSpec, data)
+    try:
+        steps = tuple(Step(*fields) for fields in spec.steps)
+    except TypeError as exc:
+        raise RecordError(f"JobSpec: {exc}") from exc
+    return attrs.evolve(spec, steps=steps)
+
+
+def decode_progress(data):
+    """Return the ProgressRecord of a ``progress/`` key; raise RecordError."""
+    record = _load(ProgressRecord, data)
+    try:
+        tasks = tuple(TaskRecord(*fields) for fields in record.tasks)
+        JobState(record.state)
+    except (TypeError, ValueError) as exc:
+        raise RecordError(f"ProgressRecord: {exc}") from exc
+    return attrs.evolve(record, tasks=tasks)
+
+
+def decode_term(data):
+    """Return the TermRecord of the ``term`` key; raise RecordError."""
+    return _load(TermRecord, data)
+
+
+def decode_upkeep(data):
+    """Return the UpkeepRecord of an ``upkeep/`` key; raise RecordError."""
+    return _load(UpkeepRecord, data)
--- /dev/null
+++ b/src/cardamomgrade/jobs/spec.py
@@ -0,0 +1,90 @@
+"""What callers submit: jobs, their steps and the names of their tasks."""
+
+import attrs
+
+
+@attrs.frozen
+class Step:
+    """Tasks of one kind that may run at the same time.
+
+    ``cores_m`` is in thousandths of a core, ``estimate_ms`` a rough duration of one
+    task. ``after`` are the numbers of steps that must be done first. ``per_executor``
+    bounds the tasks of one occurrence on one executor; 0 is no bound. ``may_miss``
+    is how many tasks of a lasting step this system may take away at once, or -1 when
+    the step sets no such budget.
+    """
+
+    tasks: int
+    cores_m: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimate_ms: int = 0
+    after: tuple = attrs.field(default=(), converter=tuple)
+    label: str = ""
+    rack: str = ""
+    per_executor: int = 0
+    gang: bool = False
+    rack_local: bool = False
+    speculative: bool = False
+    lasting: bool = False
+    checkpoints: bool = False
+    fills: bool = False
+    image: str = ""
+    target_ms: int = 0
+    may_miss: int = -1
+
+    @property
+    def counted_cores_m(self):
+        """Thousandths of a core that count against an executor's capacity."""
+        return 0 if self.fills else self.cores_m
+
+
+@attrs.frozen
+class JobSpec:
+    """A job as it was accepted.
+
+    ``accepted_ms`` is the wall clock of the entry. ``repeat`` above 0 makes the steps
+    run that many times, occurrence K at ``start_at_ms + K * interval_ms``.
+    """
+
+    job: str
+    queue: str
+    service: str
+    text: str
+    accepted_ms: int
+    steps: tuple
+    repeat: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+    @property
+    def lasting(self):
+        """Whether any step runs until the job is cancelled."""
+        return any(step.lasting for step in self.steps)
+
+    def due_ms(self, occurrence):
+        """Return the wall-clock time at which an occurrence may start, or 0."""
+        if self.repeat == 0:
+            return 0
+        return self.start_at_ms + occurrence * self.interval_ms
+
+
+@attrs.frozen(order=True)
+class TaskId:
+    """The name of one task: job, occurrence, step and index."""
+
+    job: str
+    occurrence: int
+    step: int
+    index: int
+
+    def __str__(self):
+        return f"{self.job}.{self.occurrence}.{self.step}.{self.index}"
+
+
+def parse_task(text):
+    """Return the TaskId in ``text``, or None when it is no task's name."""
+    parts = text.split(".")
+    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+        return None
+    return TaskId(parts[0], *(int(part) for part in parts[1:]))
--- /dev/null
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -0,0 +1,139 @@
+"""Which VM of a wave has its upkeep when; pure state, times are seconds.
+
+Load pattern: half of the estate is due within half a minute, while every queue in
+turn asks for more than its pool holds. VMs are closed to new runs a little ahead, the
+emptiest of the pool with the most room first, and go down once nothing that would be
+lost runs on them, or when the wave's time runs short.
+"""
+
+import attrs
+
+DRAIN_S = 3.0  # a little over the longest task seen on the sheets, 2.5 s
+HASTE_S = 2.0  # what an upkeep takes from its order, with a margin
+STATE_UP = "up"
+
+
+@attrs.define(eq=False)
+class WaveState:
+    """An open wave; ``begun`` are the VMs whose upkeep surely began."""
+
+    request: object
+    since: float
+    begun: set = attrs.field(factory=set)
+    ordered: dict = attrs.field(factory=dict)
+    draining: dict = attrs.field(factory=dict)
+
+    def left(self):
+        """Return the VMs whose upkeep has not begun."""
+        return [vm for vm in self.request.vms if vm not in self.begun]
+
+
+@attrs.frozen
+class UpkeepPlan:
+    """What to do now: executors closed to new runs, and (vm, wave, executor) orders."""
+
+    cordoned: frozenset
+    orders: tuple
+
+
+class UpkeepPlanner:
+    """All open waves."""
+
+    def __init__(self):
+        self.waves = {}
+
+    def add(self, request, now):
+        """Take in an operator's WaveRequest."""
+        if request.wave not in self.waves:
+            self.waves[request.wave] = WaveState(request, now)
+
+    def begun(self, wave, vm):
+        """Take note that the upkeep of a VM surely began."""
+        state = self.waves.get(wave)
+        if state is not None:
+            state.begun.add(vm)
+            state.draining.pop(vm, None)
+
+    def is_complete(self, wave):
+        """Return whether every VM of a wave has begun its upkeep."""
+        return not self.waves[wave].left()
+
+    def plan(self, listed, executors, now, may_end):
+        """Return the UpkeepPlan.
+
+        ``listed`` maps a VM to its ListedMachine, ``executors`` an executor's id to
+        its Executor; ``may_end(executor)`` tells whether ending what runs there keeps
+        every availability budget.
+        """
+        cordoned, orders = set(), []
+        for wave, state in self.waves.items():
+            if state.left():
+                self._plan_wave(
+                    wave, state, listed, executors, now, may_end, cordoned, orders
+                )
+        return UpkeepPlan(frozenset(cordoned), tuple(orders))
+
+    def _plan_wave(
+        self, wave, state, listed, executors, now, may_end, cordoned, orders
+    ):
+        down = self._down(state, listed)
+        self._choose(state, listed, executors, now, down)
+        free = state.request.at_once - len(down)
+        for vm, since in sorted(state.draining.items(), key=lambda pair: pair[1]):
+            machine = listed.get(vm)
+            if machine is None or machine.state != STATE_UP:
+                continue
+            executor = executors.get(machine.executor)
+            cordoned.add(machine.executor)
+            if free <= 0 or executor is None:
+                continue
+            if self._may_go(executor, now - since) and may_end(executor):
+                orders.append((vm, wave, machine.executor))
+                free -= 1
+
+    def _down(self, state, listed):
+        """Return the VMs of a wave that are or may be down for their upkeep."""
+        down = set()
+        for vm, executor in state.ordered.items():
+            machine = listed.get(vm)
+            back = (
+                machine is not None
+                and machine.state == STATE_UP
+                and machine.executor != executor
+            )
+            if not back and machine is not None:
+                down.add(vm)
+        return down
+
+    def _may_go(self, executor, waited):
+        finite = [item for item in executor.holdings.values() if not item.lasting]
+        return not finite or waited >= DRAIN_S
+
+    def _choose(self, state, listed, executors, now, down):
+        """Pick the VMs to drain next: as many as may be down at once, and one more."""
+        wanted = state.request.at_once + 1 - len(state.draining)
+        if wanted <= 0:
+            return
+        waiting = [
+            vm
+            for vm in state.left()
+            if vm not in state.draining
+            and vm not in down
+            and vm in listed
+            and listed[vm].state == STATE_UP
+            and listed[vm].executor in executors
+        ]
+        busy = {}
+        for vm in state.draining:
+            if vm in listed:
+                busy[listed[vm].pool] = busy.get(listed[vm].pool, 0) + 1
+
+        def rank(vm):
+            executor = executors[listed[vm].executor]
+            return (busy.get(listed[vm].pool, 0), len(executor.holdings), vm)
+
+        for _ in range(min(wanted, len(waiting))):
+            vm = min(waiting, key=rank)
+            waiting.remove(vm)
+            state.draining[vm] = now
+            busy[listed[vm].pool] = busy.get(listed[vm].pool, 0) + 1
--- /dev/null
+++ b/src/cardamomgrade/jobs/view.py
@@ -0,0 +1,132 @@
+"""A node's copy of all jobs, folded from the jobs' topic."""
+
+import attrs
+
+from ..errors import RecordError
+from ..journal import event, note
+from .records import (
+    decode_job,
+    decode_progress,
+    decode_term,
+    decode_upkeep,
+    JobState,
+    KEY_TERM,
+    PREFIX_CANCEL,
+    PREFIX_JOB,
+    PREFIX_PROGRESS,
+    PREFIX_UPKEEP,
+)
+
+
+@event(522)
+class RecordSkipped:
+    """A record that cannot be read was passed over."""
+
+    key: str
+    offset: int
+    detail: str
+
+
+@attrs.define(eq=False)
+class JobRow:
+    """What is stored of one job; ``spec`` is None until the job itself was read."""
+
+    spec: object = None
+    cancelled: bool = False
+    progress: object = None
+
+    @property
+    def state(self):
+        """The JobState that callers are told."""
+        state = JobState.PENDING
+        if self.progress is not None:
+            state = JobState(self.progress.state)
+        if self.cancelled and not state.final:
+            return JobState.CANCELLED
+        return state
+
+
+class JobView:
+    """Rows by job, the newest term, and the upkeeps that were ordered.
+
+    ``on_job(spec)``, ``on_cancel(job)`` and ``on_term(record, offset)`` may be set.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.upkeeps = {}
+        self.term = None
+        self.on_job = None
+        self.on_cancel = None
+        self.on_term = None
+        self._folds = (
+            (PREFIX_JOB, self._fold_job),
+            (PREFIX_CANCEL, self._fold_cancel),
+            (PREFIX_PROGRESS, self._fold_progress),
+            (PREFIX_UPKEEP, self._fold_upkeep),
+        )
+
+    def find(self, name):
+        """Return the JobRow of an accepted job, or None."""
+        row = self.rows.get(name)
+        return row if row is not None and row.spec is not None else None
+
+    def waiting(self, queue):
+        """Return how many jobs of a queue have no task that started."""
+        return sum(
+            row.spec is not None
+            and row.spec.queue == queue
+            and row.spec.repeat == 0
+            and row.state is JobState.PENDING
+            for row in self.rows.values()
+        )
+
+    def fold(self, entry):
+        """Take in one Entry of the topic; one that cannot be read is logged."""
+        try:
+            if entry.key == KEY_TERM:
+                self._fold_term(entry)
+                return
+            for prefix, fold in self._folds:
+                if entry.key.startswith(prefix):
+                    fold(entry.key[len(prefix) :], entry.value)
+                    return
+        except RecordError as exc:
+            note(RecordSkipped(entry.key, entry.offset, str(exc)))
+
+    def _fold_term(self, entry):
+        record = decode_term(entry.value)
+        if self.term is None or record.epoch >= self.term.epoch:
+            self.term = record
+            if self.on_term is not None:
+                self.on_term(record, entry.offset)
+
+    def _row(self, name):
+        return self.rows.setdefault(name, JobRow())
+
+    def _fold_job(self, name, value):
+        if not value:
+            self.rows.pop(name, None)
+            return
+        row = self._row(name)
+        if row.spec is None:
+            row.spec = decode_job(value)
+            if self.on_job is not None:
+                self.on_job(row.spec)
+
+    def _fold_cancel(self, name, value):
+        if not value:
+            return
+        self._row(name).cancelled = True
+        if self.on_cancel is not None:
+            self.on_cancel(name)
+
+    def _fold_progress(self, name, value):
+        if value:
+            self._row(name).progress = decode_progress(value)
+
+    def _fold_upkeep(self, name, value):
+        if value:
+            self.upkeeps[name] = decode_upkeep(value)
+        else:
+            self.upkeeps.pop(name, None)
--- /dev/null
+++ b/src/cardamomgrade/jobs/writer.py
@@ -0,0 +1,133 @@
+"""The scheduler's appends: one under way at a time, numbered under its epoch."""
+
+import attrs
+
+from ..journal import event, note
+from .records import encode, KEY_TERM, TermRecord
+from .store import Appended, AppendFate, WriterMark
+from .term import BEAT_S
+
+WRITER_NAME = "scheduler"
+APPEND_TIMEOUT_S = 0.6  # over the answer of a store that is 60 times as slow
+RETRY_S = 0.05
+BATCH_BYTES = 512 * 1024  # a quarter of what one call of the store takes
+
+
+@event(524)
+class AppendRetried:
+    """An append of the scheduler was not acknowledged and is sent again."""
+
+    sequence: int
+    fate: str
+    detail: str
+
+
+@attrs.define(eq=False)
+class _Batch:
+    items: list
+    callbacks: list
+    sequence: int
+
+
+class Writer:
+    """Stores records in order and calls back once they are acknowledged."""
+
+    def __init__(self, loop, client, term, on_deposed):
+        self._loop = loop
+        self._client = client
+        self._epoch = term.epoch
+        self._term = term
+        self._on_deposed = on_deposed
+        self._items = {}
+        self._callbacks = []
+        self._batch = None
+        self._sequence = term.beat
+        self._beat_at = loop.now()
+        self._closed = False
+        self._timer = loop.call_later(BEAT_S, self._beat)
+
+    def close(self):
+        """Write no more; records that wait are dropped."""
+        self._closed = True
+        self._timer.cancel()
+
+    @property
+    def idle(self):
+        """Whether nothing waits to be acknowledged."""
+        return self._batch is None and not self._items and not self._callbacks
+
+    def store(self, items, on_stored=None):
+        """Store (key, value) pairs; ``on_stored()`` follows their acknowledgement.
+
+        A newer value of a key that still waits takes the place of the older one.
+        """
+        self._items.update(items)
+        if on_stored is not None:
+            self._callbacks.append(on_stored)
+        self._flush()
+
+    def _beat(self):
+        if self._closed:
+            return
+        self._timer = self._loop.call_later(BEAT_S, self._beat)
+        if self._loop.now() - self._beat_at >= BEAT_S / 2:
+            self.store([])
+
+    def resign(self):
+        """Tell the others that this node schedules no more."""
+        self._items[KEY_TERM] = encode(attrs.evolve(self._term, resigned=True))
+        self._flush()
+
+    def _flush(self):
+        if self._closed or self._batch is not None:
+            return
+        now = self._loop.now()
+        if not self._items and not self._callbacks and now - self._beat_at < BEAT_S / 2:
+            return
+        self._sequence += 1
+        if KEY_TERM not in self._items and now - self._beat_at >= BEAT_S / 2:
+            self._beat_at = now
+            term = attrs.evolve(self._term, beat=self._sequence)
+            self._items[KEY_TERM] = encode(term)
+        if not self._items:
+            term = attrs.evolve(self._term, beat=self._sequence)
+            self._items[KEY_TERM] = encode(term)
+        items, size = [], 0
+        for key in list(self._items):
+            value = self._items.pop(key)
+            items.append((key, value))
+            size += len(key) + len(value)
+            if size > BATCH_BYTES:
+                break
+        callbacks = []
+        if not self._items:
+            callbacks, self._callbacks = self._callbacks, []
+        self._batch = _Batch(items, callbacks, self._sequence)
+        self._send()
+
+    def _send(self):
+        if self._closed:
+            return
+        batch = self._batch
+        mark = WriterMark(WRITER_NAME, self._epoch, batch.sequence)
+        self._client.append(batch.items, self._done, APPEND_TIMEOUT_S, writer=mark)
+
+    def _done(self, result):
+        if self._closed:
+            return
+        if isinstance(result, Appended):
+            batch, self._batch = self._batch, None
+            for callback in batch.callbacks:
+                callback()
+            self._flush()
+            return
+        if result.fate in (AppendFate.FENCED, AppendFate.OUT_OF_SEQUENCE):
+            self._on_deposed(result.fate.value)
+            return
+        note(AppendRetried(self._batch.sequence, result.fate.value, result.detail))
+        self._loop.call_later(RETRY_S, self._send)
+
+
+def first_term(term, node, incarnation):
+    """Return the TermRecord with which a node stands."""
+    return TermRecord(term.epoch + 1, node, incarnation, 0, False)
--- /dev/null
+++ b/src/cardamomgrade/jobsd.py
@@ -0,0 +1,39 @@
+"""Program ``cardamom-jobs``: takes jobs from callers and runs them on executors."""
+
+import sys
+
+import click
+
+from .errors import SettingsError
+from .jobs.node import Node
+from .journal import start_journal
+from .loop import Loop
+from .platform.adapter import Platform
+from .platform.boot import load_settings
+
+EXIT_BAD_SETTINGS = 2
+PROGRAM = "cardamom-jobs"
+
+
+@click.command(help=__doc__)
+@click.option("--check-settings", is_flag=True, help="Print settings and exit.")
+def main(check_settings):
+    """Run a node with the settings file that the platform names."""
+    try:
+        cfg = load_settings()
+    except SettingsError as exc:
+        click.echo(str(exc), err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if check_settings:
+        click.echo(str(cfg))
+        return
+    start_journal(PROGRAM, cfg.node, sys.stdout)
+    loop = Loop()
+    node = Node(loop, cfg, Platform)
+    loop.on_stop(node.stop)
+    node.start()
+    loop.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cardamomgrade/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: its names, formats and calls. Decides nothing."""
--- /dev/null
+++ b/src/cardamomgrade/platform/adapter.py
@@ -0,0 +1,61 @@
+"""The platform as a node uses it: makes the clients and decodes the records."""
+
+from . import ingress, records
+from .executor import ExecutorClient
+from .machines import MachinesClient
+from .store import (
+    TOPIC_EXECUTORS,
+    TOPIC_JOBS,
+    TOPIC_OPERATOR,
+    TOPIC_STATUS,
+    TopicClient,
+)
+
+
+class Platform:
+    """Clients of one process for the platform that its settings name."""
+
+    ready_path = ingress.READY_PATH
+    decode_call = staticmethod(ingress.decode_call)
+    encode_answer = staticmethod(ingress.encode_answer)
+    bad_request = staticmethod(ingress.bad_request)
+    decode_config = staticmethod(records.decode_config)
+    decode_executor = staticmethod(records.decode_executor)
+    decode_wave = staticmethod(records.decode_wave)
+    encode_wave_status = staticmethod(records.encode_wave_status)
+    key_config = records.KEY_CONFIG
+    prefix_wave = records.PREFIX_WAVE
+
+    def __init__(self, loop, net, cfg):
+        self._loop = loop
+        self._net = net
+        self._cfg = cfg
+
+    def _topic(self, name):
+        return TopicClient(self._loop, self._net, self._cfg.store, name)
+
+    def jobs_topic(self):
+        """Return a client of the jobs' topic."""
+        return self._topic(TOPIC_JOBS)
+
+    def operator_topic(self):
+        """Return a client of the operators' topic."""
+        return self._topic(TOPIC_OPERATOR)
+
+    def executors_topic(self):
+        """Return a client of the topic in which executors register."""
+        return self._topic(TOPIC_EXECUTORS)
+
+    def status_topic(self):
+        """Return a client of the topic that operators read."""
+        return self._topic(TOPIC_STATUS)
+
+    def executor(self, entry, epoch):
+        """Return a client of one life of an executor."""
+        return ExecutorClient(self._loop, self._net, entry, epoch)
+
+    def machines(self, epoch):
+        """Return a client of the VMs' interface under a scheduler's epoch."""
+        return MachinesClient(
+            self._loop, self._net, self._cfg.machines, self._cfg.node, epoch
+        )
--- /dev/null
+++ b/src/cardamomgrade/platform/boot.py
@@ -0,0 +1,104 @@
+"""The platform's settings file (YAML) as NodeSettings."""
+
+import os
+from pathlib import Path
+
+import attrs
+import yaml
+
+from ..errors import SettingsError
+from ..jobs.settings import NodeSettings, StoreLimits
+
+PATH_VARIABLE = "CARDAMOMGRADE_BOOT"
+MS = 1000
+
+
+@attrs.frozen
+class _Field:
+    """Where a value stands in the file, its type and what is allowed."""
+
+    path: tuple
+    kind: type
+    allowed: str
+
+
+_TEXT, _COUNT = "text", "a number of 0 or more"
+_FIELDS = {
+    "node": _Field(("nodeName",), str, _TEXT),
+    "zone": _Field(("zone",), str, _TEXT),
+    "front": _Field(("listen", "front"), str, "ip:port"),
+    "ready": _Field(("listen", "ready"), str, "ip:port"),
+    "store": _Field(("platform", "address"), str, "ip:port"),
+    "machines": _Field(("cloud", "address"), str, "ip:port"),
+}
+_BOUNDS = {
+    # field: (name of the platform, factor to our unit)
+    "stop_ms": ("stopTimeoutMs", 1),
+    "max_lease_ms": ("maxHoldMs", 1),
+    "machine_lease_ms": ("leaseMs", 1),
+    "upkeep_ms": ("maintenanceS", MS),
+    "status_ms": ("status_s", MS),
+    "visible_ms": ("visible_ms", 1),
+    "grace_ms": ("graceS", MS),
+    "notice_ms": ("noticeMs", 1),
+    "pace_ms": ("paceMs", 1),
+    "interference_ms": ("interferenceMs", 1),
+}
+
+
+def settings_path():
+    """Return the path of the settings file; raise SettingsError when none is named."""
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise SettingsError(f"{PATH_VARIABLE} is not set")
+    return path
+
+
+def _dig(path, tree, field):
+    value = tree
+    for key in field.path:
+        if not isinstance(value, dict) or key not in value:
+            raise SettingsError(
+                f"{path}: missing {'.'.join(field.path)}; allowed: {field.allowed}"
+            )
+        value = value[key]
+    if not isinstance(value, field.kind) or isinstance(value, bool):
+        raise SettingsError(
+            f"{path}: {'.'.join(field.path)} = {value!r}; allowed: {field.allowed}"
+        )
+    return value
+
+
+def parse_settings(path, text):
+    """Return the NodeSettings in the text of a settings file.
+
+    Unknown fields are ignored. Raises SettingsError naming the field that is missing
+    or of the wrong type, its value and what is allowed.
+    """
+    try:
+        tree = yaml.load(text, Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
+    except yaml.YAMLError as exc:
+        raise SettingsError(f"{path}: {exc}") from exc
+    if not isinstance(tree, dict):
+        raise SettingsError(f"{path}: no table of settings")
+    values = {name: _dig(path, tree, field) for name, field in _FIELDS.items()}
+    for name, (key, factor) in _BOUNDS.items():
+        field = _Field(("bounds", key), (int, float), _COUNT)
+        values[name] = int(_dig(path, tree, field) * factor)
+    limits = tree["platform"]
+    values["store_limits"] = StoreLimits(
+        record_bytes=int(limits.get("recordBytes", StoreLimits().record_bytes)),
+        call_bytes=int(limits.get("callBytes", StoreLimits().call_bytes)),
+    )
+    values["advice"] = tree.get("advice") or ""
+    return NodeSettings(**values)
+
+
+def load_settings():
+    """Return the NodeSettings of this process; raise SettingsError."""
+    path = settings_path()
+    try:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"{path}: {exc}") from exc
+    return parse_settings(path, text)
--- /dev/null
+++ b/src/cardamomgrade/platform/executor.py
@@ -0,0 +1,152 @@
+"""Client of one executor: starts, stops, paces, and renews its lease."""
+
+import json
+
+from ..client import Failure, Requester
+from ..jobs.reports import (
+    EndedTask,
+    LeaseReport,
+    OrderAnswer,
+    OrderResult,
+    Outcome,
+    RunningTask,
+)
+from ..wire import HttpRequest
+
+ORDER_TIMEOUT_S = 0.5  # an executor answers within a few ms when it is sound
+ANSWER_SLACK_S = 0.7  # beyond the time that a renewal asked to wait
+ANSWER_LIMIT_BYTES = 4 * 1024 * 1024  # far over 500 ends and all that runs
+MS = 1000
+_CONFLICTS = {
+    "fence": OrderResult.FENCED,
+    "old": OrderResult.OUTDATED,
+    "late": OrderResult.LATE,
+    "room": OrderResult.NO_ROOM,
+    "ticket": OrderResult.BAD_TICKET,
+}
+
+
+def _table(body):
+    try:
+        fields = json.loads(body)
+    except ValueError:
+        return {}
+    return fields if isinstance(fields, dict) else {}
+
+
+def _clock(fields):
+    clock = fields.get("clockMs", 0)
+    return clock if isinstance(clock, int) else 0
+
+
+def _order_answer(res):
+    if isinstance(res, Failure):
+        return OrderAnswer(OrderResult.NO_ANSWER if res.sent else OrderResult.NOT_DONE)
+    fields = _table(res.body)
+    clock = _clock(fields)
+    if res.status == 200:
+        return OrderAnswer(OrderResult.TAKEN, clock)
+    if res.status == 409:
+        reason = fields.get("reason")
+        return OrderAnswer(_CONFLICTS.get(reason, OrderResult.REJECTED), clock)
+    if res.status == 421:
+        return OrderAnswer(OrderResult.WRONG_LIFE)
+    if res.status in (429, 503):
+        return OrderAnswer(OrderResult.NOT_DONE, clock)
+    if res.status == 400:
+        return OrderAnswer(OrderResult.REJECTED, clock)
+    return OrderAnswer(OrderResult.NO_ANSWER, clock)
+
+
+def _running(row):
+    load = row[4] if len(row) > 4 else 0
+    return RunningTask(row[0], row[1], row[2], row[3], load)
+
+
+def _ended(row):
+    return EndedTask(row[0], row[1], row[2], Outcome(row[3]), row[4])
+
+
+def _lease_report(res):
+    answer = _order_answer(res)
+    if answer.result is not OrderResult.TAKEN:
+        return answer
+    fields = _table(res.body)
+    try:
+        running = tuple(_running(row) for row in fields["running"])
+        ended = tuple(_ended(row) for row in fields["finished"])
+    except (ValueError, TypeError, KeyError, IndexError):
+        return OrderAnswer(OrderResult.REJECTED, answer.clock_ms)
+    return LeaseReport(answer.clock_ms, running, ended)
+
+
+class ExecutorClient:
+    """Calls to one life of an executor under the fence of one scheduler."""
+
+    def __init__(self, loop, net, entry, epoch):
+        self._renewals = Requester(loop, net, entry.address, ANSWER_LIMIT_BYTES)
+        self._orders = Requester(loop, net, entry.address)
+        self._epoch = epoch
+        self._headers = (
+            (b"host", entry.address.encode()),
+            (b"content-type", b"application/json"),
+            (b"x-expect-instance", entry.executor.encode()),
+        )
+
+    def close(self):
+        """Drop the connections; calls under way report nothing."""
+        self._renewals.close()
+        self._orders.close()
+
+    def _send(self, requester, path, fields, on_done, timeout):
+        body = json.dumps({**fields, "fencingToken": self._epoch}).encode()
+        req = HttpRequest("POST", path, self._headers, body)
+        requester.request(req, on_done, timeout)
+
+    def _order(self, path, fields, on_done):
+        def done(res):
+            on_done(_order_answer(res))
+
+        self._send(self._orders, path, fields, done, ORDER_TIMEOUT_S)
+
+    def start(self, order, deadline_ms, on_done):
+        """Start a run; ``deadline_ms`` on the executor's clock bounds its lease."""
+        fields = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.text,
+            "deadlineMs": deadline_ms,
+        }
+        if order.checkpoint:
+            fields["checkpoint"] = order.checkpoint
+        if order.ticket:
+            fields["ticket"] = order.ticket
+        self._order("/api/run-start", fields, on_done)
+
+    def stop(self, order, on_done):
+        """Stop a run, also one that has not arrived yet."""
+        fields = {"task": order.task, "run": order.run}
+        self._order("/api/run-stop", fields, on_done)
+
+    def pace(self, order, on_done):
+        """Let a run work at ``order.percent`` from now on."""
+        fields = {"task": order.task, "run": order.run, "percent": order.percent}
+        self._order("/api/pace", fields, on_done)
+
+    def renew(self, deadline_ms, seen, wait_ms, on_done):
+        """Renew the lease (None: only look); ``on_done(LeaseReport | OrderAnswer)``.
+
+        ``seen`` is the number of the last end taken note of; the answer waits up to
+        ``wait_ms`` for an end.
+        """
+        fields = {"ackIndex": seen}
+        if deadline_ms is not None:
+            fields["deadlineMs"] = deadline_ms
+        if wait_ms:
+            fields["waitMs"] = wait_ms
+        timeout = wait_ms / MS + ANSWER_SLACK_S
+
+        def done(res):
+            on_done(_lease_report(res))
+
+        self._send(self._renewals, "/api/hold", fields, done, timeout)
--- /dev/null
+++ b/src/cardamomgrade/platform/ingress.py
@@ -0,0 +1,154 @@
+"""Callers' requests as calls on jobs, and the answers to them."""
+
+import json
+
+import attrs
+
+from ..errors import RecordError
+from ..jobs.calls import AnswerKind, CallKind, JobCall
+from ..jobs.records import JobState
+from ..jobs.spec import Step
+from ..ops import JSON_HEADER
+from ..wire import HttpResponse
+
+TEXT_LIMIT_BYTES = 4000  # of the field that callers give as the job's text
+STEPS_LIMIT = 64
+TASKS_LIMIT = 4096
+ID_DIGITS = 16
+READY_PATH = "/api/ready"
+_HEX = frozenset("0123456789abcdefABCDEF")
+_STATES = {
+    JobState.PENDING: "pending",
+    JobState.RUNNING: "running",
+    JobState.COMPLETED: "completed",
+    JobState.FAILED: "failed",
+    JobState.CANCELLED: "cancelled",
+}
+_METHODS = {
+    "POST": CallKind.SUBMIT,
+    "GET": CallKind.STATUS,
+    "DELETE": CallKind.CANCEL,
+}
+_STATUSES = {
+    AnswerKind.DONE: 200,
+    AnswerKind.NO_QUEUE: 404,
+    AnswerKind.NO_JOB: 410,
+    AnswerKind.BAD_REQUEST: 400,
+    AnswerKind.TOO_LARGE: 413,
+    AnswerKind.BUSY: 429,
+    AnswerKind.UNAVAILABLE: 503,
+    AnswerKind.UNKNOWN: 504,
+}
+_STEP_FIELDS = {
+    # name on the wire: (field, type)
+    "count": ("tasks", int),
+    "cpu": ("cores_m", int),
+    "memMb": ("memory_mb", int),
+    "gpu": ("accelerators", int),
+    "estimateMs": ("estimate_ms", int),
+    "after": ("after", list),
+    "requirements": ("label", str),
+    "affinity": ("rack", str),
+    "antiAffinity": ("per_executor", int),
+    "gangScheduled": ("gang", bool),
+    "rackLocal": ("rack_local", bool),
+    "speculative": ("speculative", bool),
+    "longRunning": ("lasting", bool),
+    "checkpointing": ("checkpoints", bool),
+    "fills": ("fills", bool),
+    "image": ("image", str),
+    "targetMs": ("target_ms", int),
+    "mayMiss": ("may_miss", int),
+}
+
+
+def split_path(queue, path):
+    """Return what follows a queue's prefix in a path."""
+    return path[len(queue.prefix) :]
+
+
+def decode_call(req, queue):
+    """Return the JobCall of a request to a queue; raise RecordError when it is none."""
+    rest = split_path(queue, req.path)
+    deadline = req.header("x-deadline-ms", "0")
+    deadline_ms = int(deadline) if deadline.isdecimal() else 0
+    if rest == "" and req.method == "GET":
+        return JobCall(CallKind.COUNT, queue.name, "", deadline_ms)
+    kind = _METHODS.get(req.method)
+    if kind is None:
+        raise RecordError(f"method {req.method}")
+    if len(rest) != ID_DIGITS or not _HEX.issuperset(rest):
+        raise RecordError("the id is no string of 16 hexadecimal digits")
+    call = JobCall(kind, queue.name, rest, deadline_ms)
+    return _with_job(call, req.body) if kind is CallKind.SUBMIT else call
+
+
+def _with_job(call, body):
+    try:
+        fields = json.loads(body)
+    except ValueError as exc:
+        raise RecordError(f"the body is no JSON: {exc}") from exc
+    if not isinstance(fields, dict) or not isinstance(fields.get("steps"), list):
+        raise RecordError("the body has no steps")
+    text = fields.get("spec", "")
+    if not isinstance(text, str) or len(text.encode()) > TEXT_LIMIT_BYTES:
+        raise RecordError("spec is no text of at most 4000 bytes")
+    steps = tuple(_step(item, number) for number, item in enumerate(fields["steps"]))
+    if not 0 < len(steps) <= STEPS_LIMIT:
+        raise RecordError(f"{len(steps)} steps")
+    if sum(step.tasks for step in steps) > TASKS_LIMIT:
+        raise RecordError("too many tasks")
+    times = [fields.get(name, 0) for name in ("repeatCount", "startAtMs", "intervalMs")]
+    if not all(isinstance(item, int) and item >= 0 for item in times):
+        raise RecordError(f"times = {times!r}")
+    return attrs.evolve(
+        call,
+        text=text,
+        steps=steps,
+        repeat=times[0],
+        start_at_ms=times[1],
+        interval_ms=times[2],
+    )
+
+
+def _step(fields, number):
+    if not isinstance(fields, dict):
+        raise RecordError(f"step {number} is no table")
+    values = {}
+    for name, (field, kind) in _STEP_FIELDS.items():
+        if name not in fields:
+            continue
+        value = fields[name]
+        wrong_bool = isinstance(value, bool) and kind is not bool
+        if not isinstance(value, kind) or wrong_bool:
+            raise RecordError(f"step {number}: {name} = {value!r}")
+        if kind is int and value < 0:
+            raise RecordError(f"step {number}: {name} = {value!r}")
+        values[field] = value
+    step = Step(**{"tasks": 1, **values})
+    earlier = all(isinstance(item, int) and 0 <= item < number for item in step.after)
+    if step.tasks < 1 or not earlier:
+        raise RecordError(f"step {number}: tasks or after")
+    return step
+
+
+def encode_answer(answer):
+    """Return the HttpResponse for an Answer."""
+    headers = [JSON_HEADER]
+    if answer.retry_after_s:
+        headers.append((b"retry-after", str(answer.retry_after_s).encode()))
+    fields = {}
+    if answer.state is not None:
+        fields["state"] = _STATES[answer.state]
+    if answer.waiting is not None:
+        fields["pendingCount"] = answer.waiting
+    if answer.detail:
+        fields["error"] = answer.detail
+    body = json.dumps(fields).encode()
+    return HttpResponse(_STATUSES[answer.kind], tuple(headers), body)
+
+
+def bad_request(status, detail):
+    """Return the response to a request that is no valid HTTP."""
+    body = json.dumps({"error": detail}).encode()
+    return HttpResponse(status, (JSON_HEADER,), body)
--- /dev/null
+++ b/src/cardamomgrade/platform/records.py
@@ -0,0 +1,121 @@
+"""What operators and executors write into the store, decoded into our types."""
+
+import json
+
+from ..errors import RecordError
+from ..jobs.queues import Advice, Queue, QueueConfig, Service
+from ..jobs.reports import ExecutorEntry, WaveRequest
+
+KEY_CONFIG = "config"
+PREFIX_WAVE = "wave/"
+STATES = ("ready", "draining")
+STATUS_RUNNING = "running"
+STATUS_COMPLETED = "completed"
+
+
+def _fields(data):
+    try:
+        fields = json.loads(data)
+    except ValueError as exc:
+        raise RecordError(f"not JSON: {exc}") from exc
+    if not isinstance(fields, dict):
+        raise RecordError("no table")
+    return fields
+
+
+def _get(fields, name, kind, default=None):
+    value = fields.get(name, default)
+    wrong_bool = isinstance(value, bool) and kind is not bool
+    if not isinstance(value, kind) or wrong_bool:
+        raise RecordError(f"{name} = {value!r}")
+    return value
+
+
+def decode_config(data):
+    """Return the QueueConfig of ``op/config``; raise RecordError."""
+    fields = _fields(data)
+    limits = _get(fields, "limits", dict, {})
+    return QueueConfig(
+        _get(fields, "version", int),
+        tuple(_queue(item) for item in _get(fields, "routes", list)),
+        tuple(_service(item) for item in _get(fields, "services", list)),
+        _get(limits, "maxBodyBytes", int, 0),
+    )
+
+
+def _queue(fields):
+    advice = fields.get("advice")
+    return Queue(
+        name=_get(fields, "name", str),
+        host=_get(fields, "host", str),
+        prefix=_get(fields, "pathPrefix", str),
+        service=_get(fields, "service", str),
+        priority=_get(fields, "priority", int, 0),
+        max_attempts=_get(fields, "maxAttempts", int, 1),
+        stretch=float(_get(fields, "stretch", (int, float), 1.0)),
+        target_ms=_get(fields, "targetLatencyMs", int, 0),
+        timeout_ms=_get(fields, "timeoutMs", int, 0),
+        advice=_advice(advice) if isinstance(advice, dict) else None,
+    )
+
+
+def _advice(fields):
+    return Advice(
+        _get(fields, "decisionMs", int, 0),
+        _get(fields, "periodMs", int, 0),
+        _get(fields, "validMs", int, 0),
+    )
+
+
+def _service(fields):
+    return Service(
+        _get(fields, "name", str),
+        _get(fields, "enforceLimits", bool, False),
+        _get(fields, "standby", bool, False),
+    )
+
+
+def decode_executor(executor, data):
+    """Return the ExecutorEntry of ``servers/EXECUTOR``; raise RecordError."""
+    fields = _fields(data)
+    state = _get(fields, "state", str)
+    if state not in STATES:
+        raise RecordError(f"state = {state!r}")
+    capacity = _get(fields, "capacity", dict)
+    labels = _get(fields, "labels", list, [])
+    if not all(isinstance(label, str) for label in labels):
+        raise RecordError(f"labels = {labels!r}")
+    return ExecutorEntry(
+        executor=executor,
+        service=_get(fields, "service", str),
+        address=_get(fields, "address", str),
+        zone=_get(fields, "zone", str, ""),
+        draining=state == "draining",
+        cores_m=_get(capacity, "cpu", int),
+        memory_mb=_get(capacity, "memMb", int),
+        accelerators=_get(capacity, "gpu", int, 0),
+        labels=tuple(labels),
+        rack=labels[1] if len(labels) > 1 else "",
+        clock_ms=_get(fields, "clockMs", int, 0),
+        remaining_ms=_get(fields, "remainingMs", int, -1),
+    )
+
+
+def decode_wave(data):
+    """Return the WaveRequest of ``op/wave/N``; raise RecordError."""
+    fields = _fields(data)
+    vms = _get(fields, "machines", list)
+    if not all(isinstance(vm, str) for vm in vms):
+        raise RecordError(f"machines = {vms!r}")
+    return WaveRequest(
+        _get(fields, "wave", int),
+        tuple(vms),
+        float(_get(fields, "durationS", (int, float), 0)),
+        max(1, _get(fields, "maxCount", int, 1)),
+    )
+
+
+def encode_wave_status(wave, completed):
+    """Return the (key, value) that tells operators how a wave stands."""
+    state = STATUS_COMPLETED if completed else STATUS_RUNNING
+    return PREFIX_WAVE + str(wave), json.dumps({"state": state}).encode()
--- /dev/null
+++ b/src/cardamomgrade/platform/store.py
@@ -0,0 +1,190 @@
+"""Client of the platform's store: appends, reads and the newest record of each key."""
+
+import base64
+import json
+import struct
+from urllib.parse import quote
+
+from ..client import Failure, Requester
+from ..errors import FeedError
+from ..jobs.store import (
+    Appended,
+    AppendFailed,
+    AppendFate,
+    Entry,
+    Page,
+    ReadFailed,
+    Records,
+    Trimmed,
+)
+from ..wire import HttpRequest
+
+TOPIC_JOBS = "keyed.jobs"
+TOPIC_OPERATOR = "keyed.op"
+TOPIC_EXECUTORS = "keyed.servers"
+TOPIC_STATUS = "keyed.status"
+PARTITION = 0
+READ_LIMIT_BYTES = 16 * 1024 * 1024  # far over a page or a read of the store
+READ_KB = 1024  # the store's own default for one read
+_LENGTH = struct.Struct(">I")
+_ENDS = struct.Struct(">QQ")
+
+
+def encode_items(items):
+    """Return the body of an append of (key, value) pairs; an empty value deletes."""
+    parts = []
+    for key, value in items:
+        name = key.encode()
+        parts.append(_LENGTH.pack(1 + len(name) + len(value)))
+        parts.append(bytes((len(name),)) + name + value)
+    return b"".join(parts)
+
+
+def decode_read(body, start):
+    """Return the Records in the body of a read from offset ``start``.
+
+    Raises FeedError when the body is cut short.
+    """
+    if len(body) < _ENDS.size:
+        raise FeedError("read: no offsets")
+    end, _ = _ENDS.unpack_from(body)
+    entries, place, offset = [], _ENDS.size, start
+    while place < len(body):
+        if place + _LENGTH.size > len(body):
+            raise FeedError("read: cut short")
+        (size,) = _LENGTH.unpack_from(body, place)
+        place += _LENGTH.size
+        record = body[place : place + size]
+        if len(record) != size:
+            raise FeedError("read: cut short")
+        place += size
+        entries.append(_decode_entry(offset, record))
+        offset += 1
+    return Records(end, offset, tuple(entries))
+
+
+def _decode_entry(offset, record):
+    size = record[0] if record else 0
+    key = record[1 : 1 + size].decode("utf-8", "replace")
+    return Entry(offset, key, record[1 + size :])
+
+
+def _decode_page(body):
+    try:
+        fields = json.loads(body)
+        entries = tuple(
+            Entry(item["offset"], item["key"], base64.b64decode(item["value"]))
+            for item in fields["items"]
+        )
+        return Page(entries, bool(fields.get("morePages")), fields["end"])
+    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+        raise FeedError(f"newest: {exc!r}") from exc
+
+
+def _number(body, name):
+    try:
+        value = json.loads(body)[name]
+    except (ValueError, TypeError, KeyError):
+        return None
+    return value if isinstance(value, int) else None
+
+
+class TopicClient:
+    """Calls of one process for one topic; reads and appends have own connections."""
+
+    def __init__(self, loop, net, address, topic):
+        self._reads = Requester(loop, net, address, READ_LIMIT_BYTES)
+        self._appends = Requester(loop, net, address)
+        self._host = ((b"host", address.encode()),)
+        self._topic = topic
+
+    def close(self):
+        """Drop the connections; calls under way report nothing."""
+        self._reads.close()
+        self._appends.close()
+
+    def _target(self, call, **options):
+        query = "&".join(f"{key}={quote(str(value))}" for key, value in options.items())
+        return f"/api/{call}?topic={self._topic}&part={PARTITION}&{query}".rstrip("&")
+
+    def append(self, items, on_done, timeout, at=None, writer=None):
+        """Append (key, value) pairs; ``on_done(Appended | AppendFailed)``.
+
+        ``at`` is the offset at which the topic has to end; ``writer`` a WriterMark.
+        """
+        options = {}
+        if writer is not None:
+            options = {
+                "producer": writer.name,
+                "epoch": writer.epoch,
+                "sequence": writer.sequence,
+            }
+        if at is not None:
+            options["at"] = at
+        headers = (*self._host, (b"content-type", b"application/octet-stream"))
+        target = self._target("log-append", **options)
+        req = HttpRequest("POST", target, headers, encode_items(items))
+        self._appends.request(req, lambda res: on_done(_append_result(res)), timeout)
+
+    def read(self, start, wait_ms, on_done, timeout):
+        """Read from an offset; ``on_done(Records | Trimmed | ReadFailed)``."""
+        options = {"from": start, "maxKb": READ_KB}
+        if wait_ms:
+            options["waitMs"] = wait_ms
+        target = self._target("log-read", **options)
+
+        def done(res):
+            on_done(_read_result(res, start))
+
+        self._reads.request(HttpRequest("GET", target, self._host), done, timeout)
+
+    def newest(self, after, on_done, timeout):
+        """Read a page of the newest records; ``on_done(Page | ReadFailed)``."""
+        options = {"after": after} if after else {}
+        target = self._target("log-newest", **options)
+
+        def done(res):
+            on_done(_page_result(res))
+
+        self._reads.request(HttpRequest("GET", target, self._host), done, timeout)
+
+
+def _append_result(res):
+    if isinstance(res, Failure):
+        fate = AppendFate.UNKNOWN if res.sent else AppendFate.NOT_DONE
+        return AppendFailed(fate, res.detail)
+    if res.status == 200:
+        return Appended(_number(res.body, "offset") or 0)
+    if res.status == 412:
+        return AppendFailed(AppendFate.MOVED_ON, "the topic ends elsewhere")
+    if res.status == 409:
+        fenced = b"fenced" in res.body
+        fate = AppendFate.FENCED if fenced else AppendFate.OUT_OF_SEQUENCE
+        return AppendFailed(fate, res.body.decode("utf-8", "replace"))
+    if res.status in (429, 503, 507):
+        return AppendFailed(AppendFate.NOT_DONE, f"store answered {res.status}")
+    return AppendFailed(AppendFate.UNKNOWN, f"store answered {res.status}")
+
+
+def _read_result(res, start):
+    if isinstance(res, Failure):
+        return ReadFailed(res.detail)
+    if res.status == 410:
+        return Trimmed(_number(res.body, "first") or 0)
+    if res.status != 200:
+        return ReadFailed(f"store answered {res.status}")
+    try:
+        return decode_read(res.body, start)
+    except FeedError as exc:
+        return ReadFailed(str(exc))
+
+
+def _page_result(res):
+    if isinstance(res, Failure):
+        return ReadFailed(res.detail)
+    if res.status != 200:
+        return ReadFailed(f"store answered {res.status}")
+    try:
+        return _decode_page(res.body)
+    except FeedError as exc:
+        return ReadFailed(str(exc))
