Withdraw only runs of an earlier scheduler, and no start that may have arrived

Only runs that were held when the executor was first called are settled by that report. Found in the same log: a start without an answer, sent again and refused unread (connection refused), was taken back although the first attempt may have arrived.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -63,11 +63,15 @@
 
 @attrs.define(eq=False)
 class _Sent:
-    """A start on its way; ``taken_at`` is set once the executor confirmed it."""
+    """A start on its way; ``taken_at`` is set once the executor confirmed it.
+
+    ``unsure`` tells that an earlier attempt had no answer and may have arrived.
+    """
 
     order: object
     taken_at: float | None = None
     deadline_ms: int = 0
+    unsure: bool = False
 
 
 class ExecutorAgent:
@@ -85,7 +89,8 @@
         self._executor = executor
         self._hub = hub
         self._lease = Lease(loop.now(), executor.entry.clock_ms)
-        self._inherited = inherited
+        held = executor.holdings.items() if inherited else ()
+        self._inherited = {(task, item.run) for task, item in held}
         self._sent = {}
         self._stopping = {}
         self._seen = 0
@@ -171,7 +176,7 @@
                 self._hub.on_heard(self.name)
             self._take_ends(report)
             self._compare(report, sent_at)
-            self._inherited = False
+            self._inherited.clear()
             self.wake()
             return
         if report.result is OrderResult.FENCED:
@@ -220,7 +225,7 @@
             if (task, holding.run) in shown:
                 continue
             sent = self._sent.get((task, holding.run))
-            if sent is None and self._inherited:
+            if (task, holding.run) in self._inherited:
                 self._hub.on_withdraw(self.name, task, holding.run)
             elif sent is not None and sent.taken_at and sent.taken_at < sent_at:
                 note(RunMissing(self.name, task, holding.run))
@@ -265,9 +270,11 @@
             self._over("another life answers at its address")
         elif result is OrderResult.OUTDATED:
             sent.taken_at = now
-        elif result in (OrderResult.NO_ANSWER, OrderResult.LATE):
+        elif sent.unsure or result in (OrderResult.NO_ANSWER, OrderResult.LATE):
             if result is OrderResult.LATE:
                 sent.deadline_ms = 0
+            elif result is OrderResult.NO_ANSWER:
+                sent.unsure = True
             self._loop.call_later(RESEND_S, lambda: self._send_start(sent))
         elif self._sent.pop((order.task, order.run), None) is not None:
             self._hub.on_withdraw(self.name, order.task, order.run)
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -213,8 +213,11 @@
             if agent is not None:
                 agent.ends_stored(number)
         for order in starts:
-            if order.executor in self._scheduler.executors:
+            if self._scheduler.is_live(order):
                 self._agent(order.executor).start(order)
+            else:
+                self._scheduler.withdraw(order.executor, order.task, order.run)
+                self._request_plan()
         for order in stops:
             if order.executor in self._scheduler.executors:
                 self._agent(order.executor).stop(order.task, order.run)
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -329,6 +329,12 @@
         task = job.live(task_id, run) if job is not None else None
         return job, task
 
+    def is_live(self, start):
+        """Return whether a start that was stored is still wanted."""
+        job, task = self._find(start.task, start.run)
+        known = start.executor in self.executors
+        return known and task is not None and not job.state.final
+
     def withdraw(self, name, task_name, run):
         """Take back a run that the executor surely did not and will not begin."""
         executor = self.executors.get(name)
