Serve jobs that can be in time first, and size pools by the work that arrives

Order: jobs that have begun, then those that can still meet their objective, then late ones by the work left; run times are learned by queue where estimates are far off. Pools: VMs that are off or idle join the pool whose arriving work exceeds it.

--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -8,6 +8,7 @@
 from .follow import TopicFollower
 from .lease import CLOCK_SLOWEST, LAPSE_MARGIN_MS, LEASE_MS
 from .pace import Pacer
+from .pools import PoolPlanner
 from .records import (
     encode,
     PREFIX_CANCEL,
@@ -23,8 +24,8 @@
 from .writer import Writer
 
 PLAN_PAUSE_S = 0.02  # decisions of this long share an append
-TICK_S = 0.25  # occurrences that come due, executors that come back
-LIST_S = 0.5  # the platform's upkeeps take seconds
+TICK_S = 0.15  # occurrences that come due, executors that come back
+RETRY_S = 0.2
 UNHEALTHY_REST_MS = 1000
 AT_WORK_PERCENT = 100
 VM_LEASE_MARGIN_S = 0.3
@@ -52,6 +53,16 @@
     result: str
 
 
+@event(614)
+class MoveOrdered:
+    """A VM was ordered into another pool, and the answer."""
+
+    vm: str
+    pool: str
+    executor: str
+    result: str
+
+
 @event(612)
 class PaceOrdered:
     """A task that fills is to work at another pace beside a task that serves."""
@@ -88,6 +99,8 @@
         self._announced = set()
         self._forget_at = {}
         self._pacer = Pacer()
+        self._pools = PoolPlanner()
+        self._moving = {}
         self._upkeep = UpkeepPlanner(cfg.upkeep_ms / MS)
         self._scheduler = Scheduler(queue_cfg)
         self._jobs_topic = platform.jobs_topic()
@@ -155,7 +168,7 @@
         self._list_vms()
 
     def _on_job(self, spec):
-        self._scheduler.add_job(spec)
+        self._scheduler.add_job(spec, now_ms=self._loop.now() * MS)
         self._request_plan()
 
     def _on_cancel(self, name):
@@ -351,8 +364,7 @@
     # Upkeep of VMs
 
     def _list_vms(self):
-        due = any(state.left() for state in self._upkeep.waves.values())
-        if self._closed or self._listing or not due:
+        if self._closed or self._listing or not self._executors.loaded:
             return
         self._listing = True
 
@@ -362,18 +374,19 @@
                 return
             if isinstance(listed, tuple):
                 self._listed = {item.vm: item for item in listed}
-                self._plan_upkeep()
+                self._plan_vms()
 
         self._machines.list_vms(done)
 
-    def _plan_upkeep(self):
+    def _plan_vms(self):
         now = self._loop.now()
         for wave, state in self._upkeep.waves.items():
             self._settle_wave(wave, state)
         plan = self._upkeep.plan(
             self._listed, self._scheduler.executors, now, self._reserve
         )
-        self._scheduler.cordon(plan.cordoned)
+        moving = self._plan_moves(now, plan.vms)
+        self._scheduler.cordon(plan.cordoned | moving)
         self._request_plan()
         for vm, wave, executor in plan.orders:
             if vm not in self._ordering:
@@ -408,12 +421,46 @@
         item = self._platform.encode_wave_status(wave, completed)
         self._status_topic.append([item], done, 1.0)
 
+    def _may_order_vms(self):
+        """Return whether the orders of an earlier scheduler have lapsed."""
+        wait_s = self._cfg.machine_lease_ms / MS + VM_LEASE_MARGIN_S
+        return self._epoch == 1 or self._loop.now() - self._since >= wait_s
+
+    def _plan_moves(self, now, staying):
+        """Order moves between pools; return the executors that they will end."""
+        if not self._may_order_vms():
+            return set()
+        barred = staying | self._ordering
+        loads = self._scheduler.pool_loads(now * MS)
+        for move in self._pools.plan(loads, self._listed, now, barred):
+            self._pools.ordered(move, now)
+            if move.executor:
+                self._moving[move.vm] = move.executor
+            self._order_move(move)
+        return set(self._moving.values())
+
+    def _order_move(self, move):
+        def answered(result):
+            if self._closed:
+                return
+            if result is VmOrderResult.NO_ANSWER:
+                self._loop.call_later(RETRY_S, lambda: self._order_move(move))
+                return
+            note(MoveOrdered(move.vm, move.pool, move.executor, result.value))
+            self._moving.pop(move.vm, None)
+            if result is VmOrderResult.DONE:
+                self.on_over(move.executor)
+            elif result is VmOrderResult.FENCED:
+                self._depose("the platform has seen a newer holder")
+            else:
+                self._pools.refused(move, self._loop.now())
+
+        if not self._closed:
+            self._machines.move(move.vm, move.pool, answered)
+
     def _reserve(self, executor):
         """Count all that runs there as away, if every availability budget allows it."""
-        wait_s = self._cfg.machine_lease_ms / MS + VM_LEASE_MARGIN_S
-        if self._epoch > 1 and self._loop.now() - self._since < wait_s:
-            return False
-        if not self._may_end(executor):
+        if not self._may_order_vms() or not self._may_end(executor):
             return False
         self._ending.update(executor.holdings)
         return True
--- a/src/cardamomgrade/jobs/placing.py
+++ b/src/cardamomgrade/jobs/placing.py
@@ -1,16 +1,25 @@
 """Chooses executors for the tasks of one step; reads no clock and does no I/O.
 
-Load pattern: bursts of wide steps on a pool that lasting tasks share. Tasks go to the
-executor with the most free processors, so that a lost executor or rack takes few
-tasks of one job; a rack that holds the step's data goes first.
+Load pattern: bursts of wide steps on a pool that lasting tasks share, and quiet times
+in between. Tasks go to executors that run something already, of these to the one with
+the most free processors: VMs on which nothing runs can then be switched off or go to
+another pool. A rack that holds the step's data goes first.
 """
 
 
 class Bound:
-    """Tasks of one step of one occurrence on each executor, under its bound."""
+    """Tasks of one step of one occurrence on each executor, under its bound.
 
-    def __init__(self, step_state):
-        self._limit = step_state.step.per_executor
+    Where ``executors`` are enough, no executor holds more tasks than the step's
+    budget lets this system take away at once, so that its VM can have its upkeep.
+    """
+
+    def __init__(self, step_state, executors=()):
+        step = step_state.step
+        self._limit = step.per_executor
+        budget = max(1, step.may_miss)
+        if step.may_miss >= 0 and len(executors) * budget >= step.tasks:
+            self._limit = min(self._limit or budget, budget)
         self._counts = {}
         if self._limit:
             for task in step_state.tasks:
@@ -41,6 +50,7 @@
         rank = (
             executor.name in avoid,
             bool(wanted) and executor.entry.rack != wanted,
+            not executor.holdings,
             -executor.free_share,
         )
         if best is None or rank < best_rank:
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -22,6 +22,7 @@
     failures: int = 0
     checkpoint: str = ""
     failed_on: list = attrs.field(factory=list)
+    placed_ms: float = 0.0
 
     def record(self):
         """Return the TaskRecord to store."""
@@ -161,6 +162,31 @@
         step.waiting += (phase is Phase.WAITING) - (task.phase is Phase.WAITING)
         task.phase = phase
 
+    @property
+    def begun(self):
+        """Whether any task was ever started."""
+        return self._started
+
+    def chain_ms(self, expect, undone_only=False):
+        """Return the run time of the longest chain of steps, in ms.
+
+        ``expect(step)`` gives the run time of one task of a step.
+        """
+        ends = []
+        for number, step in enumerate(self.spec.steps):
+            state = self._steps.get((0, number))
+            done = undone_only and state is not None and state.undone == 0
+            before = max((ends[item] for item in step.after), default=0.0)
+            ends.append(before + (0.0 if done else expect(step)))
+        return max(ends, default=0.0)
+
+    def work(self, expect):
+        """Return the core-ms of the tasks that are not done."""
+        return sum(
+            state.undone * state.step.counted_cores_m * expect(state.step) / 1000
+            for state in self._steps.values()
+        )
+
     def place(self, task, executor):
         """Start the next run of a task on an executor; return its number."""
         task.run += 1
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -4,24 +4,29 @@
 progress first; ``take_dirty`` hands out the records to store, and the orders that
 came with them may leave only once those records are stored.
 
-Load pattern: every queue in turn asks more than its pool holds for some seconds.
-Lasting tasks go first, then queues by priority, then jobs in order of arrival.
+Load pattern: every queue in turn asks more than its pool holds for some seconds. The
+order of jobs is that of ``urgency``, the choice of executors that of ``placing``.
 """
 
 import attrs
 
 from ..health import Health
 from ..journal import event, note
+from .demand import Demand
+from .durations import Durations
 from .executors import Executor
 from .placing import Bound, choose, choose_gang
+from .pools import PoolLoad
 from .progress import JobProgress
 from .records import encode, Phase, PREFIX_PROGRESS
 from .reports import Outcome
 from .spec import parse_task
+from .urgency import order_key, Outlook, Rank, rank_of
 
 STREAK_LIMIT_TASKS = 2  # a sound executor rarely fails two different tasks in a row
 ASIDE_MIN_MS = 4000  # a bad executor costs one task each time that it is tried again
 ASIDE_MAX_MS = 30_000
+HEADROOM = 1.15  # above the mean need: tasks do not pack without gaps
 ASIDE_SHARE = 0.5  # of a pool: more bad executors at once is a bad queue
 MS = 1000
 
@@ -112,6 +117,10 @@
         self._changed = set()
         self._resting = {}
         self.placed_here = set()
+        self._durations = Durations()
+        self._waiting = {}
+        self._demand = Demand()
+        self._largest_m = 0
         self._health = Health(
             STREAK_LIMIT_TASKS, ASIDE_MIN_MS, ASIDE_MAX_MS, ASIDE_SHARE
         )
@@ -132,13 +141,14 @@
 
     # Jobs
 
-    def add_job(self, spec, record=None):
+    def add_job(self, spec, record=None, now_ms=0.0):
         """Take a job in, with its stored ProgressRecord if there is one."""
         if spec.job in self.jobs:
             return
         attempts = self._max_attempts(spec)
         if record is None:
             job = JobProgress(spec, attempts)
+            job.open_due(spec.accepted_ms)
         else:
             job = JobProgress.restore(spec, attempts, record)
         self.jobs[spec.job] = job
@@ -147,6 +157,17 @@
         self._changed.add(self.service_of(spec))
         if job.state.final:
             self._stop_all(job)
+        elif not spec.lasting:
+            work = job.work(self._expectation(spec))
+            self._demand.arrived(self.service_of(spec), work, now_ms)
+
+    def _expectation(self, spec):
+        """Return a function of a step that gives the run time of one of its tasks."""
+
+        def expect(step):
+            return self._durations.expect(spec.queue, step.estimate_ms)
+
+        return expect
 
     def _hold(self, job, task):
         executor = self.executors.get(task.executor)
@@ -288,6 +309,10 @@
         if task is None or task.executor != name:
             return False
         note(TaskEnded(job.spec.job, task_name, run, name, outcome.value))
+        if outcome is Outcome.DONE and task.placed_ms:
+            step = job.spec.steps[task.id.step]
+            took_ms = now_ms - task.placed_ms
+            self._durations.report(job.spec.queue, step.estimate_ms, took_ms)
         job.end(task, outcome, checkpoint)
         self._judge(executor, task, outcome, now_ms)
         self._touch(job)
@@ -382,10 +407,10 @@
         starts = []
         services, self._changed = self._changed, set()
         for service in services:
-            starts.extend(self._plan_service(service, wall_ms))
+            starts.extend(self._plan_service(service, now_ms, wall_ms))
         return starts
 
-    def _plan_service(self, service, wall_ms):
+    def _plan_service(self, service, now_ms, wall_ms):
         ready = []
         for job in self.jobs.values():
             if job.state.final or self.service_of(job.spec) != service:
@@ -393,9 +418,8 @@
             job.open_due(wall_ms)
             steps = job.ready_steps()
             if steps:
-                ready.append((self._order(job), job, steps))
-        if not ready:
-            return []
+                outlook = self._outlook(job, wall_ms)
+                ready.append((self._order(job, outlook), job, steps, outlook))
         executors = [
             item
             for item in self.pool(service)
@@ -405,19 +429,64 @@
         ]
         ready.sort(key=lambda item: item[0])
         starts = []
-        for _, job, steps in ready:
+        waiting_m = 0
+        for _, job, steps, outlook in ready:
             for step in steps:
                 place = self._place_gang if step.step.gang else self._place_tasks
-                starts.extend(place(job, step, executors))
+                starts.extend(place(job, step, executors, now_ms))
+                if rank_of(outlook) <= Rank.LATE:
+                    waiting_m += step.waiting * step.step.counted_cores_m
+        self._waiting[service] = waiting_m
         return starts
 
-    def _order(self, job):
+    def _outlook(self, job, wall_ms):
+        queue = self.cfg.queue(job.spec.queue)
+        stretch = queue.stretch if queue is not None else 1.0
+        target_ms = queue.target_ms if queue is not None else 0
+        expect = self._expectation(job.spec)
+        return Outlook(
+            age_ms=wall_ms - job.spec.accepted_ms,
+            left_ms=job.chain_ms(expect, undone_only=True),
+            objective_ms=stretch * job.chain_ms(expect) + target_ms,
+            work=job.work(expect),
+            begun=job.begun,
+            lasting=job.spec.lasting,
+        )
+
+    def _order(self, job, outlook):
         queue = self.cfg.queue(job.spec.queue)
         priority = queue.priority if queue is not None else 0
-        return (not job.spec.lasting, priority, job.spec.accepted_ms, job.spec.job)
+        return order_key(outlook, priority, (job.spec.accepted_ms, job.spec.job))
+
+    def pool_loads(self, now_ms):
+        """Return the PoolLoad of each service by name."""
+        loads = {}
+        for service in self.cfg.services:
+            pool = self.pool(service.name)
+            self._largest_m = max(
+                (item.entry.cores_m for item in pool), default=self._largest_m
+            )
+            needed_m = self._demand.cores_m(service.name, now_ms)
+            needed_m = max(needed_m, self._waiting.get(service.name, 0))
+            held_m = sum(item.cores_m for item in pool)
+            lasting_m = sum(
+                holding.cores_m
+                for item in pool
+                for holding in item.holdings.values()
+                if holding.lasting
+            )
+            needed_m = max(held_m + self._waiting.get(service.name, 0), needed_m)
+            needed_m += lasting_m
+            needed = -(-int(needed_m * HEADROOM) // max(1, self._largest_m))
+            idle = tuple(item.name for item in pool if not item.holdings and item.open)
+            size = sum(item.listed and not item.entry.draining for item in pool)
+            loads[service.name] = PoolLoad(
+                service.name, needed, idle, size, service.standby
+            )
+        return loads
 
-    def _place_tasks(self, job, step, executors):
-        bound = Bound(step)
+    def _place_tasks(self, job, step, executors, now_ms):
+        bound = Bound(step, executors)
         starts = []
         for task in step.tasks:
             if task.phase is not Phase.WAITING:
@@ -427,12 +496,12 @@
                 break
             bound.add(executor.name)
             run = job.place(task, executor.name)
-            starts.append(self._start(job, task, run, executor))
+            starts.append(self._start(job, task, run, executor, now_ms))
         if starts:
             self._touch(job)
         return starts
 
-    def _place_gang(self, job, step, executors):
+    def _place_gang(self, job, step, executors, now_ms):
         chosen = choose_gang(executors, step.step, Bound(step))
         if chosen is None:
             return []
@@ -442,12 +511,13 @@
             task.checkpoint = newest
         self._touch(job)
         return [
-            self._start(job, task, task.run, executor)
+            self._start(job, task, task.run, executor, now_ms)
             for task, executor in zip(step.tasks, chosen, strict=True)
         ]
 
-    def _start(self, job, task, run, executor):
+    def _start(self, job, task, run, executor, now_ms):
         name = str(task.id)
+        task.placed_ms = now_ms
         if not executor.holdings:
             self.placed_here.add(executor.name)
         executor.hold(name, run, job.spec.steps[task.id.step])
--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -38,9 +38,13 @@
 
 @attrs.frozen
 class UpkeepPlan:
-    """What to do now: executors closed to new runs, and (vm, wave, executor) orders."""
+    """What to do now: executors closed to new runs, VMs that stay, and the orders.
+
+    An order is (vm, wave, executor).
+    """
 
     cordoned: frozenset
+    vms: frozenset
     orders: tuple
 
 
@@ -80,7 +84,10 @@
                 self._plan_wave(
                     wave, state, listed, executors, now, reserve, cordoned, orders
                 )
-        return UpkeepPlan(frozenset(cordoned), tuple(orders))
+        staying = {
+            vm for state in self.waves.values() if state.left() for vm in state.draining
+        }
+        return UpkeepPlan(frozenset(cordoned), frozenset(staying), tuple(orders))
 
     def _plan_wave(
         self, wave, state, listed, executors, now, reserve, cordoned, orders
@@ -92,7 +99,8 @@
             machine = listed.get(vm)
             if machine is None or machine.state != STATE_UP:
                 continue
-            cordoned.add(machine.executor)
+            if machine.executor:
+                cordoned.add(machine.executor)
             if free > 0 and self._may_go(machine, executors, now - since, reserve):
                 orders.append((vm, wave, machine.executor))
                 free -= 1
