--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -289,6 +289,7 @@
                 self._loop.now() * MS,
             )
             self._at_work.pop(item.task, None)
+            self._ending.discard(item.task)
             self._marks[name] = max(self._marks.get(name, 0), item.number)
         self._request_plan()
 
@@ -385,6 +386,8 @@
         plan = self._upkeep.plan(
             self._listed, self._scheduler.executors, now, self._reserve
         )
+        if self._may_order_vms():
+            self._thin_out(plan.cordoned)
         moving = self._plan_moves(now, plan.vms)
         self._scheduler.cordon(plan.cordoned | moving)
         self._request_plan()
@@ -466,25 +469,41 @@
         return True
 
     def _may_end(self, executor):
-        ending = {}
+        return all(
+            self._away(names, step) + len(names) <= step.may_miss
+            for names, step in self._budgeted(executor)
+        )
+
+    def _budgeted(self, executor):
+        """Return (names, step) of tasks at work there under an availability budget."""
+        by_step = {}
         for name in executor.holdings:
             step = self._step(name)
             if step is not None and step.lasting and step.may_miss >= 0:
-                ending.setdefault(name.rpartition(".")[0], []).append(name)
-        for step_name, names in ending.items():
-            if not any(self._is_at_work(name) for name in names):
+                by_step.setdefault(name.rpartition(".")[0], []).append(name)
+        return [
+            (names, self._step(names[0]))
+            for names in by_step.values()
+            if any(self._is_at_work(name) for name in names)
+        ]
+
+    def _away(self, names, step):
+        """Return how many tasks of a step, but for ``names``, are not at work."""
+        prefix = names[0].rpartition(".")[0]
+        others = {f"{prefix}.{index}" for index in range(step.tasks)} - set(names)
+        return sum(not self._is_at_work(name) for name in others)
+
+    def _thin_out(self, cordoned):
+        """Move tasks one at a time off VMs that hold more than a budget allows."""
+        for name in cordoned:
+            executor = self._scheduler.executors.get(name)
+            if executor is None:
                 continue
-            job, occurrence, number = step_name.split(".")
-            step = self._scheduler.jobs[job].spec.steps[int(number)]
-            others = [
-                f"{step_name}.{index}"
-                for index in range(step.tasks)
-                if f"{step_name}.{index}" not in names
-            ]
-            away = sum(not self._is_at_work(name) for name in others)
-            if away + len(names) > step.may_miss:
-                return False
-        return True
+            for names, step in self._budgeted(executor):
+                crowded = len(names) > step.may_miss
+                if crowded and self._away(names[:1], step) < step.may_miss:
+                    self._ending.add(names[0])
+                    self._scheduler.stop_run(names[0])
 
     def _is_at_work(self, name):
         return self._at_work.get(name, False) and name not in self._ending
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -203,6 +203,14 @@
         name = str(task.id)
         self._stops[name, task.run] = Stop(task.executor, name, task.run)
 
+    def stop_run(self, task_name):
+        """Order that whatever run of a task is under way is stopped."""
+        task_id = parse_task(task_name)
+        job = self.jobs.get(task_id.job) if task_id is not None else None
+        for task in job.placed() if job is not None else ():
+            if task.id == task_id:
+                self.stop(task)
+
     def take_dirty(self):
         """Return (key, value) of every job that changed since the last call."""
         dirty, self._dirty = self._dirty, {}
