--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -28,6 +28,7 @@
 RETRY_S = 0.2
 UNHEALTHY_REST_MS = 1000
 AT_WORK_PERCENT = 100
+AT_WORK_STALE_S = 2.0  # two renewals: an executor that is silent may be gone
 VM_LEASE_MARGIN_S = 0.3
 FORGET_MARGIN_S = 30.0
 MS = 1000
@@ -339,8 +340,10 @@
             if step is None:
                 continue
             if step.lasting:
-                self._at_work[item.task] = item.percent >= AT_WORK_PERCENT
-                coming_up = coming_up or item.percent < AT_WORK_PERCENT
+                if item.percent >= AT_WORK_PERCENT:
+                    self._at_work[item.task] = self._loop.now()
+                else:
+                    coming_up = True
             if step.fills:
                 fills.append((item.task, item.run))
             elif step.target_ms:
@@ -506,7 +509,10 @@
                     self._scheduler.stop_run(names[0])
 
     def _is_at_work(self, name):
-        return self._at_work.get(name, False) and name not in self._ending
+        seen_at = self._at_work.get(name)
+        if seen_at is None or name in self._ending:
+            return False
+        return self._loop.now() - seen_at < AT_WORK_STALE_S
 
     def _held_by(self, name):
         executor = self._scheduler.executors.get(name)
