Emulate the platform, and test the scheduler, leases and the term

The follower of the jobs' topic never told the term that the store was unreachable, so a node would have stood at the first answer after an outage (found by writing the test of the term; the method had no caller).

--- /dev/null
+++ b/src/cardamomgrade/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulator of the users' platform: store, executors, VMs; for tests and experiments."""
--- /dev/null
+++ b/src/cardamomgrade/emulator/server.py
@@ -0,0 +1,260 @@
+"""The emulated platform on loopback: HTTP for the store, the executors and the VMs."""
+
+import base64
+import json
+import struct
+from urllib.parse import parse_qsl, urlsplit
+
+import attrs
+
+from ..net import Net
+from ..ops import json_response
+from ..server import HttpServer
+from ..wire import HttpResponse
+from .executor import EmulatedExecutor
+from .log import EmulatedLog
+
+HOST = "127.0.0.1"
+MS = 1000
+POLL_S = 0.01
+CLOCK_OFFSET_MS = 480_000  # executors' clocks are not ours
+_LENGTH = struct.Struct(">I")
+
+
+@attrs.define(eq=False)
+class StoreFaults:
+    """What the store does wrong: ``turned_away`` are addresses that get 503."""
+
+    down: bool = False
+    lose_answers: int = 0
+    turned_away: set = attrs.field(factory=set)
+
+
+@attrs.define(eq=False)
+class _Life:
+    """An executor with its server; ``silent`` answers nothing."""
+
+    core: EmulatedExecutor
+    server: object
+    port: int
+    silent: bool = False
+    calls: int = 0
+
+
+class EmulatedPlatform:
+    """Store, executors and VMs of one test, on the test's loop."""
+
+    def __init__(self, loop, plan):
+        self.loop = loop
+        self.net = Net(loop)
+        self.log = EmulatedLog()
+        self.faults = StoreFaults()
+        self.lives = {}
+        self.machines = {}
+        self.orders = []
+        self.trace = []
+        self._plan = plan
+        self._store = HttpServer(loop, self.net, self._on_store)
+        self._vms = HttpServer(loop, self.net, self._on_vms)
+        self.store_port = self._store.listen(HOST, 0)
+        self.vms_port = self._vms.listen(HOST, 0)
+
+    def now_ms(self):
+        """Return the executors' clock."""
+        return self.loop.now() * MS + CLOCK_OFFSET_MS
+
+    # The store
+
+    def _on_store(self, exchange):
+        url = urlsplit(exchange.req.target)
+        options = dict(parse_qsl(url.query))
+        if self.faults.down:
+            exchange.respond(HttpResponse(503))
+        elif url.path == "/api/log-append":
+            self._append(exchange, options)
+        elif url.path == "/api/log-read":
+            end_s = self.loop.now() + int(options.get("waitMs", 0)) / MS
+            self._read(exchange, options, end_s)
+        elif url.path == "/api/log-newest":
+            self._newest(exchange, options)
+        else:
+            exchange.respond(HttpResponse(404))
+
+    def _append(self, exchange, options):
+        at = options.get("at")
+        reply = self.log.append(
+            options["topic"],
+            _pairs(exchange.req.body),
+            None if at is None else int(at),
+            options.get("producer"),
+            int(options.get("epoch", 0)),
+            int(options.get("sequence", 0)),
+        )
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            exchange.drop()
+            return
+        exchange.respond(json_response(reply.status, reply.fields))
+
+    def _read(self, exchange, options, end_s):
+        topic, start = options["topic"], int(options["from"])
+        if exchange.answered:
+            return
+        if start < self.log.first(topic):
+            exchange.respond(json_response(410, {"first": self.log.first(topic)}))
+            return
+        records = self.log.records(topic)[start:]
+        if not records and self.loop.now() < end_s:
+            self.loop.call_later(POLL_S, lambda: self._read(exchange, options, end_s))
+            return
+        body = struct.pack(">QQ", self.log.end(topic), self.log.first(topic))
+        for key, value in records:
+            record = bytes((len(key),)) + key + value
+            body += _LENGTH.pack(len(record)) + record
+        exchange.respond(HttpResponse(200, (), body))
+
+    def _newest(self, exchange, options):
+        items = [
+            {
+                "key": key.decode(),
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (value, offset) in sorted(self.log.newest(options["topic"]).items())
+        ]
+        end = self.log.end(options["topic"])
+        fields = {"items": items, "morePages": False, "end": end}
+        exchange.respond(json_response(200, fields))
+
+    def put(self, topic, key, value):
+        """Write a record as operators and executors do; an empty one deletes."""
+        data = json.dumps(value).encode() if value is not None else b""
+        self.log.append(topic, [(key.encode(), data)])
+
+    # Executors
+
+    def add_executor(self, name, service, cores_m, memory_mb, rack="r1", vm=""):
+        """Start an executor and register it."""
+        core = EmulatedExecutor(name, self._plan, self._trace)
+        life = _Life(core, None, 0)
+        life.server = HttpServer(
+            self.loop, self.net, lambda exchange: self._on_executor(life, exchange)
+        )
+        life.port = life.server.listen(HOST, 0)
+        self.lives[name] = life
+        fields = {
+            "service": service,
+            "address": f"{HOST}:{life.port}",
+            "zone": "z",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "capacity": {"cpu": cores_m, "memMb": memory_mb, "gpu": 0},
+            "labels": ["a", rack],
+            "clockMs": int(self.now_ms()),
+            "sequence": 1,
+        }
+        self.put("keyed.servers", name, fields)
+        vm = vm or f"m-{name}"
+        self.machines[vm] = {
+            "machine": vm,
+            "pool": service,
+            "state": "up",
+            "zone": "z",
+            "labels": ["a", rack],
+            "id": name,
+        }
+
+    def _trace(self, kind, executor, task, run):
+        self.trace.append((kind, executor, task, run))
+
+    def _on_executor(self, life, exchange):
+        life.calls += 1
+        if life.silent:
+            return
+        req = exchange.req
+        if req.header("x-expect-instance") != life.core.name:
+            exchange.respond(HttpResponse(421))
+            return
+        fields = json.loads(req.body)
+        if req.path == "/api/hold":
+            end_s = self.loop.now() + fields.get("waitMs", 0) / MS
+            self._hold(life, exchange, fields, end_s, True)
+            return
+        now_ms, token = self.now_ms(), fields["fencingToken"]
+        if req.path == "/api/run-start":
+            reason = life.core.start(
+                fields["task"], fields["run"], fields["deadlineMs"], token, now_ms
+            )
+        elif req.path == "/api/run-stop":
+            reason = life.core.stop(fields["task"], fields["run"], token, now_ms)
+        else:
+            reason = ""
+        self._answer(exchange, reason, {})
+
+    def _answer(self, exchange, reason, fields):
+        body = {"clockMs": int(self.now_ms()), **fields}
+        if reason:
+            body["reason"] = reason
+        exchange.respond(json_response(409 if reason else 200, body))
+
+    def _hold(self, life, exchange, fields, end_s, first):
+        if exchange.answered or life.silent:
+            return
+        deadline = fields.get("deadlineMs") if first else None
+        core = life.core
+        reason = core.hold(
+            deadline, fields["ackIndex"], fields["fencingToken"], self.now_ms()
+        )
+        if not reason and not core.ends and self.loop.now() < end_s:
+            self.loop.call_later(
+                POLL_S, lambda: self._hold(life, exchange, fields, end_s, False)
+            )
+            return
+        lists = {"running": core.rows(), "finished": core.ends[:500]}
+        self._answer(exchange, reason, {} if reason else lists)
+
+    # VMs
+
+    def _on_vms(self, exchange):
+        path = exchange.req.path
+        if path == "/api/machines":
+            items = list(self.machines.values())
+            exchange.respond(json_response(200, {"machines": items, "nextToken": None}))
+            return
+        fields = json.loads(exchange.req.body)
+        self.orders.append((path.rpartition("/")[2], fields))
+        machine = self.machines.get(fields["machine"])
+        if machine is None:
+            exchange.respond(HttpResponse(400))
+            return
+        self._replace(machine, fields.get("pool", machine["pool"]))
+        exchange.respond(json_response(200, {}))
+
+    def _replace(self, machine, pool):
+        """End the life on a VM and start another one in a pool."""
+        old = machine["id"]
+        life = self.lives.get(old)
+        if life is not None:
+            life.silent = True
+            life.core.runs.clear()
+            self.put("keyed.servers", old, None)
+        name = f"{old}x" if old else f"i-{machine['machine']}"
+        rack = machine["labels"][1]
+        self.add_executor(name, pool, 16_000, 64_000, rack, machine["machine"])
+
+    def close(self):
+        """Stop listening."""
+        self.net.close_listeners()
+
+
+def _pairs(body):
+    pairs, place = [], 0
+    while place < len(body):
+        (size,) = _LENGTH.unpack_from(body, place)
+        place += _LENGTH.size
+        record = body[place : place + size]
+        place += size
+        pairs.append((record[1 : 1 + record[0]], record[1 + record[0] :]))
+    return pairs
--- a/src/cardamomgrade/jobs/follow.py
+++ b/src/cardamomgrade/jobs/follow.py
@@ -32,16 +32,20 @@
 class TopicFollower:
     """Calls ``on_entry(Entry)`` for each change of a key, in the order of the topic.
 
-    ``on_read`` is called after every good read. ``pause_s`` is the shortest time
+    ``on_read`` is called after every good read, ``on_fail`` after every other.
+    ``pause_s`` is the shortest time
     between two reads. ``fresh_at`` is when the last good answer came.
     """
 
-    def __init__(self, loop, client, topic, on_entry, on_read=None, pause_s=0.0):
+    def __init__(
+        self, loop, client, topic, on_entry, on_read=None, pause_s=0.0, on_fail=None
+    ):
         self._loop = loop
         self._client = client
         self._topic = topic
         self._on_entry = on_entry
         self._on_read = on_read or (lambda: None)
+        self._on_fail = on_fail or (lambda: None)
         self._offsets = {}
         self._timer = None
         self._failing = False
@@ -158,6 +162,7 @@
         client.read(self.next_offset, 0, done, PROBE_TIMEOUT_S)
 
     def _failed(self, detail):
+        self._on_fail()
         if not self._failing:
             self._failing = True
             note(StoreReachable(self._topic, False, str(detail)))
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -86,6 +86,7 @@
             self._view.fold,
             self._on_read,
             FOLLOWER_PAUSE_S,
+            self._term.unreachable,
         )
         self._operator = TopicFollower(
             loop, self._platform.operator_topic(), "operator", self._on_operator
--- /dev/null
+++ b/tests/jobs/scheduler.feature
@@ -0,0 +1,89 @@
+Feature: which task runs where, and what its end means
+
+  Scenario: steps run in order and a job completes when its last task is done
+    Given a pool of 2 executors with 16 cores each
+    When a job with steps of 3 and 2 tasks of 1 core is added
+    Then the plan starts 3 tasks
+    When all running tasks are done
+    Then the plan starts 2 tasks
+    When all running tasks are done
+    Then the job ends as completed
+
+  Scenario: no executor is given more than it holds
+    Given a pool of 2 executors with 4 cores each
+    When a job with steps of 20 and 1 tasks of 1 core is added
+    Then the plan starts 8 tasks
+    And no executor holds more than its cores
+
+  Scenario: a task that failed as often as its queue allows fails its job
+    Given a pool of 3 executors with 4 cores each
+    When a job with steps of 1 and 1 tasks of 1 core is added
+    And its first task fails 3 times
+    Then the job ends as failed
+    And the plan starts 0 tasks
+
+  Scenario: a task that failed goes to another executor
+    Given a pool of 3 executors with 4 cores each
+    When a job with steps of 1 and 1 tasks of 1 core is added
+    Then its task runs on another executor after a failure
+
+  Scenario: an executor that fails several tasks in a row is left out for a while
+    Given a pool of 2 executors with 4 cores each
+    When every task on the first executor fails in 2 jobs
+    Then new jobs run on the second executor only
+    And after the rest they run on the first executor again
+
+  Scenario: a cancelled job starts nothing and its runs are stopped
+    Given a pool of 1 executors with 2 cores each
+    When a job with steps of 4 and 1 tasks of 1 core is added
+    Then the plan starts 2 tasks
+    When the job is cancelled
+    Then 2 stops are ordered
+    And the plan starts 0 tasks
+
+  Scenario: the runs of a lost executor start again with a higher number
+    Given a pool of 2 executors with 4 cores each
+    When a job with steps of 4 and 1 tasks of 1 core is added
+    Then the plan starts 4 tasks
+    When the executor of the first task surely runs nothing any more
+    Then its tasks start again elsewhere as run 2
+    And a late end of run 1 changes nothing
+
+  Scenario: a draining, an unlisted, a silent and a cordoned executor get nothing new
+    Given a pool of 5 executors with 4 cores each
+    When the first drains, the second is unlisted, the third is silent and the fourth is cordoned
+    And a job with steps of 4 and 1 tasks of 1 core is added
+    Then all tasks run on the fifth executor
+
+  Scenario: a gang starts whole or not at all
+    Given a pool of 2 executors with 2 cores each
+    When a gang of 5 tasks of 1 core is added
+    Then the plan starts 0 tasks
+    When a gang of 4 tasks of 1 core is added
+    Then the plan starts 4 tasks of one run number
+    When one member of the gang fails
+    Then the other members are stopped before the gang starts again
+
+  Scenario: occurrences of a scheduled job start when they are due
+    Given a pool of 2 executors with 4 cores each
+    When a job that repeats 3 times every 1000 ms is added
+    Then 0 tasks start before its time, 1 at its time and 2 more later
+    And the job is completed once all its occurrences are done
+
+  Scenario Outline: labels, bounds and racks hold
+    Given a pool of 4 executors with 8 cores each
+    When a job whose step sets <field> to <value> is added
+    Then <rule>
+
+    Examples:
+      | field        | value | rule                                  |
+      | label        | a     | every task runs on a labelled executor |
+      | label        | z     | the plan starts 0 tasks               |
+      | per_executor | 1     | no executor runs 2 of its tasks       |
+      | rack         | r2    | every task runs on rack r2            |
+
+  Scenario: what is stored of a job restores it
+    Given a pool of 2 executors with 4 cores each
+    When a job with steps of 3 and 2 tasks of 1 core is added
+    And some of its tasks run, one is done and one has failed
+    Then a scheduler that reads its record goes on where this one was
--- /dev/null
+++ b/tests/steps/jobs_lease.py
@@ -0,0 +1,49 @@
+"""Steps for leases of executors."""
+
+from behave import given, then, when
+
+from cardamomgrade.jobs.lease import Lease
+
+START_MS = 50_000
+
+
+@given("a lease of {length:d} ms on a clock that is {slow:d} percent slow")
+def step_lease(context, length, slow):
+    context.rate = 1 - slow / 100
+    context.length = length
+    context.lease = Lease(0.0, START_MS, length)
+
+
+@when("a deadline is granted")
+def step_granted(context):
+    context.deadline = context.lease.grant(0.0)
+
+
+def clock(context, now):
+    """Return what the executor's clock shows at ``now``."""
+    return START_MS + now * 1000 * context.rate
+
+
+@then("the lease has not surely lapsed while the executor may still run")
+def step_not_lapsed(context):
+    for tick in range(600):
+        now = tick / 100
+        if clock(context, now) <= context.deadline:
+            assert not context.lease.surely_lapsed(now), now
+
+
+@then("it has surely lapsed soon after")
+def step_lapsed(context):
+    assert context.lease.surely_lapsed(context.length / 1000 / 0.98 + 0.2)
+
+
+@when("the executor's clock was heard 3 s ago")
+def step_heard(context):
+    context.lease.heard(0.0, START_MS)
+
+
+@then("a deadline granted now is at most {length:d} ms ahead there")
+def step_bounded(context, length):
+    for rate in (0.98, 1.0):
+        shown = START_MS + 3000 * rate
+        assert context.lease.grant(3.0) - shown <= length
--- /dev/null
+++ b/tests/steps/jobs_scheduler.py
@@ -0,0 +1,330 @@
+"""Steps for the scheduler of jobs."""
+
+import itertools
+
+import attrs
+from behave import given, then, when
+
+from cardamomgrade.jobs.queues import Queue, QueueConfig, Service
+from cardamomgrade.jobs.records import decode_job, decode_progress, encode, JobState
+from cardamomgrade.jobs.reports import ExecutorEntry, Outcome
+from cardamomgrade.jobs.scheduler import ASIDE_MIN_MS, Scheduler
+from cardamomgrade.jobs.spec import JobSpec, Step
+
+WALL_MS = 1_700_000_000_000
+CONFIG = QueueConfig(
+    1,
+    (Queue("q", "h", "/q/", "s", max_attempts=3, stretch=2.0, target_ms=500),),
+    (Service("s"), Service("off", standby=True)),
+)
+
+
+def executor_entry(name, cores, rack="r1", labels=("a",)):
+    return ExecutorEntry(
+        name, "s", "127.0.0.1:1", "z", False, cores * 1000, 64_000, 0, labels, rack, 0
+    )
+
+
+class SchedulerWorld:
+    """A scheduler with a clock and the runs that are on executors."""
+
+    def __init__(self, executors, cores):
+        self.now_ms = 0.0
+        self.scheduler = Scheduler(CONFIG)
+        self.numbers = itertools.count()
+        self.running = []
+        self.job = ""
+        self.names = [f"e{number}" for number in range(1, executors + 1)]
+        self.cores = cores
+        for number, name in enumerate(self.names, 1):
+            rack = "r2" if number > executors / 2 else "r1"
+            labels = ("a",) if number % 2 else ("b",)
+            self.scheduler.put_executor(executor_entry(name, cores, rack, labels))
+
+    @property
+    def wall_ms(self):
+        return WALL_MS + self.now_ms
+
+    def add(self, *steps, **fields):
+        self.job = f"{next(self.numbers):016x}"
+        spec = JobSpec(self.job, "q", "s", "text", self.wall_ms, steps, **fields)
+        self.scheduler.add_job(spec, now_ms=self.now_ms)
+        return spec
+
+    def plan(self):
+        starts = self.scheduler.plan(self.now_ms, self.wall_ms)
+        self.running.extend(starts)
+        return starts
+
+    def end(self, start, outcome):
+        if start in self.running:
+            self.running.remove(start)
+        return self.scheduler.end(
+            start.executor, start.task, start.run, outcome, "", self.now_ms
+        )
+
+    def end_all(self, outcome=Outcome.DONE):
+        for start in list(self.running):
+            self.end(start, outcome)
+
+    def state(self):
+        return self.scheduler.state_of(self.job)
+
+
+@given("a pool of {executors:d} executors with {cores:d} cores each")
+def step_pool(context, executors, cores):
+    context.jobs = SchedulerWorld(executors, cores)
+
+
+@when("a job with steps of {first:d} and {second:d} tasks of {cores:d} core is added")
+def step_job(context, first, second, cores):
+    size = {"cores_m": cores * 1000, "memory_mb": 100}
+    context.jobs.add(Step(first, **size), Step(second, after=(0,), **size))
+
+
+@when("a gang of {tasks:d} tasks of {cores:d} core is added")
+def step_gang(context, tasks, cores):
+    context.jobs.add(Step(tasks, cores_m=cores * 1000, gang=True))
+
+
+@when("a job that repeats {times:d} times every {interval:d} ms is added")
+def step_repeating(context, times, interval):
+    context.jobs.add(
+        Step(1, cores_m=1000),
+        repeat=times,
+        start_at_ms=int(context.jobs.wall_ms + 500),
+        interval_ms=interval,
+    )
+
+
+@when("a job whose step sets {field} to {value} is added")
+def step_field(context, field, value):
+    value = int(value) if value.isdecimal() else value
+    context.jobs.add(Step(4, cores_m=1000, **{field: value}))
+
+
+@then("the plan starts {count:d} tasks")
+def step_plan(context, count):
+    starts = context.jobs.plan()
+    assert len(starts) == count, starts
+
+
+@then("the plan starts {count:d} tasks of one run number")
+def step_plan_gang(context, count):
+    starts = context.jobs.plan()
+    assert len(starts) == count and {item.run for item in starts} == {1}, starts
+
+
+@when("all running tasks are done")
+def step_all_done(context):
+    context.jobs.end_all()
+
+
+@then("the job ends as {state}")
+def step_state(context, state):
+    assert context.jobs.state() is JobState[state.upper()], context.jobs.state()
+
+
+@then("no executor holds more than its cores")
+def step_capacity(context):
+    for executor in context.jobs.scheduler.executors.values():
+        assert executor.cores_m <= executor.entry.cores_m
+        held = sum(item.cores_m for item in executor.holdings.values())
+        assert held == executor.cores_m
+
+
+@when("its first task fails {times:d} times")
+def step_fails(context, times):
+    world = context.jobs
+    for _ in range(times):
+        world.plan()
+        assert len(world.running) == 1, world.running
+        world.end(world.running[0], Outcome.FAILED)
+
+
+@then("its task runs on another executor after a failure")
+def step_elsewhere(context):
+    world = context.jobs
+    (first,) = world.plan()
+    world.end(first, Outcome.FAILED)
+    (second,) = world.plan()
+    assert second.executor != first.executor and second.run == first.run + 1
+
+
+@when("every task on the first executor fails in {jobs:d} jobs")
+def step_bad_executor(context, jobs):
+    world = context.jobs
+    for _ in range(jobs):
+        world.add(Step(8, cores_m=1000))
+        world.plan()
+        for start in list(world.running):
+            bad = start.executor == world.names[0]
+            world.end(start, Outcome.FAILED if bad else Outcome.DONE)
+        world.scheduler.cancel(world.job)
+        world.end_all(Outcome.STOPPED)
+
+
+@then("new jobs run on the second executor only")
+def step_second_only(context):
+    world = context.jobs
+    world.add(Step(6, cores_m=1000))
+    assert {item.executor for item in world.plan()} == {world.names[1]}
+    world.end_all()
+
+
+@then("after the rest they run on the first executor again")
+def step_rested(context):
+    world = context.jobs
+    world.now_ms += ASIDE_MIN_MS + 1
+    world.add(Step(6, cores_m=1000))
+    assert world.names[0] in {item.executor for item in world.plan()}
+
+
+@when("the job is cancelled")
+def step_cancel(context):
+    context.jobs.scheduler.cancel(context.jobs.job)
+
+
+@then("{count:d} stops are ordered")
+def step_stops(context, count):
+    stops = context.jobs.scheduler.take_stops()
+    assert len(stops) == count, stops
+
+
+@when("the executor of the first task surely runs nothing any more")
+def step_lost(context):
+    world = context.jobs
+    world.lost = [
+        item for item in world.running if item.executor == world.running[0].executor
+    ]
+    world.scheduler.unlist_executor(world.lost[0].executor)
+    world.scheduler.lose_runs(world.lost[0].executor, world.now_ms)
+
+
+@then("its tasks start again elsewhere as run 2")
+def step_again(context):
+    world = context.jobs
+    starts = world.plan()
+    assert {item.task for item in starts} == {item.task for item in world.lost}
+    assert all(
+        item.run == 2 and item.executor != world.lost[0].executor for item in starts
+    )
+
+
+@then("a late end of run 1 changes nothing")
+def step_late_end(context):
+    world = context.jobs
+    late = world.lost[0]
+    taken = world.scheduler.end(
+        late.executor, late.task, 1, Outcome.DONE, "", world.now_ms
+    )
+    assert not taken and world.state() is JobState.RUNNING
+
+
+@when(
+    "the first drains, the second is unlisted, the third is silent and the fourth is "
+    "cordoned"
+)
+def step_closed(context):
+    world = context.jobs
+    first = world.scheduler.executors[world.names[0]]
+    world.scheduler.put_executor(attrs.evolve(first.entry, draining=True))
+    world.scheduler.unlist_executor(world.names[1])
+    world.scheduler.executors[world.names[2]].silent = True
+    world.scheduler.cordon({world.names[3]})
+
+
+@then("all tasks run on the fifth executor")
+def step_fifth(context):
+    world = context.jobs
+    assert {item.executor for item in world.plan()} == {world.names[4]}
+
+
+@when("one member of the gang fails")
+def step_member_fails(context):
+    world = context.jobs
+    world.end(world.running[0], Outcome.FAILED)
+
+
+@then("the other members are stopped before the gang starts again")
+def step_gang_again(context):
+    world = context.jobs
+    assert world.plan() == []
+    stops = world.scheduler.take_stops()
+    assert {item.task for item in stops} == {item.task for item in world.running}
+    world.end_all(Outcome.STOPPED)
+    starts = world.plan()
+    assert len(starts) == 4 and {item.run for item in starts} == {2}, starts
+
+
+@then("0 tasks start before its time, 1 at its time and 2 more later")
+def step_due(context):
+    world = context.jobs
+    counts = []
+    for now_ms in (0, 499, 500, 1600, 2600):
+        world.now_ms = now_ms
+        world.scheduler.next_due_ms(world.wall_ms)
+        counts.append(len(world.plan()))
+    assert counts == [0, 0, 1, 1, 1], counts
+
+
+@then("the job is completed once all its occurrences are done")
+def step_occurrences_done(context):
+    world = context.jobs
+    assert world.state() is JobState.RUNNING
+    world.end_all()
+    assert world.state() is JobState.COMPLETED
+
+
+@then("every task runs on a labelled executor")
+def step_labelled(context):
+    world = context.jobs
+    starts = world.plan()
+    assert len(starts) == 4
+    for item in starts:
+        assert "a" in world.scheduler.executors[item.executor].entry.labels
+
+
+@then("no executor runs 2 of its tasks")
+def step_apart(context):
+    starts = context.jobs.plan()
+    assert len({item.executor for item in starts}) == len(starts) == 4
+
+
+@then("every task runs on rack r2")
+def step_rack(context):
+    world = context.jobs
+    starts = world.plan()
+    assert len(starts) == 4
+    racks = {world.scheduler.executors[item.executor].entry.rack for item in starts}
+    assert racks == {"r2"}, racks
+
+
+@when("some of its tasks run, one is done and one has failed")
+def step_mixed(context):
+    world = context.jobs
+    starts = world.plan()
+    world.end(starts[0], Outcome.DONE)
+    world.end(starts[1], Outcome.FAILED)
+
+
+@then("a scheduler that reads its record goes on where this one was")
+def step_restored(context):
+    world = context.jobs
+    spec = world.scheduler.jobs[world.job].spec
+    ((key, value),) = world.scheduler.take_dirty()
+    assert key.endswith(world.job)
+    again = SchedulerWorld(len(world.names), world.cores)
+    again.job = world.job
+    stored = decode_job(encode(spec))
+    assert stored == spec
+    again.scheduler.add_job(stored, decode_progress(value))
+    starts = again.plan()
+    assert [item.run for item in starts] == [2], starts
+    (left,) = again.scheduler.jobs[world.job].placed()[-1:]
+    assert left.failures in (0, 1)
+    for task in again.scheduler.jobs[world.job].placed():
+        again.scheduler.end(
+            task.executor, str(task.id), task.run, Outcome.DONE, "", again.now_ms
+        )
+    assert len(again.plan()) == 2
