Elect a node only by its own record, under a sequence of its own

Cause: all candidates of one epoch stood with sequence 0, and the store takes an append of the same writer, epoch and sequence as a repeat: it answered the later candidates with the first one's offset. Found by a test on the emulator in which the scheduling node ends without a word. A candidacy now begins at a random sequence, ends when another record of its epoch is read, and ends by time.

--- a/src/cardamomgrade/emulator/server.py
+++ b/src/cardamomgrade/emulator/server.py
@@ -120,7 +120,9 @@
                 "value": base64.b64encode(value).decode(),
                 "offset": offset,
             }
-            for key, (value, offset) in sorted(self.log.newest(options["topic"]).items())
+            for key, (value, offset) in sorted(
+                self.log.newest(options["topic"]).items()
+            )
         ]
         end = self.log.end(options["topic"])
         fields = {"items": items, "morePages": False, "end": end}
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -118,6 +118,24 @@
         self._operator.start()
         self._follower.start()
 
+    @property
+    def scheduling(self):
+        """Whether this node schedules now."""
+        return self._driver is not None
+
+    def close(self):
+        """End at once, as a process that is killed does."""
+        if self._driver is not None:
+            self._driver.close()
+            self._driver = None
+        for follower in (self._follower, self._operator):
+            follower.close()
+        for server in (self._front, self._ready):
+            server.drop_others(None)
+        for topic in (self._intake_topic, self._probe_topic, self._stand_topic):
+            topic.close()
+        self._net.close_listeners()
+
     def stop(self):
         """Leave in order: hand the term on, then finish what callers wait for."""
         if self._stopping:
@@ -224,7 +242,11 @@
             self._stand_epoch = None
             if self._term.move("elected", "its record is the newest"):
                 self._begin(record)
-        elif not own and self._driver is not None:
+        elif own:
+            return
+        elif self._stand_epoch is not None and record.epoch >= self._stand_epoch:
+            self._refused(f"{record.node} stood first under epoch {record.epoch}")
+        elif self._driver is not None:
             self._deposed(f"{record.node} schedules under epoch {record.epoch}")
 
     def _begin(self, record):
@@ -258,21 +280,17 @@
         record = first_term(self._term, self._cfg.node, self._incarnation)
         self._term.move("stood", f"no sign of life at {self._follower.next_offset}")
         self._stand_epoch = record.epoch
-        mark = WriterMark(WRITER_NAME, record.epoch, 0)
+        self._follower.pause_s = SCHEDULER_PAUSE_S
+        mark = WriterMark(WRITER_NAME, record.epoch, record.beat)
 
         def done(result):
-            if isinstance(result, Appended) or self._stand_epoch is None:
-                return
-            if result.fate is AppendFate.UNKNOWN:
-                # the record may be stored; reading shows it
-                self._loop.call_later(STAND_TIMEOUT_S, give_up)
-                return
-            give_up()
+            refused = not isinstance(result, Appended)
+            if refused and result.fate is not AppendFate.UNKNOWN:
+                give_up()
 
         def give_up():
             if self._stand_epoch == record.epoch:
-                self._stand_epoch = None
-                self._term.refused(self._loop.now(), "another record came first")
+                self._refused("another record came first")
 
         self._stand_topic.append(
             [(KEY_TERM, encode(record))],
@@ -281,3 +299,10 @@
             at=self._follower.next_offset,
             writer=mark,
         )
+        # only reading back its own record elects a node, whatever the answer was
+        self._loop.call_later(2 * STAND_TIMEOUT_S, give_up)
+
+    def _refused(self, why):
+        self._stand_epoch = None
+        self._follower.pause_s = FOLLOWER_PAUSE_S
+        self._term.refused(self._loop.now(), why)
--- a/src/cardamomgrade/jobs/writer.py
+++ b/src/cardamomgrade/jobs/writer.py
@@ -1,5 +1,7 @@
 """The scheduler's appends: one under way at a time, numbered under its epoch."""
 
+import random
+
 import attrs
 
 from ..journal import event, note
@@ -10,6 +12,7 @@
 WRITER_NAME = "scheduler"
 APPEND_TIMEOUT_S = 0.6  # over the answer of a store that is 60 times as slow
 RETRY_S = 0.05
+FIRST_SEQUENCE_LIMIT = 2**30
 BATCH_BYTES = 512 * 1024  # a quarter of what one call of the store takes
 
 
@@ -129,5 +132,10 @@
 
 
 def first_term(term, node, incarnation):
-    """Return the TermRecord with which a node stands."""
-    return TermRecord(term.epoch + 1, node, incarnation, 0, False)
+    """Return the TermRecord with which a node stands.
+
+    It begins at a random number: the store takes an append of the same epoch and
+    number as a repeat, and would answer a second candidate with the first one's.
+    """
+    first = random.randrange(1, FIRST_SEQUENCE_LIMIT)
+    return TermRecord(term.epoch + 1, node, incarnation, first, False)
--- /dev/null
+++ b/tests/steps/jobs_node.py
@@ -0,0 +1,418 @@
+"""Steps that run nodes against the emulated platform, all on one loop."""
+
+import json
+
+import attrs
+from behave import given, then, when
+from harness import free_address, Rig
+
+from cardamomgrade.client import Failure, Requester
+from cardamomgrade.emulator.server import EmulatedPlatform, HOST
+from cardamomgrade.jobs.node import Node
+from cardamomgrade.jobs.records import encode, KEY_TERM, TermRecord
+from cardamomgrade.jobs.settings import NodeSettings
+from cardamomgrade.platform.adapter import Platform
+from cardamomgrade.wire import HttpRequest
+
+TASK_MS = 60
+LONG_TASK_MS = 1500
+WAIT_S = 25.0
+SETTINGS = NodeSettings(
+    node="",
+    zone="z",
+    front="",
+    ready="",
+    store="",
+    machines="",
+    stop_ms=400,
+    max_lease_ms=10_000,
+    machine_lease_ms=300,
+    upkeep_ms=200,
+    status_ms=120_000,
+    visible_ms=3000,
+    grace_ms=6000,
+    notice_ms=4500,
+    pace_ms=100,
+    interference_ms=4000,
+)
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r-q",
+            "host": "jobs.example",
+            "pathPrefix": "/q/",
+            "kind": "unsafe",
+            "timeoutMs": 3000,
+            "targetLatencyMs": 600,
+            "priority": 0,
+            "service": "s",
+            "maxAttempts": 3,
+            "stretch": 1.6,
+        }
+    ],
+    "services": [
+        {"name": "s", "enforceLimits": False, "standby": False},
+        {"name": "off", "enforceLimits": False, "standby": True},
+    ],
+    "limits": {"maxBodyBytes": 262_144},
+}
+
+
+class NodeWorld:
+    """Nodes, the emulated platform and a caller."""
+
+    def __init__(self, nodes, executors):
+        self.rig = Rig()
+        self.task_ms = TASK_MS
+        self.platform = EmulatedPlatform(self.rig.loop, self.plan)
+        self.job = "00000000000000a1"
+        self.lasting = False
+        for number in range(executors):
+            self.platform.add_executor(f"i-{number}", "s", 4000, 64_000)
+        self.platform.put("keyed.op", "config", CONFIG)
+        self.cfgs = [self.settings(number) for number in range(nodes)]
+        self.nodes = [self.start(cfg) for cfg in self.cfgs]
+        self.callers = [
+            Requester(self.rig.loop, self.rig.net, cfg.front) for cfg in self.cfgs
+        ]
+        self.rig.run_until(lambda: self.scheduler() is not None)
+
+    def settings(self, number):
+        return attrs.evolve(
+            SETTINGS,
+            node=f"n{number}",
+            front=free_address(),
+            ready=free_address(),
+            store=f"{HOST}:{self.platform.store_port}",
+            machines=f"{HOST}:{self.platform.vms_port}",
+        )
+
+    def start(self, cfg):
+        node = Node(self.rig.loop, cfg, Platform)
+        node.start()
+        return node
+
+    def plan(self, task):
+        return (None, "failed") if self.lasting else (self.task_ms, "done")
+
+    def scheduler(self):
+        """Return the number of the node that schedules, or None."""
+        found = [
+            number
+            for number, node in enumerate(self.nodes)
+            if node is not None and node.scheduling
+        ]
+        return found[0] if found else None
+
+    def call(self, method, path, body=b"", node=0):
+        """Return the HttpResponse or Failure of a caller's request."""
+        headers = [(b"host", b"jobs.example"), (b"x-deadline-ms", b"3000")]
+        answers = []
+        req = HttpRequest(method, path, tuple(headers), body)
+        self.callers[node].request(req, answers.append, 5.0)
+        self.rig.run_until(lambda: answers)
+        return answers[0]
+
+    def submit(self, steps, node=0, job=None, text="text"):
+        body = json.dumps({"spec": text, "steps": steps}).encode()
+        return self.call("POST", f"/q/{job or self.job}", body, node)
+
+    def state(self, node=0, job=None):
+        answer = self.call("GET", f"/q/{job or self.job}", node=node)
+        if isinstance(answer, Failure) or answer.status != 200:
+            return answer
+        return json.loads(answer.body)["state"]
+
+    def wait_state(self, state, node=0, job=None):
+        """Ask for the job's state until it is ``state``."""
+        end = self.rig.loop.now() + WAIT_S
+        while self.rig.loop.now() < end:
+            shown = self.state(node, job)
+            if shown == state:
+                return
+            self.rig.run_for(0.05)
+        raise AssertionError(f"{shown}, not {state}")
+
+    def done(self, job=None):
+        """Return the tasks of a job that ended done, one entry for each end."""
+        name = job or self.job
+        return [
+            task
+            for kind, _, task, _ in self.platform.trace
+            if kind == "done" and task.startswith(name)
+        ]
+
+
+def step_fields(tasks, **fields):
+    return {"count": tasks, "cpu": 1000, "memMb": 100, "estimateMs": 50, **fields}
+
+
+@given("{nodes:d} nodes on an emulated platform with {executors:d} executors")
+def step_world(context, nodes, executors):
+    context.nodes = NodeWorld(nodes, executors)
+
+
+@given("{count:d} VMs that are off")
+def step_off(context, count):
+    for number in range(count):
+        vm = f"m-off-{number}"
+        context.nodes.platform.machines[vm] = {
+            "machine": vm,
+            "pool": "off",
+            "state": "up",
+            "zone": "z",
+            "labels": ["a", "r9"],
+            "id": "",
+        }
+
+
+@when("a caller submits a job of 2 steps with {tasks:d} tasks each at node {node:d}")
+def step_submit(context, tasks, node):
+    steps = [step_fields(tasks), step_fields(tasks, after=[0])]
+    assert context.nodes.submit(steps, node - 1).status == 200
+
+
+@then("node {node:d} shows the job as {state}")
+def step_shown(context, node, state):
+    context.nodes.wait_state(state, node - 1)
+
+
+@then("the other node shows the job as {state}")
+def step_other_shown(context, state):
+    context.nodes.wait_state(state, context.nodes.survivor)
+
+
+@then("each of its {tasks:d} tasks ended done once")
+def step_once(context, tasks):
+    context.nodes.wait_state("completed", getattr(context.nodes, "survivor", 0))
+    done = context.nodes.done()
+    assert len(done) == len(set(done)) == tasks, done
+
+
+@when("a caller submits the same job at both nodes and again when it is completed")
+def step_same(context):
+    world = context.nodes
+    for node in (0, 1):
+        assert world.submit([step_fields(2)], node).status == 200
+    world.wait_state("completed")
+    assert world.submit([step_fields(2)], 1).status == 200
+    world.rig.run_for(0.5)
+
+
+@then("these calls are answered")
+def step_calls(context):
+    for row in context.table:
+        answer = context.nodes.call(row["method"], row["path"], row["body"].encode())
+        assert answer.status == int(row["status"]), (row, answer)
+
+
+@then("a spec of 4001 bytes is refused and one of 4000 bytes is accepted")
+def step_spec(context):
+    world = context.nodes
+    assert world.submit([step_fields(1)], text="x" * 4001).status == 400
+    assert world.submit([step_fields(1)], text="x" * 4000).status == 200
+
+
+@when("a caller submits a job that lasts with {tasks:d} tasks")
+def step_lasting(context, tasks):
+    context.nodes.lasting = True
+    steps = [step_fields(tasks, longRunning=True)]
+    assert context.nodes.submit(steps).status == 200
+
+
+@then("its tasks run")
+def step_running(context):
+    world = context.nodes
+    world.rig.run_until(
+        lambda: sum(len(life.core.runs) for life in world.platform.lives.values()) == 2
+    )
+
+
+@when("the caller cancels the job")
+def step_delete(context):
+    answer = context.nodes.call("DELETE", f"/q/{context.nodes.job}")
+    assert answer.status == 200, answer
+
+
+@then("nothing runs on the executors")
+def step_idle(context):
+    world = context.nodes
+    world.rig.run_until(
+        lambda: not any(life.core.runs for life in world.platform.lives.values())
+    )
+
+
+@when("the store loses the next {count:d} answers to appends while a job runs")
+def step_lose(context, count):
+    world = context.nodes
+    assert world.submit([step_fields(1), step_fields(1, after=[0])]).status == 200
+    world.platform.faults.lose_answers = count
+
+
+@when("the store is down")
+def step_down(context):
+    context.nodes.platform.faults.down = True
+
+
+@when("the store is up again")
+def step_up(context):
+    context.nodes.platform.faults.down = False
+
+
+@then("a submission is answered 503 with a time to come back")
+def step_refused(context):
+    answer = context.nodes.submit([step_fields(1)])
+    assert answer.status == 503 and answer.header("retry-after") != "", answer
+
+
+@then("the node leaves the rotation")
+def step_unready(context):
+    world = context.nodes
+    asker = Requester(world.rig.loop, world.rig.net, world.cfgs[0].ready)
+    answers = []
+
+    def ask():
+        answers.clear()
+        req = HttpRequest("GET", "/api/ready", ((b"host", b"x"),))
+        asker.request(req, answers.append, 2.0)
+
+    end = world.rig.loop.now() + WAIT_S
+    while world.rig.loop.now() < end:
+        ask()
+        world.rig.run_until(lambda: answers)
+        if answers[0].status == 503:
+            return
+        world.rig.run_for(0.2)
+    raise AssertionError("still ready")
+
+
+@then("a job submitted now is completed")
+def step_works(context):
+    world = context.nodes
+    job = "00000000000000c1"
+    end = world.rig.loop.now() + WAIT_S
+    while world.submit([step_fields(2)], job=job).status != 200:
+        assert world.rig.loop.now() < end
+        world.rig.run_for(0.2)
+    world.wait_state("completed", job=job)
+
+
+@when("the scheduling node ends without a word while a job runs")
+def step_kill(context):
+    world = context.nodes
+    gone = world.scheduler()
+    world.survivor = 1 - gone
+    world.task_ms = LONG_TASK_MS
+    assert world.submit([step_fields(4)], world.survivor).status == 200
+    world.rig.run_until(lambda: world.platform.trace)
+    world.nodes[gone].close()
+    world.nodes[gone] = None
+
+
+@then("the executors have seen a higher token")
+def step_token(context):
+    lives = context.nodes.platform.lives.values()
+    assert max(life.core.token for life in lives) == 2
+
+
+@when("another node takes the term under a higher epoch")
+def step_take(context):
+    world = context.nodes
+    record = TermRecord(9, "n9", "other", 0, False)
+    world.old = world.scheduler()
+    pairs = [(KEY_TERM.encode(), encode(record))]
+    world.platform.log.append("keyed.jobs", pairs, None, "scheduler", 9, 0)
+
+
+@then("the old scheduler follows again after its next append")
+def step_deposed(context):
+    world = context.nodes
+    world.rig.run_until(lambda: not world.nodes[world.old].scheduling)
+
+
+@when("one executor goes silent while it runs tasks of a job")
+def step_silent(context):
+    world = context.nodes
+    world.task_ms = 300
+    assert world.submit([step_fields(8)]).status == 200
+    world.rig.run_until(lambda: len(world.platform.trace) == 8)
+    world.platform.lives["i-0"].silent = True
+
+
+@then("no task ran twice at the same time under a lease")
+def step_no_overlap(context):
+    runs = [item[2:] for item in context.nodes.platform.trace if item[0] == "start"]
+    assert len(runs) == len(set(runs)) > 8, runs
+
+
+@when("one executor's address is taken over by another life")
+def step_new_life(context):
+    world = context.nodes
+    world.task_ms = 300
+    assert world.submit([step_fields(8)]).status == 200
+    world.rig.run_until(lambda: len(world.platform.trace) == 8)
+    core = world.platform.lives["i-0"].core
+    core.name = "i-0-next"
+    core.runs.clear()
+
+
+@when("these records are written")
+def step_records(context):
+    for row in context.table:
+        pairs = [(row["key"].encode(), row["value"].encode())]
+        context.nodes.platform.log.append(row["topic"], pairs)
+    context.nodes.rig.run_for(0.3)
+
+
+@when("the store forgets its history")
+def step_forget(context):
+    platform = context.nodes.platform
+    for topic in ("keyed.jobs", "keyed.op", "keyed.servers"):
+        platform.log.append(topic, [(b"noise", b"x")])
+        platform.log.expire(topic)
+
+
+@when("a wave of all VMs with {at_once:d} at once is asked for")
+def step_wave(context, at_once):
+    platform = context.nodes.platform
+    fields = {
+        "wave": 4,
+        "machines": list(platform.machines),
+        "durationS": 20,
+        "maxCount": at_once,
+    }
+    platform.put("keyed.op", "wave/4", fields)
+
+
+@then("each VM had its upkeep, never 2 at once, and the wave is completed")
+def step_wave_done(context):
+    world = context.nodes
+
+    def completed():
+        found = world.platform.log.newest("keyed.status").get(b"wave/4")
+        return found is not None and json.loads(found[0]) == {"state": "completed"}
+
+    world.rig.run_until(completed)
+    ordered = [fields["machine"] for call, fields in world.platform.orders]
+    assert sorted(ordered) == sorted(set(ordered)), ordered
+    assert len(ordered) == 3
+
+
+@when("a caller submits more work than the pool holds")
+def step_overload(context):
+    world = context.nodes
+    world.task_ms = LONG_TASK_MS
+    assert world.submit([step_fields(12)]).status == 200
+
+
+@then("a VM that was off joins the pool")
+def step_joined(context):
+    world = context.nodes
+    world.rig.run_until(
+        lambda: any(
+            call == "machine-move" and fields["pool"] == "s"
+            for call, fields in world.platform.orders
+        )
+    )
+    world.wait_state("completed")
