--- a/tests/steps/jobs_node.py
+++ b/tests/steps/jobs_node.py
@@ -4,7 +4,6 @@
 
 import attrs
 from behave import given, then, when
-from harness import free_address, Rig
 
 from cardamomgrade.client import Failure, Requester
 from cardamomgrade.emulator.server import EmulatedPlatform, HOST
@@ -13,6 +12,7 @@
 from cardamomgrade.jobs.settings import NodeSettings
 from cardamomgrade.platform.adapter import Platform
 from cardamomgrade.wire import HttpRequest
+from harness import free_address, Rig
 
 TASK_MS = 60
 LONG_TASK_MS = 1500
