--- a/tests/steps/jobs_urgency.py
+++ b/tests/steps/jobs_urgency.py
@@ -13,7 +13,8 @@
 
 
 @given(
-    "a job of age {age:d} ms with {left:d} ms left of an objective of {objective:d} ms, "
+    "a job of age {age:d} ms with {left:d} ms left of an objective of "
+    "{objective:d} ms, "
     "begun {begun}"
 )
 def step_outlook(context, age, left, objective, begun):
