Let a new scheduler order VMs at once, but for those ordered lately, and keep what was learned

An order for a VM is now stored before it leaves and its record deleted when its lease is over, so a new scheduler waits for those VMs alone; run times are stored every 2 s, and arrivals are counted from the jobs' own times.

--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -11,11 +11,14 @@
 from .pools import PoolPlanner
 from .records import (
     encode,
+    KEY_LEARNED,
     PREFIX_CANCEL,
     PREFIX_JOB,
+    PREFIX_ORDER,
     PREFIX_PROGRESS,
     PREFIX_UPKEEP,
     UpkeepRecord,
+    VmOrderRecord,
 )
 from .reports import OrderResult, Outcome, VmOrderResult
 from .scheduler import Scheduler
@@ -26,6 +29,7 @@
 PLAN_PAUSE_S = 0.02  # decisions of this long share an append
 TICK_S = 0.15  # occurrences that come due, executors that come back
 RETRY_S = 0.2
+LEARNED_S = 2.0  # what a new scheduler may have to learn again
 UNHEALTHY_REST_MS = 1000
 AT_WORK_PERCENT = 100
 AT_WORK_STALE_S = 2.0  # two renewals: an executor that is silent may be gone
@@ -87,6 +91,8 @@
         self._view = view
         self._on_deposed = on_deposed
         self._epoch = term.epoch
+        self._vm_lease_s = cfg.machine_lease_ms / MS + VM_LEASE_MARGIN_S
+        self._learned_at = loop.now()
         self._since = loop.now()
         self._agents = {}
         self._marks = {}
@@ -122,9 +128,13 @@
     def _restore(self):
         self._view.on_job = self._on_job
         self._view.on_cancel = self._on_cancel
+        if self._view.learned is not None:
+            self._scheduler.durations.restore(self._view.learned)
         for name, row in self._view.rows.items():
             if row.spec is not None:
-                self._scheduler.add_job(row.spec, row.progress)
+                age_ms = max(0.0, time.time() * MS - row.spec.accepted_ms)
+                now_ms = self._loop.now() * MS - age_ms
+                self._scheduler.add_job(row.spec, row.progress, now_ms)
                 if row.cancelled:
                     self._scheduler.cancel(name)
 
@@ -262,6 +272,10 @@
             for name in self._scheduler.lost_executors():
                 self._scheduler.lose_runs(name, now * MS)
         self._forget_jobs(now)
+        if now - self._learned_at > LEARNED_S:
+            self._learned_at = now
+            learned = self._scheduler.durations.record()
+            self._writer.store([(KEY_LEARNED, encode(learned))])
         self._request_plan()
         self._list_vms()
 
@@ -386,11 +400,14 @@
         now = self._loop.now()
         for wave, state in self._upkeep.waves.items():
             self._settle_wave(wave, state)
+        leased = self._leased()
         plan = self._upkeep.plan(
-            self._listed, self._scheduler.executors, now, self._reserve
+            {vm: item for vm, item in self._listed.items() if vm not in leased},
+            self._scheduler.executors,
+            now,
+            self._reserve,
         )
-        if self._may_order_vms():
-            self._thin_out(plan.cordoned)
+        self._thin_out(plan.cordoned)
         moving = self._plan_moves(now, plan.vms)
         self._scheduler.cordon(plan.cordoned | moving)
         self._request_plan()
@@ -427,16 +444,34 @@
         item = self._platform.encode_wave_status(wave, completed)
         self._status_topic.append([item], done, 1.0)
 
-    def _may_order_vms(self):
-        """Return whether the orders of an earlier scheduler have lapsed."""
-        wait_s = self._cfg.machine_lease_ms / MS + VM_LEASE_MARGIN_S
-        return self._epoch == 1 or self._loop.now() - self._since >= wait_s
+    def _leased(self):
+        """Return the VMs that only an earlier scheduler may order now."""
+        if self._loop.now() - self._since >= self._vm_lease_s:
+            return set()
+        return {
+            vm for vm, record in self._view.orders.items() if record.epoch < self._epoch
+        }
+
+    def _store_order(self, vm, items, on_stored):
+        """Store that this scheduler orders a VM, and forget it after its lease."""
+        key = PREFIX_ORDER + vm
+        record = encode(VmOrderRecord(self._epoch))
+
+        def stored():
+            if self._closed:
+                return
+            on_stored()
+            self._loop.call_later(self._vm_lease_s, forget)
+
+        def forget():
+            if not self._closed:
+                self._writer.store([(key, b"")])
+
+        self._writer.store([*items, (key, record)], stored)
 
     def _plan_moves(self, now, staying):
         """Order moves between pools; return the executors that they will end."""
-        if not self._may_order_vms():
-            return set()
-        barred = staying | self._ordering
+        barred = staying | self._ordering | self._leased()
         loads = self._scheduler.pool_loads(now * MS)
         for move in self._pools.plan(loads, self._listed, now, barred):
             self._pools.ordered(move, now)
@@ -461,12 +496,15 @@
             else:
                 self._pools.refused(move, self._loop.now())
 
-        if not self._closed:
+        def stored():
             self._machines.move(move.vm, move.pool, answered)
 
+        if not self._closed:
+            self._store_order(move.vm, [], stored)
+
     def _reserve(self, executor):
         """Count all that runs there as away, if every availability budget allows it."""
-        if not self._may_order_vms() or not self._may_end(executor):
+        if not self._may_end(executor):
             return False
         self._ending.update(executor.holdings)
         return True
@@ -544,10 +582,9 @@
                 self._depose("the platform has seen a newer holder")
 
         def stored():
-            if not self._closed:
-                self._machines.upkeep(vm, wave, answered)
+            self._machines.upkeep(vm, wave, answered)
 
-        self._writer.store([(PREFIX_UPKEEP + vm, encode(record))], stored)
+        self._store_order(vm, [(PREFIX_UPKEEP + vm, encode(record))], stored)
 
 
 @event(613)
--- a/src/cardamomgrade/jobs/durations.py
+++ b/src/cardamomgrade/jobs/durations.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from .records import LearnedRecord
+
 WEIGHT = 0.1  # of the newest run: the last two dozen runs count most
 DEFAULT_MS = 1000.0
 LEAST_MS = 20.0
@@ -40,6 +42,17 @@
         known.mean_error += WEIGHT * (error - known.mean_error)
         known.mean_ms += WEIGHT * (took_ms - known.mean_ms)
 
+    def record(self):
+        """Return the LearnedRecord to store."""
+        return LearnedRecord(
+            tuple((name, *attrs.astuple(item)) for name, item in self._queues.items())
+        )
+
+    def restore(self, record):
+        """Take over what another scheduler learned."""
+        for name, mean_ms, estimate_error, mean_error in record.queues:
+            self._queues[name] = _Queue(mean_ms, estimate_error, mean_error)
+
     def expect(self, queue, estimate_ms):
         """Return the expected run time of a task."""
         known = self._queues.get(queue)
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -6,6 +6,8 @@
 | ``cancel/ID`` | CancelRecord | the entry that took the cancellation |
 | ``progress/ID`` | ProgressRecord | the scheduler |
 | ``upkeep/VM`` | UpkeepRecord | the scheduler |
+| ``order/VM`` | VmOrderRecord | the scheduler; deleted when the order's lease is over |
+| ``learned`` | LearnedRecord | the scheduler |
 | ``term`` | TermRecord | the scheduler and its candidates |
 
 A value is CBOR. Writing a record again changes nothing, so an append whose answer
@@ -21,10 +23,12 @@
 from .spec import JobSpec, Step
 
 KEY_TERM = "term"
+KEY_LEARNED = "learned"
 PREFIX_JOB = "job/"
 PREFIX_CANCEL = "cancel/"
 PREFIX_PROGRESS = "progress/"
 PREFIX_UPKEEP = "upkeep/"
+PREFIX_ORDER = "order/"
 
 
 @unique
@@ -91,6 +95,20 @@
     epoch: int
 
 
+@attrs.frozen
+class VmOrderRecord:
+    """An order for a VM, whose scheduler alone may order it for a while."""
+
+    epoch: int
+
+
+@attrs.frozen
+class LearnedRecord:
+    """What a scheduler learned of each queue: (queue, mean ms, two mean errors)."""
+
+    queues: tuple
+
+
 @attrs.frozen
 class TermRecord:
     """The scheduler of one epoch; ``beat`` counts up while it lives."""
@@ -144,3 +162,21 @@
 def decode_upkeep(data):
     """Return the UpkeepRecord of an ``upkeep/`` key; raise RecordError."""
     return _load(UpkeepRecord, data)
+
+
+def decode_order(data):
+    """Return the VmOrderRecord of an ``order/`` key; raise RecordError."""
+    return _load(VmOrderRecord, data)
+
+
+def decode_learned(data):
+    """Return the LearnedRecord of the ``learned`` key; raise RecordError."""
+    record = _load(LearnedRecord, data)
+    try:
+        queues = tuple(
+            (str(name), float(mean), float(first), float(second))
+            for name, mean, first, second in record.queues
+        )
+    except (TypeError, ValueError) as exc:
+        raise RecordError(f"LearnedRecord: {exc}") from exc
+    return LearnedRecord(queues)
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -117,7 +117,7 @@
         self._changed = set()
         self._resting = {}
         self.placed_here = set()
-        self._durations = Durations()
+        self.durations = Durations()
         self._waiting = {}
         self._demand = Demand()
         self._largest_m = 0
@@ -165,7 +165,7 @@
         """Return a function of a step that gives the run time of one of its tasks."""
 
         def expect(step):
-            return self._durations.expect(spec.queue, step.estimate_ms)
+            return self.durations.expect(spec.queue, step.estimate_ms)
 
         return expect
 
@@ -320,7 +320,7 @@
         if outcome is Outcome.DONE and task.placed_ms:
             step = job.spec.steps[task.id.step]
             took_ms = now_ms - task.placed_ms
-            self._durations.report(job.spec.queue, step.estimate_ms, took_ms)
+            self.durations.report(job.spec.queue, step.estimate_ms, took_ms)
         job.end(task, outcome, checkpoint)
         self._judge(executor, task, outcome, now_ms)
         self._touch(job)
--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -6,13 +6,17 @@
 from ..journal import event, note
 from .records import (
     decode_job,
+    decode_learned,
+    decode_order,
     decode_progress,
     decode_term,
     decode_upkeep,
     JobState,
+    KEY_LEARNED,
     KEY_TERM,
     PREFIX_CANCEL,
     PREFIX_JOB,
+    PREFIX_ORDER,
     PREFIX_PROGRESS,
     PREFIX_UPKEEP,
 )
@@ -47,7 +51,7 @@
 
 
 class JobView:
-    """Rows by job, the newest term, and the upkeeps that were ordered.
+    """Rows by job, the newest term, what was learned, and the orders for VMs.
 
     ``on_job(spec)``, ``on_cancel(job)`` and ``on_term(record, offset)`` may be set.
     """
@@ -55,6 +59,8 @@
     def __init__(self):
         self.rows = {}
         self.upkeeps = {}
+        self.orders = {}
+        self.learned = None
         self.term = None
         self.on_job = None
         self.on_cancel = None
@@ -64,6 +70,7 @@
             (PREFIX_CANCEL, self._fold_cancel),
             (PREFIX_PROGRESS, self._fold_progress),
             (PREFIX_UPKEEP, self._fold_upkeep),
+            (PREFIX_ORDER, self._fold_order),
         )
 
     def find(self, name):
@@ -87,6 +94,9 @@
             if entry.key == KEY_TERM:
                 self._fold_term(entry)
                 return
+            if entry.key == KEY_LEARNED:
+                self.learned = decode_learned(entry.value)
+                return
             for prefix, fold in self._folds:
                 if entry.key.startswith(prefix):
                     fold(entry.key[len(prefix) :], entry.value)
@@ -130,3 +140,9 @@
             self.upkeeps[name] = decode_upkeep(value)
         else:
             self.upkeeps.pop(name, None)
+
+    def _fold_order(self, name, value):
+        if value:
+            self.orders[name] = decode_order(value)
+        else:
+            self.orders.pop(name, None)
