--- a/src/cardamomgrade/jobs/writer.py
+++ b/src/cardamomgrade/jobs/writer.py
@@ -77,8 +77,10 @@
             self.store([])
 
     def resign(self):
-        """Tell the others that this node schedules no more."""
-        self._items[KEY_TERM] = encode(attrs.evolve(self._term, resigned=True))
+        """Tell the others that this node schedules no more, and beat no more."""
+        self._timer.cancel()
+        self._term = attrs.evolve(self._term, resigned=True)
+        self._items[KEY_TERM] = encode(self._term)
         self._flush()
 
     def _flush(self):
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -100,3 +100,9 @@
     And 2 VMs that are off
     When a caller submits more work than the pool holds
     Then a VM that was off joins the pool
+
+  Scenario: a node that stops hands the term on and shows no more sign of life
+    Given 2 nodes on an emulated platform with 2 executors
+    When the scheduling node is told to stop
+    Then its last term record says that it resigned, also 1 s later
+    And the other node schedules
--- a/tests/steps/jobs_node.py
+++ b/tests/steps/jobs_node.py
@@ -8,7 +8,12 @@
 from cardamomgrade.client import Failure, Requester
 from cardamomgrade.emulator.server import EmulatedPlatform, HOST
 from cardamomgrade.jobs.node import Node
-from cardamomgrade.jobs.records import encode, KEY_TERM, TermRecord
+from cardamomgrade.jobs.records import (
+    decode_term,
+    encode,
+    KEY_TERM,
+    TermRecord,
+)
 from cardamomgrade.jobs.settings import NodeSettings
 from cardamomgrade.platform.adapter import Platform
 from cardamomgrade.wire import HttpRequest
@@ -416,3 +421,28 @@
         )
     )
     world.wait_state("completed")
+
+
+@when("the scheduling node is told to stop")
+def step_stop(context):
+    world = context.nodes
+    world.stopped = world.scheduler()
+    world.survivor = 1 - world.stopped
+    world.nodes[world.survivor].close()
+    world.nodes[world.stopped].stop()
+
+
+@then("its last term record says that it resigned, also 1 s later")
+def step_resigned(context):
+    world = context.nodes
+    world.rig.run_for(1.0)
+    value, _ = world.platform.log.newest("keyed.jobs")[KEY_TERM.encode()]
+    record = decode_term(value)
+    assert record.resigned and record.node == world.cfgs[world.stopped].node, record
+
+
+@then("the other node schedules")
+def step_other(context):
+    world = context.nodes
+    node = world.start(world.settings(7))
+    world.rig.run_until(lambda: node.scheduling)
