--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -400,12 +400,12 @@
         now = self._loop.now()
         for wave, state in self._upkeep.waves.items():
             self._settle_wave(wave, state)
-        leased = self._leased()
         plan = self._upkeep.plan(
-            {vm: item for vm, item in self._listed.items() if vm not in leased},
+            self._listed,
             self._scheduler.executors,
             now,
             self._reserve,
+            self._leased(),
         )
         self._thin_out(plan.cordoned)
         moving = self._plan_moves(now, plan.vms)
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -13,7 +13,7 @@
 from .follow import TopicFollower
 from .records import encode, KEY_TERM
 from .store import Appended, AppendFate, WriterMark
-from .term import Term
+from .term import RESIGNED_JITTER_S, Term
 from .view import JobView
 from .writer import first_term, WRITER_NAME
 
@@ -237,6 +237,8 @@
 
     def _on_term(self, record, offset):
         self._term.seen(record, self._loop.now())
+        if self._term.handed_on:
+            self._loop.call_later(RESIGNED_JITTER_S, self._on_read)
         own = record.incarnation == self._incarnation
         if own and record.epoch == self._stand_epoch and not record.resigned:
             self._stand_epoch = None
--- a/src/cardamomgrade/jobs/term.py
+++ b/src/cardamomgrade/jobs/term.py
@@ -29,7 +29,10 @@
 
 
 class Term:
-    """A node's part: follower, candidate or scheduler."""
+    """A node's part: follower, candidate or scheduler.
+
+    ``handed_on`` tells that the newest term has ended and nobody schedules.
+    """
 
     def __init__(self, node, incarnation):
         self._node = node
@@ -37,7 +40,7 @@
         self._quiet_since = None
         self._jitter = random.Random(incarnation)
         self._wait = 0.0
-        self._handed_on = False
+        self.handed_on = False
         self.state = CHART.initial
         self.epoch = 0
 
@@ -54,7 +57,7 @@
         """Take note of a term record that was read."""
         self.epoch = max(self.epoch, record.epoch)
         own_past = record.node == self._node and record.incarnation != self._incarnation
-        self._handed_on = record.resigned or own_past
+        self.handed_on = record.resigned or own_past
         self._restart(now)
 
     def unreachable(self):
@@ -63,7 +66,7 @@
 
     def _restart(self, now):
         self._quiet_since = now
-        if self._handed_on:
+        if self.handed_on:
             self._wait = self._jitter.uniform(0, RESIGNED_JITTER_S)
         else:
             self._wait = TERM_TIMEOUT_S + self._jitter.uniform(0, TERM_JITTER_S)
--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -48,6 +48,12 @@
     orders: tuple
 
 
+@attrs.frozen
+class _WavePlan:
+    cordoned: set
+    orders: list
+
+
 class UpkeepPlanner:
     """All open waves; an upkeep takes ``upkeep_s``."""
 
@@ -71,39 +77,40 @@
         """Return whether every VM of a wave has begun its upkeep."""
         return not self.waves[wave].left()
 
-    def plan(self, listed, executors, now, reserve):
+    def plan(self, listed, executors, now, reserve, barred=frozenset()):
         """Return the UpkeepPlan.
 
         ``listed`` maps a VM to its ListedMachine, ``executors`` an executor's id to
         its Executor; ``reserve(executor)`` takes an executor out of every availability
-        budget, or returns False where one does not allow it.
+        budget, or returns False where one does not allow it. VMs in ``barred`` are not
+        ordered now, but count as down if they are.
         """
         cordoned, orders = set(), []
         for wave, state in self.waves.items():
             if state.left():
-                self._plan_wave(
-                    wave, state, listed, executors, now, reserve, cordoned, orders
-                )
+                found = self._plan_wave(state, listed, executors, now, reserve, barred)
+                cordoned.update(found.cordoned)
+                orders.extend((vm, wave, executor) for vm, executor in found.orders)
         staying = {
             vm for state in self.waves.values() if state.left() for vm in state.draining
         }
         return UpkeepPlan(frozenset(cordoned), frozenset(staying), tuple(orders))
 
-    def _plan_wave(
-        self, wave, state, listed, executors, now, reserve, cordoned, orders
-    ):
+    def _plan_wave(self, state, listed, executors, now, reserve, barred):
         down = self._down(state, listed, now)
         self._choose(state, listed, executors, now, down)
         free = state.request.at_once - len(down)
+        cordoned, orders = set(), []
         for vm, since in sorted(state.draining.items(), key=lambda pair: pair[1]):
             machine = listed.get(vm)
-            if machine is None or machine.state != STATE_UP:
+            if machine is None or machine.state != STATE_UP or vm in barred:
                 continue
             if machine.executor:
                 cordoned.add(machine.executor)
             if free > 0 and self._may_go(machine, executors, now - since, reserve):
-                orders.append((vm, wave, machine.executor))
+                orders.append((vm, machine.executor))
                 free -= 1
+        return _WavePlan(cordoned, orders)
 
     def _down(self, state, listed, now):
         """Return the VMs of a wave that are or may be down for their upkeep."""
--- a/tests/jobs/upkeep.feature
+++ b/tests/jobs/upkeep.feature
@@ -35,3 +35,10 @@
     When 2.4 s go by
     And upkeeps are planned and ordered
     Then 2 VMs are ordered
+
+  Scenario: VMs that another scheduler took down count, though they may not be ordered
+    Given a wave of 6 VMs, 2 at once
+    When upkeeps are planned and ordered
+    And those VMs may not be ordered by this scheduler
+    And upkeeps are planned and ordered
+    Then 2 VMs are ordered
--- a/tests/steps/jobs_upkeep.py
+++ b/tests/steps/jobs_upkeep.py
@@ -18,6 +18,7 @@
         self.planner = UpkeepPlanner(UPKEEP_S)
         self.now = 0.0
         self.allowed = True
+        self.barred = frozenset()
         self.ordered = []
         names = tuple(f"m{number}" for number in range(vms))
         self.executors = {f"i-{vm}": Executor(executor_entry(vm, 4)) for vm in names}
@@ -26,7 +27,11 @@
 
     def step(self):
         self.plan = self.planner.plan(
-            self.listed, self.executors, self.now, lambda executor: self.allowed
+            self.listed,
+            self.executors,
+            self.now,
+            lambda executor: self.allowed,
+            self.barred,
         )
         state = self.planner.waves[1]
         for vm, wave, executor in self.plan.orders:
@@ -85,3 +90,8 @@
 @then("the VM is closed to new runs")
 def step_cordoned(context):
     assert context.wave.plan.cordoned == {"i-m0"}
+
+
+@when("those VMs may not be ordered by this scheduler")
+def step_barred(context):
+    context.wave.barred = frozenset(context.wave.ordered)
