--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -119,6 +119,7 @@
         self.placed_here = set()
         self.durations = Durations()
         self._waiting = {}
+        self._blocked = {}
         self._demand = Demand()
         self._largest_m = 0
         self._health = Health(
@@ -437,14 +438,17 @@
         ]
         ready.sort(key=lambda item: item[0])
         starts = []
-        waiting_m = 0
+        waiting_m = blocked_vms = 0
         for _, job, steps, outlook in ready:
             for step in steps:
                 place = self._place_gang if step.step.gang else self._place_tasks
                 starts.extend(place(job, step, executors, now_ms))
                 if rank_of(outlook) <= Rank.LATE:
                     waiting_m += step.waiting * step.step.counted_cores_m
+                if step.waiting and any(item.fits(step.step) for item in executors):
+                    blocked_vms += -(-step.waiting // (step.step.per_executor or 1))
         self._waiting[service] = waiting_m
+        self._blocked[service] = blocked_vms
         return starts
 
     def _outlook(self, job, wall_ms):
@@ -488,6 +492,10 @@
             needed = -(-int(needed_m * HEADROOM) // max(1, self._largest_m))
             idle = tuple(item.name for item in pool if not item.holdings and item.open)
             size = sum(item.listed and not item.entry.draining for item in pool)
+            blocked = self._blocked.get(service.name, 0)
+            if blocked:
+                # room is there, but not on VMs that may run these tasks
+                needed = max(needed, size + blocked)
             loads[service.name] = PoolLoad(
                 service.name, needed, idle, size, service.standby
             )
--- a/tests/jobs/scheduler.feature
+++ b/tests/jobs/scheduler.feature
@@ -87,3 +87,9 @@
     When a job with steps of 3 and 2 tasks of 1 core is added
     And some of its tasks run, one is done and one has failed
     Then a scheduler that reads its record goes on where this one was
+
+  Scenario: a pool too small for a step's bound on one executor asks for VMs
+    Given a pool of 2 executors with 16 cores each
+    When a job whose step sets per_executor to 1 is added
+    Then the plan starts 2 tasks
+    And the pool needs 4 VMs
--- a/tests/steps/jobs_scheduler.py
+++ b/tests/steps/jobs_scheduler.py
@@ -328,3 +328,10 @@
             task.executor, str(task.id), task.run, Outcome.DONE, "", again.now_ms
         )
     assert len(again.plan()) == 2
+
+
+@then("the pool needs {count:d} VMs")
+def step_needs(context, count):
+    world = context.jobs
+    load = world.scheduler.pool_loads(world.now_ms)["s"]
+    assert load.needed_vms == count, load
