--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -2,70 +2,42 @@
 
 import time
 
+import attrs
+
 from ..errors import RecordError
 from ..journal import event, note
 from .agent import ExecutorAgent
+from .availability import Availability
 from .follow import TopicFollower
 from .lease import CLOCK_SLOWEST, LAPSE_MARGIN_MS, LEASE_MS
 from .pace import Pacer
-from .pools import PoolPlanner
 from .records import (
     encode,
     KEY_LEARNED,
     PREFIX_CANCEL,
     PREFIX_JOB,
-    PREFIX_ORDER,
     PREFIX_PROGRESS,
-    PREFIX_UPKEEP,
-    UpkeepRecord,
-    VmOrderRecord,
 )
-from .reports import OrderResult, Outcome, VmOrderResult
+from .reports import OrderResult, Outcome
 from .scheduler import Scheduler
 from .spec import parse_task
-from .upkeep import OrderedUpkeep, UpkeepPlanner
+from .vms import VmManager
 from .writer import Writer
 
 PLAN_PAUSE_S = 0.02  # decisions of this long share an append
 TICK_S = 0.15  # occurrences that come due, executors that come back
-RETRY_S = 0.2
 LEARNED_S = 2.0  # what a new scheduler may have to learn again
 UNHEALTHY_REST_MS = 1000
-AT_WORK_PERCENT = 100
-AT_WORK_STALE_S = 2.0  # two renewals: an executor that is silent may be gone
-VM_LEASE_MARGIN_S = 0.3
 FORGET_MARGIN_S = 30.0
 MS = 1000
 
 
-@event(610)
-class WaveChanged:
-    """A wave began, or every VM of it has begun its upkeep."""
-
-    wave: int
-    state: str
-    vms: int
-    left: int
-
-
-@event(611)
-class UpkeepOrdered:
-    """The upkeep of a VM was ordered and answered."""
-
-    vm: str
-    wave: int
-    executor: str
-    result: str
-
-
-@event(614)
-class MoveOrdered:
-    """A VM was ordered into another pool, and the answer."""
+@event(613)
+class EntryUnreadable:
+    """What an executor registered cannot be read; it gets no runs through it."""
 
-    vm: str
-    pool: str
     executor: str
-    result: str
+    detail: str
 
 
 @event(612)
@@ -78,11 +50,17 @@
     percent: int
 
 
-class Driver:
-    """One term of the scheduler; ``on_deposed(why)`` is called when it is over.
+@attrs.frozen
+class Parts:
+    """What the orders for VMs share with those for executors."""
 
-    ``first_term`` tells that no node scheduled before.
-    """
+    scheduler: object
+    writer: object
+    availability: object
+
+
+class Driver:
+    """One term of the scheduler; ``on_deposed(why)`` is called when it is over."""
 
     def __init__(self, loop, cfg, platform, term, view, queue_cfg, on_deposed):
         self._loop = loop
@@ -91,29 +69,20 @@
         self._view = view
         self._on_deposed = on_deposed
         self._epoch = term.epoch
-        self._vm_lease_s = cfg.machine_lease_ms / MS + VM_LEASE_MARGIN_S
         self._learned_at = loop.now()
         self._since = loop.now()
         self._agents = {}
         self._marks = {}
-        self._at_work = {}
         self._plan_timer = None
         self._closed = False
-        self._listed = {}
-        self._listing = False
-        self._ordering = set()
-        self._ending = set()
-        self._announced = set()
         self._forget_at = {}
         self._pacer = Pacer()
-        self._pools = PoolPlanner()
-        self._moving = {}
-        self._upkeep = UpkeepPlanner(cfg.upkeep_ms / MS)
         self._scheduler = Scheduler(queue_cfg)
         self._jobs_topic = platform.jobs_topic()
-        self._status_topic = platform.status_topic()
-        self._machines = platform.machines(term.epoch)
-        self._writer = Writer(loop, self._jobs_topic, term, self._depose)
+        self._writer = Writer(loop, self._jobs_topic, term, self.depose)
+        self._availability = Availability(self._step)
+        parts = Parts(self._scheduler, self._writer, self._availability)
+        self._vms = VmManager(loop, cfg, platform, term, view, parts, self)
         self._executors = TopicFollower(
             loop,
             platform.executors_topic(),
@@ -147,8 +116,7 @@
         for timer in self._timers:
             timer.cancel()
         self._executors.close()
-        self._machines.close()
-        self._status_topic.close()
+        self._vms.close()
         for agent in self._agents.values():
             agent.close()
         if resign:
@@ -157,7 +125,8 @@
             self._writer.close()
             self._jobs_topic.close()
 
-    def _depose(self, why):
+    def depose(self, why):
+        """End the term because another one began."""
         if not self._closed:
             self.close()
             self._on_deposed(why)
@@ -171,30 +140,25 @@
     def set_config(self, queue_cfg):
         """Take a new version of the configuration."""
         self._scheduler.set_config(queue_cfg)
-        self._request_plan()
+        self.request_plan()
 
     def add_wave(self, request):
         """Take in an operator's WaveRequest."""
-        self._upkeep.add(request, self._loop.now())
-        for vm, record in self._view.upkeeps.items():
-            if record.wave == request.wave and vm in request.vms:
-                order = OrderedUpkeep(record.executor, self._since)
-                self._upkeep.waves[request.wave].ordered[vm] = order
-        self._list_vms()
+        self._vms.add_wave(request)
 
     def _on_job(self, spec):
         self._scheduler.add_job(spec, now_ms=self._loop.now() * MS)
-        self._request_plan()
+        self.request_plan()
 
     def _on_cancel(self, name):
         self._scheduler.cancel(name)
-        self._request_plan()
+        self.request_plan()
 
     def _on_executor(self, entry):
         prefix, _, name = entry.key.rpartition("/")
         if not entry.value:
             self._scheduler.unlist_executor(name)
-            self._request_plan()
+            self.request_plan()
             return
         try:
             found = self._platform.decode_executor(name, entry.value)
@@ -205,15 +169,16 @@
         self._scheduler.put_executor(found)
         if not known and self._scheduler.executors[name].holdings:
             self._agent(name)
-        self._request_plan()
+        self.request_plan()
 
     def _on_executors_read(self):
         if self._executors.loaded:
-            self._request_plan()
+            self.request_plan()
 
     # Decisions
 
-    def _request_plan(self):
+    def request_plan(self):
+        """Plan soon; what comes until then shares one append."""
         if self._plan_timer is None and not self._closed:
             self._plan_timer = self._loop.call_later(PLAN_PAUSE_S, self._plan)
 
@@ -245,7 +210,7 @@
                 self._agent(order.executor).start(order)
             else:
                 self._scheduler.withdraw(order.executor, order.task, order.run)
-                self._request_plan()
+                self.request_plan()
         for order in stops:
             if order.executor in self._scheduler.executors:
                 self._agent(order.executor).stop(order.task, order.run)
@@ -280,8 +245,9 @@
             self._learned_at = now
             learned = self._scheduler.durations.record()
             self._writer.store([(KEY_LEARNED, encode(learned))])
-        self._request_plan()
-        self._list_vms()
+        self.request_plan()
+        if self._executors.loaded:
+            self._vms.look()
 
     def _forget_jobs(self, now):
         for name in self._scheduler.finished():
@@ -298,6 +264,7 @@
 
     def on_ends(self, name, ends):
         """Runs ended on an executor."""
+        self._availability.ended(item.task for item in ends)
         for item in ends:
             self._scheduler.end(
                 name,
@@ -307,21 +274,19 @@
                 item.checkpoint,
                 self._loop.now() * MS,
             )
-            self._at_work.pop(item.task, None)
-            self._ending.discard(item.task)
             self._marks[name] = max(self._marks.get(name, 0), item.number)
-        self._request_plan()
+        self.request_plan()
 
     def on_withdraw(self, name, task, run):
         """A run surely never began."""
         self._scheduler.withdraw(name, task, run)
-        self._request_plan()
+        self.request_plan()
 
     def on_missing(self, name, task, run):
         """A run that had begun is neither running nor listed as ended."""
         now_ms = self._loop.now() * MS
         self._scheduler.end(name, task, run, Outcome.LAPSED, "", now_ms)
-        self._request_plan()
+        self.request_plan()
 
     def on_unhealthy(self, name):
         """An executor refuses work for now."""
@@ -330,12 +295,12 @@
     def on_heard(self, name):
         """An executor answers again."""
         self._scheduler.reopen(name)
-        self._request_plan()
+        self.request_plan()
 
     def on_lapsed(self, name):
         """The lease of an executor surely lapsed; its life may go on."""
         self._scheduler.lose_runs(name, self._loop.now() * MS)
-        self._request_plan()
+        self.request_plan()
 
     def on_over(self, name):
         """The life of an executor is over."""
@@ -344,11 +309,11 @@
         agent = self._agents.pop(name, None)
         if agent is not None:
             agent.close()
-        self._request_plan()
+        self.request_plan()
 
     def on_fenced(self, name):
         """An executor has seen a newer epoch."""
-        self._depose(f"executor {name} has seen a newer epoch")
+        self.depose(f"executor {name} has seen a newer epoch")
 
     def on_loads(self, name, running):
         """Take in how runs fare; return whether to look again soon."""
@@ -358,10 +323,10 @@
             if step is None:
                 continue
             if step.lasting:
-                if item.percent >= AT_WORK_PERCENT:
-                    self._at_work[item.task] = self._loop.now()
-                else:
-                    coming_up = True
+                at_work = self._availability.reported(
+                    item.task, item.percent, self._loop.now()
+                )
+                coming_up = coming_up or not at_work
             if step.fills:
                 fills.append((item.task, item.run))
             elif step.target_ms:
@@ -382,218 +347,3 @@
         task_id = parse_task(task_name)
         job = self._scheduler.jobs.get(task_id.job) if task_id is not None else None
         return job.spec.steps[task_id.step] if job is not None else None
-
-    # Upkeep of VMs
-
-    def _list_vms(self):
-        if self._closed or self._listing or not self._executors.loaded:
-            return
-        self._listing = True
-
-        def done(listed):
-            self._listing = False
-            if self._closed:
-                return
-            if isinstance(listed, tuple):
-                self._listed = {item.vm: item for item in listed}
-                self._plan_vms()
-
-        self._machines.list_vms(done)
-
-    def _plan_vms(self):
-        now = self._loop.now()
-        for wave, state in self._upkeep.waves.items():
-            self._settle_wave(wave, state)
-        plan = self._upkeep.plan(
-            self._listed,
-            self._scheduler.executors,
-            now,
-            self._reserve,
-            self._leased(),
-        )
-        self._thin_out(plan.cordoned)
-        moving = self._plan_moves(now, plan.vms)
-        self._scheduler.cordon(plan.cordoned | moving)
-        self._request_plan()
-        for vm, wave, executor in plan.orders:
-            if vm not in self._ordering:
-                self._order_upkeep(vm, wave, executor)
-
-    def _settle_wave(self, wave, state):
-        """Take note of upkeeps that the VM list shows as begun."""
-        for vm, order in state.ordered.items():
-            machine = self._listed.get(vm)
-            if machine is not None and (
-                machine.state == "upkeep"
-                or machine.executor not in ("", order.executor)
-            ):
-                self._upkeep.begun(wave, vm)
-        for vm in state.left():
-            if self._listed and vm not in self._listed:
-                self._upkeep.begun(wave, vm)
-        self._announce(wave, state)
-
-    def _announce(self, wave, state):
-        completed = self._upkeep.is_complete(wave)
-        if (wave, completed) in self._announced:
-            return
-        name = "completed" if completed else "running"
-        note(WaveChanged(wave, name, len(state.request.vms), len(state.left())))
-        self._announced.add((wave, completed))
-
-        def done(result):
-            if not result and not self._closed:
-                self._announced.discard((wave, completed))
-
-        item = self._platform.encode_wave_status(wave, completed)
-        self._status_topic.append([item], done, 1.0)
-
-    def _leased(self):
-        """Return the VMs that only an earlier scheduler may order now."""
-        if self._loop.now() - self._since >= self._vm_lease_s:
-            return set()
-        return {
-            vm for vm, record in self._view.orders.items() if record.epoch < self._epoch
-        }
-
-    def _store_order(self, vm, items, on_stored):
-        """Store that this scheduler orders a VM, and forget it after its lease."""
-        key = PREFIX_ORDER + vm
-        record = encode(VmOrderRecord(self._epoch))
-
-        def stored():
-            if self._closed:
-                return
-            on_stored()
-            self._loop.call_later(self._vm_lease_s, forget)
-
-        def forget():
-            if not self._closed:
-                self._writer.store([(key, b"")])
-
-        self._writer.store([*items, (key, record)], stored)
-
-    def _plan_moves(self, now, staying):
-        """Order moves between pools; return the executors that they will end."""
-        barred = staying | self._ordering | self._leased()
-        loads = self._scheduler.pool_loads(now * MS)
-        for move in self._pools.plan(loads, self._listed, now, barred):
-            self._pools.ordered(move, now)
-            if move.executor:
-                self._moving[move.vm] = move.executor
-            self._order_move(move)
-        return set(self._moving.values())
-
-    def _order_move(self, move):
-        def answered(result):
-            if self._closed:
-                return
-            if result is VmOrderResult.NO_ANSWER:
-                self._loop.call_later(RETRY_S, lambda: self._order_move(move))
-                return
-            note(MoveOrdered(move.vm, move.pool, move.executor, result.value))
-            self._moving.pop(move.vm, None)
-            if result is VmOrderResult.DONE:
-                self.on_over(move.executor)
-            elif result is VmOrderResult.FENCED:
-                self._depose("the platform has seen a newer holder")
-            else:
-                self._pools.refused(move, self._loop.now())
-
-        def stored():
-            self._machines.move(move.vm, move.pool, answered)
-
-        if not self._closed:
-            self._store_order(move.vm, [], stored)
-
-    def _reserve(self, executor):
-        """Count all that runs there as away, if every availability budget allows it."""
-        if not self._may_end(executor):
-            return False
-        self._ending.update(executor.holdings)
-        return True
-
-    def _may_end(self, executor):
-        return all(
-            self._away(names, step) + len(names) <= step.may_miss
-            for names, step in self._budgeted(executor)
-        )
-
-    def _budgeted(self, executor):
-        """Return (names, step) of tasks at work there under an availability budget."""
-        by_step = {}
-        for name in executor.holdings:
-            step = self._step(name)
-            if step is not None and step.lasting and step.may_miss >= 0:
-                by_step.setdefault(name.rpartition(".")[0], []).append(name)
-        return [
-            (names, self._step(names[0]))
-            for names in by_step.values()
-            if any(self._is_at_work(name) for name in names)
-        ]
-
-    def _away(self, names, step):
-        """Return how many tasks of a step, but for ``names``, are not at work."""
-        prefix = names[0].rpartition(".")[0]
-        others = {f"{prefix}.{index}" for index in range(step.tasks)} - set(names)
-        return sum(not self._is_at_work(name) for name in others)
-
-    def _thin_out(self, cordoned):
-        """Move tasks one at a time off VMs that hold more than a budget allows."""
-        for name in cordoned:
-            executor = self._scheduler.executors.get(name)
-            if executor is None:
-                continue
-            for names, step in self._budgeted(executor):
-                crowded = len(names) > step.may_miss
-                if crowded and self._away(names[:1], step) < step.may_miss:
-                    self._ending.add(names[0])
-                    self._scheduler.stop_run(names[0])
-
-    def _is_at_work(self, name):
-        seen_at = self._at_work.get(name)
-        if seen_at is None or name in self._ending:
-            return False
-        return self._loop.now() - seen_at < AT_WORK_STALE_S
-
-    def _held_by(self, name):
-        executor = self._scheduler.executors.get(name)
-        return set(executor.holdings) if executor is not None else set()
-
-    def _order_upkeep(self, vm, wave, executor):
-        self._ordering.add(vm)
-        state = self._upkeep.waves[wave]
-        state.ordered[vm] = OrderedUpkeep(executor, self._loop.now())
-        record = UpkeepRecord(wave, executor, self._epoch)
-        reserved = self._held_by(executor)
-
-        def answered(result):
-            self._ordering.discard(vm)
-            self._ending -= reserved
-            if result is VmOrderResult.DONE:
-                for name in reserved:
-                    self._at_work.pop(name, None)
-            if self._closed:
-                return
-            note(UpkeepOrdered(vm, wave, executor, result.value))
-            if result is VmOrderResult.DONE:
-                self._upkeep.begun(wave, vm)
-                self._announce(wave, state)
-                self.on_over(executor)
-            elif result in (VmOrderResult.BUSY, VmOrderResult.NOT_DONE):
-                state.ordered.pop(vm, None)
-            elif result is VmOrderResult.FENCED:
-                self._depose("the platform has seen a newer holder")
-
-        def stored():
-            self._machines.upkeep(vm, wave, answered)
-
-        self._store_order(vm, [(PREFIX_UPKEEP + vm, encode(record))], stored)
-
-
-@event(613)
-class EntryUnreadable:
-    """What an executor registered cannot be read; it gets no runs through it."""
-
-    executor: str
-    detail: str
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -11,76 +11,31 @@
 import attrs
 
 from ..health import Health
-from ..journal import event, note
-from .demand import Demand
+from ..journal import note
 from .durations import Durations
 from .executors import Executor
 from .placing import Bound, choose, choose_gang
-from .pools import PoolLoad
+from .needs import PoolNeeds
 from .progress import JobProgress
 from .records import encode, Phase, PREFIX_PROGRESS
 from .reports import Outcome
+from .scheduler_events import (
+    ExecutorAside,
+    ExecutorSeen,
+    JobChanged,
+    TaskEnded,
+    TaskStarted,
+)
 from .spec import parse_task
 from .urgency import order_key, Outlook, Rank, rank_of
 
 STREAK_LIMIT_TASKS = 2  # a sound executor rarely fails two different tasks in a row
 ASIDE_MIN_MS = 4000  # a bad executor costs one task each time that it is tried again
 ASIDE_MAX_MS = 30_000
-HEADROOM = 1.15  # above the mean need: tasks do not pack without gaps
 ASIDE_SHARE = 0.5  # of a pool: more bad executors at once is a bad queue
 MS = 1000
 
 
-@event(600)
-class TaskStarted:
-    """The scheduler places a run of a task on an executor."""
-
-    job: str
-    task: str
-    run: int
-    executor: str
-    queue: str
-    free_cores_m: int
-
-
-@event(601)
-class TaskEnded:
-    """The end of a run was taken note of."""
-
-    job: str
-    task: str
-    run: int
-    executor: str
-    outcome: str
-
-
-@event(602)
-class JobChanged:
-    """A job is in another state."""
-
-    job: str
-    queue: str
-    state: str
-
-
-@event(603)
-class ExecutorAside:
-    """An executor failed several tasks in a row and gets none for a while."""
-
-    executor: str
-    service: str
-    for_ms: int
-
-
-@event(604)
-class ExecutorSeen:
-    """An executor appeared, changed its state, or is gone."""
-
-    executor: str
-    service: str
-    state: str
-
-
 @attrs.frozen
 class Start:
     """An order to start a run."""
@@ -118,10 +73,7 @@
         self._resting = {}
         self.placed_here = set()
         self.durations = Durations()
-        self._waiting = {}
-        self._blocked = {}
-        self._demand = Demand()
-        self._largest_m = 0
+        self._needs = PoolNeeds()
         self._health = Health(
             STREAK_LIMIT_TASKS, ASIDE_MIN_MS, ASIDE_MAX_MS, ASIDE_SHARE
         )
@@ -160,7 +112,7 @@
             self._stop_all(job)
         elif not spec.lasting:
             work = job.work(self._expectation(spec))
-            self._demand.arrived(self.service_of(spec), work, now_ms)
+            self._needs.demand.arrived(self.service_of(spec), work, now_ms)
 
     def _expectation(self, spec):
         """Return a function of a step that gives the run time of one of its tasks."""
@@ -447,8 +399,7 @@
                     waiting_m += step.waiting * step.step.counted_cores_m
                 if step.waiting and any(item.fits(step.step) for item in executors):
                     blocked_vms += -(-step.waiting // (step.step.per_executor or 1))
-        self._waiting[service] = waiting_m
-        self._blocked[service] = blocked_vms
+        self._needs.planned(service, waiting_m, blocked_vms)
         return starts
 
     def _outlook(self, job, wall_ms):
@@ -472,34 +423,10 @@
 
     def pool_loads(self, now_ms):
         """Return the PoolLoad of each service by name."""
-        loads = {}
-        for service in self.cfg.services:
-            pool = self.pool(service.name)
-            self._largest_m = max(
-                (item.entry.cores_m for item in pool), default=self._largest_m
-            )
-            needed_m = self._demand.cores_m(service.name, now_ms)
-            needed_m = max(needed_m, self._waiting.get(service.name, 0))
-            held_m = sum(item.cores_m for item in pool)
-            lasting_m = sum(
-                holding.cores_m
-                for item in pool
-                for holding in item.holdings.values()
-                if holding.lasting
-            )
-            needed_m = max(held_m + self._waiting.get(service.name, 0), needed_m)
-            needed_m += lasting_m
-            needed = -(-int(needed_m * HEADROOM) // max(1, self._largest_m))
-            idle = tuple(item.name for item in pool if not item.holdings and item.open)
-            size = sum(item.listed and not item.entry.draining for item in pool)
-            blocked = self._blocked.get(service.name, 0)
-            if blocked:
-                # room is there, but not on VMs that may run these tasks
-                needed = max(needed, size + blocked)
-            loads[service.name] = PoolLoad(
-                service.name, needed, idle, size, service.standby
-            )
-        return loads
+        return {
+            service.name: self._needs.load(service, self.pool(service.name), now_ms)
+            for service in self.cfg.services
+        }
 
     def _place_tasks(self, job, step, executors, now_ms):
         bound = Bound(step, executors)
--- /dev/null
+++ b/src/cardamomgrade/jobs/vms.py
@@ -0,0 +1,257 @@
+"""The scheduler's orders for VMs: upkeep in waves, and moves between pools."""
+
+from ..journal import event, note
+from .pools import PoolPlanner
+from .records import (
+    encode,
+    PREFIX_ORDER,
+    PREFIX_UPKEEP,
+    UpkeepRecord,
+    VmOrderRecord,
+)
+from .reports import VmOrderResult
+from .upkeep import OrderedUpkeep, UpkeepPlanner
+
+RETRY_S = 0.2
+VM_LEASE_MARGIN_S = 0.3  # the platform's clock and ours
+STATUS_TIMEOUT_S = 1.0
+STATE_UPKEEP = "upkeep"
+MS = 1000
+
+
+@event(610)
+class WaveChanged:
+    """A wave began, or every VM of it has begun its upkeep."""
+
+    wave: int
+    state: str
+    vms: int
+    left: int
+
+
+@event(611)
+class UpkeepOrdered:
+    """The upkeep of a VM was ordered and answered."""
+
+    vm: str
+    wave: int
+    executor: str
+    result: str
+
+
+@event(614)
+class MoveOrdered:
+    """A VM was ordered into another pool, and the answer."""
+
+    vm: str
+    pool: str
+    executor: str
+    result: str
+
+
+class VmManager:
+    """Orders for VMs in one term.
+
+    An order is stored before it leaves, so that the next scheduler knows which VMs
+    only this one may order for a while. ``hub`` has ``request_plan()``,
+    ``on_over(executor)`` and ``depose(why)``.
+    """
+
+    def __init__(self, loop, cfg, platform, term, view, parts, hub):
+        self._loop = loop
+        self._platform = platform
+        self._view = view
+        self._hub = hub
+        self._scheduler = parts.scheduler
+        self._writer = parts.writer
+        self._availability = parts.availability
+        self._epoch = term.epoch
+        self._vm_lease_s = cfg.machine_lease_ms / MS + VM_LEASE_MARGIN_S
+        self._since = loop.now()
+        self._machines = platform.machines(term.epoch)
+        self._status_topic = platform.status_topic()
+        self._pools = PoolPlanner()
+        self._upkeep = UpkeepPlanner(cfg.upkeep_ms / MS)
+        self._listed = {}
+        self._listing = False
+        self._ordering = set()
+        self._moving = {}
+        self._announced = set()
+        self._closed = False
+
+    def close(self):
+        """Order nothing more."""
+        self._closed = True
+        self._machines.close()
+        self._status_topic.close()
+
+    def add_wave(self, request):
+        """Take in an operator's WaveRequest."""
+        self._upkeep.add(request, self._loop.now())
+        for vm, record in self._view.upkeeps.items():
+            if record.wave == request.wave and vm in request.vms:
+                order = OrderedUpkeep(record.executor, self._since)
+                self._upkeep.waves[request.wave].ordered[vm] = order
+
+    def look(self):
+        """Read the list of VMs, then plan upkeeps and moves."""
+        if self._closed or self._listing:
+            return
+        self._listing = True
+
+        def done(listed):
+            self._listing = False
+            if self._closed:
+                return
+            if isinstance(listed, tuple):
+                self._listed = {item.vm: item for item in listed}
+                self._plan_vms()
+
+        self._machines.list_vms(done)
+
+    def _plan_vms(self):
+        now = self._loop.now()
+        for wave, state in self._upkeep.waves.items():
+            self._settle_wave(wave, state)
+        plan = self._upkeep.plan(
+            self._listed,
+            self._scheduler.executors,
+            now,
+            self._reserve,
+            self._leased(),
+        )
+        for name in plan.cordoned:
+            executor = self._scheduler.executors.get(name)
+            if executor is not None:
+                for task in self._availability.thin_out(executor, now):
+                    self._scheduler.stop_run(task)
+        moving = self._plan_moves(now, plan.vms)
+        self._scheduler.cordon(plan.cordoned | moving)
+        self._hub.request_plan()
+        for vm, wave, executor in plan.orders:
+            if vm not in self._ordering:
+                self._order_upkeep(vm, wave, executor)
+
+    def _settle_wave(self, wave, state):
+        """Take note of upkeeps that the VM list shows as begun."""
+        for vm, order in state.ordered.items():
+            machine = self._listed.get(vm)
+            if machine is not None and (
+                machine.state == STATE_UPKEEP
+                or machine.executor not in ("", order.executor)
+            ):
+                self._upkeep.begun(wave, vm)
+        for vm in state.left():
+            if self._listed and vm not in self._listed:
+                self._upkeep.begun(wave, vm)
+        self._announce(wave, state)
+
+    def _announce(self, wave, state):
+        completed = self._upkeep.is_complete(wave)
+        if (wave, completed) in self._announced:
+            return
+        name = "completed" if completed else "running"
+        note(WaveChanged(wave, name, len(state.request.vms), len(state.left())))
+        self._announced.add((wave, completed))
+
+        def done(result):
+            if not result and not self._closed:
+                self._announced.discard((wave, completed))
+
+        item = self._platform.encode_wave_status(wave, completed)
+        self._status_topic.append([item], done, STATUS_TIMEOUT_S)
+
+    def _leased(self):
+        """Return the VMs that only an earlier scheduler may order now."""
+        if self._loop.now() - self._since >= self._vm_lease_s:
+            return set()
+        return {
+            vm for vm, record in self._view.orders.items() if record.epoch < self._epoch
+        }
+
+    def _store_order(self, vm, items, on_stored):
+        """Store that this scheduler orders a VM, and forget it after its lease."""
+        key = PREFIX_ORDER + vm
+        record = encode(VmOrderRecord(self._epoch))
+
+        def stored():
+            if self._closed:
+                return
+            on_stored()
+            self._loop.call_later(self._vm_lease_s, forget)
+
+        def forget():
+            if not self._closed:
+                self._writer.store([(key, b"")])
+
+        self._writer.store([*items, (key, record)], stored)
+
+    def _plan_moves(self, now, staying):
+        """Order moves between pools; return the executors that they will end."""
+        barred = staying | self._ordering | self._leased()
+        loads = self._scheduler.pool_loads(now * MS)
+        for move in self._pools.plan(loads, self._listed, now, barred):
+            self._pools.ordered(move, now)
+            if move.executor:
+                self._moving[move.vm] = move.executor
+            self._order_move(move)
+        return set(self._moving.values())
+
+    def _order_move(self, move):
+        def answered(result):
+            if self._closed:
+                return
+            if result is VmOrderResult.NO_ANSWER:
+                self._loop.call_later(RETRY_S, lambda: self._order_move(move))
+                return
+            note(MoveOrdered(move.vm, move.pool, move.executor, result.value))
+            self._moving.pop(move.vm, None)
+            if result is VmOrderResult.DONE:
+                self._hub.on_over(move.executor)
+            elif result is VmOrderResult.FENCED:
+                self._hub.depose("the platform has seen a newer holder")
+            else:
+                self._pools.refused(move, self._loop.now())
+
+        def stored():
+            self._machines.move(move.vm, move.pool, answered)
+
+        if not self._closed:
+            self._store_order(move.vm, [], stored)
+
+    def _reserve(self, executor):
+        return self._availability.reserve(executor, self._loop.now())
+
+    def _held_by(self, name):
+        executor = self._scheduler.executors.get(name)
+        return set(executor.holdings) if executor is not None else set()
+
+    def _order_upkeep(self, vm, wave, executor):
+        self._ordering.add(vm)
+        state = self._upkeep.waves[wave]
+        state.ordered[vm] = OrderedUpkeep(executor, self._loop.now())
+        record = UpkeepRecord(wave, executor, self._epoch)
+        reserved = self._held_by(executor)
+
+        def answered(result):
+            self._ordering.discard(vm)
+            if result is VmOrderResult.DONE:
+                self._availability.ended(reserved)
+            else:
+                self._availability.kept(reserved)
+            if self._closed:
+                return
+            note(UpkeepOrdered(vm, wave, executor, result.value))
+            if result is VmOrderResult.DONE:
+                self._upkeep.begun(wave, vm)
+                self._announce(wave, state)
+                self._hub.on_over(executor)
+            elif result in (VmOrderResult.BUSY, VmOrderResult.NOT_DONE):
+                state.ordered.pop(vm, None)
+            elif result is VmOrderResult.FENCED:
+                self._hub.depose("the platform has seen a newer holder")
+
+        def stored():
+            self._machines.upkeep(vm, wave, answered)
+
+        self._store_order(vm, [(PREFIX_UPKEEP + vm, encode(record))], stored)
