--- a/src/cardamomgrade/jobs/availability.py
+++ b/src/cardamomgrade/jobs/availability.py
@@ -49,7 +49,7 @@
         """
         found = []
         for names, step in self._budgeted(executor, now):
-            crowded = len(names) > step.may_miss
+            crowded = len(names) > step.may_miss and names[0] not in self._ending
             if crowded and self._away(names[:1], step, now) < step.may_miss:
                 self._ending.add(names[0])
                 found.append(names[0])
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -14,8 +14,8 @@
 from ..journal import note
 from .durations import Durations
 from .executors import Executor
-from .placing import Bound, choose, choose_gang
 from .needs import PoolNeeds
+from .placing import Bound, choose, choose_gang
 from .progress import JobProgress
 from .records import encode, Phase, PREFIX_PROGRESS
 from .reports import Outcome
@@ -429,14 +429,19 @@
         }
 
     def _place_tasks(self, job, step, executors, now_ms):
-        bound = Bound(step, executors)
+        spread, bound = Bound(step, executors), Bound(step)
         starts = []
         for task in step.tasks:
             if task.phase is not Phase.WAITING:
                 continue
-            executor = choose(executors, step.step, bound, task.failed_on)
+            avoid = task.failed_on
+            # one VM with two tasks is worse for its upkeep, but better than waiting
+            executor = choose(executors, step.step, spread, avoid) or choose(
+                executors, step.step, bound, avoid
+            )
             if executor is None:
                 break
+            spread.add(executor.name)
             bound.add(executor.name)
             run = job.place(task, executor.name)
             starts.append(self._start(job, task, run, executor, now_ms))
--- a/src/cardamomgrade/jobs/scheduler_events.py
+++ b/src/cardamomgrade/jobs/scheduler_events.py
@@ -1,4 +1,4 @@
-"""Numbered events of the scheduler: what it placed, and what it learned (600 to 604)."""
+"""Numbered events of the scheduler: placements, ends, jobs and executors."""
 
 from ..journal import event
 
--- a/tests/jobs/scheduler.feature
+++ b/tests/jobs/scheduler.feature
@@ -93,3 +93,9 @@
     When a job whose step sets per_executor to 1 is added
     Then the plan starts 2 tasks
     And the pool needs 4 VMs
+
+  Scenario: a lasting task shares a VM rather than wait for one without its step
+    Given a pool of 3 executors with 4 cores each
+    When tasks that take all of two executors run
+    And a lasting step of 3 tasks with a budget of 1 is added
+    Then the plan starts 3 tasks
--- a/tests/steps/jobs_availability.py
+++ b/tests/steps/jobs_availability.py
@@ -35,7 +35,8 @@
 
 
 @given(
-    "a lasting step of {tasks:d} tasks with a budget of {budget:d}, both on one executor"
+    "a lasting step of {tasks:d} tasks with a budget of {budget:d}, both on one "
+    "executor"
 )
 def step_together(context, tasks, budget):
     context.lasting = AvailabilityWorld(tasks, budget, True)
--- a/tests/steps/jobs_scheduler.py
+++ b/tests/steps/jobs_scheduler.py
@@ -335,3 +335,18 @@
     world = context.jobs
     load = world.scheduler.pool_loads(world.now_ms)["s"]
     assert load.needed_vms == count, load
+
+
+@when("tasks that take all of two executors run")
+def step_fill_two(context):
+    world = context.jobs
+    world.scheduler.cordon({world.names[2]})
+    world.add(Step(8, cores_m=1000))
+    assert len(world.plan()) == 8
+    world.scheduler.cordon(set())
+
+
+@when("a lasting step of {tasks:d} tasks with a budget of {budget:d} is added")
+def step_lasting_added(context, tasks, budget):
+    step = Step(tasks, cores_m=1000, lasting=True, may_miss=budget)
+    context.jobs.add(step)
