--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -83,12 +83,12 @@
     scheduler may have started runs here.
     """
 
-    def __init__(self, loop, client, executor, hub, inherited):
+    def __init__(self, loop, client, executor, hub, inherited, lease_ms):
         self._loop = loop
         self._client = client
         self._executor = executor
         self._hub = hub
-        self._lease = Lease(loop.now(), executor.entry.clock_ms)
+        self._lease = Lease(loop.now(), executor.entry.clock_ms, lease_ms)
         held = executor.holdings.items() if inherited else ()
         self._inherited = {(task, item.run) for task, item in held}
         self._sent = {}
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -69,6 +69,7 @@
         self._view = view
         self._on_deposed = on_deposed
         self._epoch = term.epoch
+        self._lease_ms = min(LEASE_MS, cfg.max_lease_ms)
         self._learned_at = loop.now()
         self._since = loop.now()
         self._agents = {}
@@ -221,7 +222,9 @@
             executor = self._scheduler.executors[name]
             inherited = bool(executor.holdings) and not self._is_new(executor)
             client = self._platform.executor(executor.entry, self._epoch)
-            agent = ExecutorAgent(self._loop, client, executor, self, inherited)
+            agent = ExecutorAgent(
+                self._loop, client, executor, self, inherited, self._lease_ms
+            )
             self._agents[name] = agent
             agent.wake()
         return agent
@@ -236,7 +239,7 @@
         self._timers = [self._loop.call_later(TICK_S, self._tick)]
         now = self._loop.now()
         self._scheduler.next_due_ms(time.time() * MS)
-        lease_s = (LEASE_MS / CLOCK_SLOWEST + LAPSE_MARGIN_MS) / MS
+        lease_s = (self._lease_ms / CLOCK_SLOWEST + LAPSE_MARGIN_MS) / MS
         if now - self._since > lease_s:
             for name in self._scheduler.lost_executors():
                 self._scheduler.lose_runs(name, now * MS)
--- a/src/cardamomgrade/jobs/pace.py
+++ b/src/cardamomgrade/jobs/pace.py
@@ -57,10 +57,6 @@
             return min(FULL, percent + STEP)
         return percent
 
-    def percent(self, task, run):
-        """Return the pace of a run."""
-        return self._percents.get((task, run), FULL)
-
     def failed(self, order):
         """Take note that a Pace was not taken, so that it is decided again."""
         self._percents.pop((order.task, order.run), None)
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -177,16 +177,6 @@
         stops, self._stops = self._stops, {}
         return list(stops.values())
 
-    def unstopped(self, executor):
-        """Return a Stop for each run on an executor whose job is over."""
-        found = []
-        for name in list(self.executors[executor].holdings):
-            job = self.jobs.get(name.partition(".")[0])
-            if job is not None and job.state.final:
-                holding = self.executors[executor].holdings[name]
-                found.append(Stop(executor, name, holding.run))
-        return found
-
     def next_due_ms(self, wall_ms):
         """Open due occurrences; return the wall clock of the next one, or 0."""
         times = []
--- a/src/cardamomgrade/jobs/writer.py
+++ b/src/cardamomgrade/jobs/writer.py
@@ -23,7 +23,7 @@
 
 @event(624)
 class AppendRetried:
-    """An append of the scheduler was not acknowledged and is sent again."""
+    """An append of the scheduler was not acknowledged and is sent until it is."""
 
     sequence: int
     fate: str
@@ -35,6 +35,7 @@
     items: list
     callbacks: list
     sequence: int
+    noted: bool = False
 
 
 class Writer:
@@ -59,11 +60,6 @@
         self._closed = True
         self._timer.cancel()
 
-    @property
-    def idle(self):
-        """Whether nothing waits to be acknowledged."""
-        return self._batch is None and not self._items and not self._callbacks
-
     def store(self, items, on_stored=None):
         """Store (key, value) pairs; ``on_stored()`` follows their acknowledgement.
 
@@ -139,8 +135,10 @@
         if result.fate in (AppendFate.FENCED, AppendFate.OUT_OF_SEQUENCE):
             self._on_deposed(result.fate.value)
             return
-        note(AppendRetried(self._batch.sequence, result.fate.value, result.detail))
         batch = self._batch
+        if not batch.noted:
+            batch.noted = True
+            note(AppendRetried(batch.sequence, result.fate.value, result.detail))
         self._loop.call_later(RETRY_S, lambda: self._send_again(batch))
 
     def _send_again(self, batch):
--- a/src/cardamomgrade/platform/boot.py
+++ b/src/cardamomgrade/platform/boot.py
@@ -7,7 +7,7 @@
 import yaml
 
 from ..errors import SettingsError
-from ..jobs.settings import NodeSettings, StoreLimits
+from ..jobs.settings import NodeSettings
 
 PATH_VARIABLE = "CARDAMOMGRADE_BOOT"
 MS = 1000
@@ -33,16 +33,11 @@
 }
 _BOUNDS = {
     # field: (name of the platform, factor to our unit)
-    "stop_ms": ("stopTimeoutMs", 1),
     "max_lease_ms": ("maxHoldMs", 1),
     "machine_lease_ms": ("leaseMs", 1),
     "upkeep_ms": ("maintenanceS", MS),
     "status_ms": ("status_s", MS),
-    "visible_ms": ("visible_ms", 1),
     "grace_ms": ("graceS", MS),
-    "notice_ms": ("noticeMs", 1),
-    "pace_ms": ("paceMs", 1),
-    "interference_ms": ("interferenceMs", 1),
 }
 
 
@@ -85,12 +80,6 @@
     for name, (key, factor) in _BOUNDS.items():
         field = _Field(("bounds", key), (int, float), _COUNT)
         values[name] = int(_dig(path, tree, field) * factor)
-    limits = tree["platform"]
-    values["store_limits"] = StoreLimits(
-        record_bytes=int(limits.get("recordBytes", StoreLimits().record_bytes)),
-        call_bytes=int(limits.get("callBytes", StoreLimits().call_bytes)),
-    )
-    values["advice"] = tree.get("advice") or ""
     return NodeSettings(**values)
 
 
