--- a/scripts/catalogue.py
+++ b/scripts/catalogue.py
@@ -15,6 +15,7 @@
 from cardamomgrade import bundle, journal
 from cardamomgrade.control import ControlSettings
 from cardamomgrade.entry import EntrySettings
+from cardamomgrade.platform import boot
 
 DOCS = Path(__file__).resolve().parent.parent / "docs"
 PROGRAMS = (("cardamom-entry", EntrySettings), ("cardamom-control", ControlSettings))
@@ -93,12 +94,32 @@
     ]
     for program, cls in PROGRAMS:
         lines += ["", f"## {program}", "", *head, *option_rows(cls)]
+    lines += ["", *platform_settings()]
     lines += ["", "## Bundles", "", *head]
     for section, cls in BUNDLE_SECTIONS:
         lines += option_rows(cls, section)
     return "\n".join(lines) + "\n"
 
 
+def platform_settings():
+    """Return the lines on what ``cardamom-jobs`` reads of the platform's file."""
+    lines = [
+        "## cardamom-jobs",
+        "",
+        f"Reads the platform's YAML file; `{boot.PATH_VARIABLE}` has its path. Other",
+        "fields are ignored; one that is missing or of another type is refused by name.",
+        "`--check-settings` prints what was read. SIGHUP reads the file again.",
+        "",
+        "| field | allowed | setting |",
+        "|---|---|---|",
+    ]
+    for name, field in boot.FIELDS.items():
+        lines.append(f"| `{'.'.join(field.path)}` | {field.allowed} | `{name}` |")
+    for name, (key, _) in boot.BOUNDS.items():
+        lines.append(f"| `bounds.{key}` | {boot.COUNT} | `{name}` |")
+    return lines
+
+
 def modules_page():
     """Return docs/MODULES.md."""
     lines = [
--- a/src/cardamomgrade/platform/boot.py
+++ b/src/cardamomgrade/platform/boot.py
@@ -22,8 +22,8 @@
     allowed: str
 
 
-_TEXT, _COUNT = "text", "a number of 0 or more"
-_FIELDS = {
+_TEXT, COUNT = "text", "a number of 0 or more"
+FIELDS = {
     "node": _Field(("nodeName",), str, _TEXT),
     "zone": _Field(("zone",), str, _TEXT),
     "front": _Field(("listen", "front"), str, "ip:port"),
@@ -31,7 +31,7 @@
     "store": _Field(("platform", "address"), str, "ip:port"),
     "machines": _Field(("cloud", "address"), str, "ip:port"),
 }
-_BOUNDS = {
+BOUNDS = {
     # field: (name of the platform, factor to our unit)
     "max_lease_ms": ("maxHoldMs", 1),
     "machine_lease_ms": ("leaseMs", 1),
@@ -76,9 +76,9 @@
         raise SettingsError(f"{path}: {exc}") from exc
     if not isinstance(tree, dict):
         raise SettingsError(f"{path}: no table of settings")
-    values = {name: _dig(path, tree, field) for name, field in _FIELDS.items()}
-    for name, (key, factor) in _BOUNDS.items():
-        field = _Field(("bounds", key), (int, float), _COUNT)
+    values = {name: _dig(path, tree, field) for name, field in FIELDS.items()}
+    for name, (key, factor) in BOUNDS.items():
+        field = _Field(("bounds", key), (int, float), COUNT)
         values[name] = int(_dig(path, tree, field) * factor)
     return NodeSettings(**values)
 
