--- a/scripts/catalogue.py
+++ b/scripts/catalogue.py
@@ -107,7 +107,7 @@
         "## cardamom-jobs",
         "",
         f"Reads the platform's YAML file; `{boot.PATH_VARIABLE}` has its path. Other",
-        "fields are ignored; one that is missing or of another type is refused by name.",
+        "fields are ignored; a missing one or one of another type is refused by name.",
         "`--check-settings` prints what was read. SIGHUP reads the file again.",
         "",
         "| field | allowed | setting |",
