Keep a job's attempts when its queue is removed

Found by reading: a job whose queue is no longer configured was held to one attempt, so a new scheduler would have shown it as failed after its first failed run. The attempts are now stored with the job, as its service is. The test could not build such a job before.

--- a/src/cardamomgrade/jobs/entry.py
+++ b/src/cardamomgrade/jobs/entry.py
@@ -143,6 +143,7 @@
             call.repeat,
             call.start_at_ms,
             call.interval_ms,
+            queue.max_attempts,
         )
 
         def stored(result):
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -90,7 +90,7 @@
 
     def _max_attempts(self, spec):
         queue = self.cfg.queue(spec.queue)
-        return queue.max_attempts if queue is not None else 1
+        return queue.max_attempts if queue is not None else spec.max_attempts
 
     # Jobs
 
--- a/src/cardamomgrade/jobs/spec.py
+++ b/src/cardamomgrade/jobs/spec.py
@@ -45,6 +45,7 @@
 
     ``accepted_ms`` is the wall clock of the entry. ``repeat`` above 0 makes the steps
     run that many times, occurrence K at ``start_at_ms + K * interval_ms``.
+    ``max_attempts`` is the queue's, for when the queue is gone.
     """
 
     job: str
@@ -56,6 +57,7 @@
     repeat: int = 0
     start_at_ms: int = 0
     interval_ms: int = 0
+    max_attempts: int = 1
 
     @property
     def lasting(self):
--- a/tests/jobs/scheduler.feature
+++ b/tests/jobs/scheduler.feature
@@ -99,3 +99,11 @@
     When tasks that take all of two executors run
     And a lasting step of 3 tasks with a budget of 1 is added
     Then the plan starts 3 tasks
+
+  Scenario: a job whose queue was removed keeps its attempts and its service
+    Given a pool of 3 executors with 4 cores each
+    When a job of a queue that is gone, with 3 attempts, is added
+    And its first task fails 2 times
+    Then the job ends as running
+    When its first task fails 1 times
+    Then the job ends as failed
--- a/tests/steps/jobs_scheduler.py
+++ b/tests/steps/jobs_scheduler.py
@@ -350,3 +350,10 @@
 def step_lasting_added(context, tasks, budget):
     step = Step(tasks, cores_m=1000, lasting=True, may_miss=budget)
     context.jobs.add(step)
+
+
+@when("a job of a queue that is gone, with {attempts:d} attempts, is added")
+def step_gone_queue(context, attempts):
+    world = context.jobs
+    world.scheduler.set_config(attrs.evolve(CONFIG, queues=()))
+    world.add(Step(1, cores_m=1000), max_attempts=attempts)
