--- a/tests/steps/entry_process.py
+++ b/tests/steps/entry_process.py
@@ -220,6 +220,9 @@
 
 @then("all of them are answered by vm1")
 def by_vm1(context):
+    failed = [answers[0] for answers in context.answers if not answers[0]]
+    failed += [item for item in context.answers if isinstance(item[0], Exception)]
+    assert not failed, failed
     places = [answers[0].header("endpoint") for answers in context.answers]
     assert set(places) == {"vm1"}, places
 
