Send what waits as soon as a paused entry has read the tail

Cause: an entry that was frozen queues requests until a read sent after the pause has shown the tail. Nothing marked that moment: the backlog was only looked at when a record came. When the last record was read by the read before (log of a run beside 24 others: FreshnessRegained 4 ms before the requests, no record after it), ten requests waited 1.5 s, their whole deadline, and were refused as expired. The follower now tells when its state is current again.

Ruled out: a slow machine (the entry answered a peer 40 ms after it woke, and nothing of it ran between 727.131 and 728.587); the log (its read was answered within 2 ms).

The unit test failed before and passes now.

Test processes that ran at once could share a range of ports (pid modulo 43); a process now holds its range by a socket.

--- a/src/cardamomgrade/follower.py
+++ b/src/cardamomgrade/follower.py
@@ -30,7 +30,8 @@
     """A Replica kept up from a Feed.
 
     ``on_results(list)`` gets the Step and Restored items of each read. Hooks:
-    ``on_fresh()`` after each read that showed the tail, ``on_lost(earliest)``,
+    ``on_fresh()`` after each read that showed the tail, ``on_resumed()`` when the
+    state is fresh again after a pause or a lapse, ``on_lost(earliest)``,
     ``on_bad(offset, detail)``, ``on_raw(raw)`` and ``rng``.
     """
 
@@ -38,6 +39,7 @@
         self._loop = loop
         self._on_results = on_results
         self._on_fresh_hook = hooks.get("on_fresh") or (lambda: None)
+        self._on_resumed = hooks.get("on_resumed") or (lambda: None)
         self._on_lost_hook = hooks.get("on_lost") or (lambda earliest: None)
         self._pending = []
         self._fresh_s = None
@@ -97,10 +99,13 @@
         return None if self.replica.waiting else self._fresh_s
 
     def freshen(self, sent_s):
-        """Note that a peer's read proves that all before ``sent_s`` was folded."""
+        """Note that a read proves that all before ``sent_s`` was folded."""
+        current = self.fresh() and not self.paused()
         self._fresh_s = max(sent_s, self._fresh_s or sent_s)
         if self._paused_until_s is not None and sent_s >= self._paused_until_s:
             self._paused_until_s = None
+        if not current and self.fresh() and not self.paused():
+            self._on_resumed()
 
     def lose(self, earliest):
         """Begin again at ``earliest``, which is the first record to be had."""
--- a/src/cardamomgrade/member.py
+++ b/src/cardamomgrade/member.py
@@ -112,6 +112,8 @@
             log,
             self._on_results,
             on_fresh=self._on_fresh,
+            # no record marks that moment; what waits would wait for the next one
+            on_resumed=self._on_change,
             on_lost=self._on_lost,
             on_bad=lambda offset, detail: note(
                 BadLogRecord(STREAM_FLEET, offset, detail)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -59,14 +59,33 @@
 PORTS_FIRST = 10_240
 PORTS_PER_PROCESS = 512
 PORT_SLOTS = 43
-_ports = itertools.count(os.getpid() // PORT_SLOTS * 97)
+
+
+def _claim_slot():
+    """Return (socket, ports) of a slot that no other test process holds.
+
+    The socket listens on the slot's first port until this process ends.
+    """
+    for number in range(PORT_SLOTS):
+        slot = (os.getpid() + number) % PORT_SLOTS
+        base = PORTS_FIRST + slot * PORTS_PER_PROCESS
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", base))
+            claim.listen(1)
+        except OSError:
+            claim.close()
+            continue
+        return claim, itertools.cycle(range(base + 1, base + PORTS_PER_PROCESS))
+    raise RuntimeError(f"{PORT_SLOTS} test processes hold all ports")
+
+
+_claim, _ports = _claim_slot()
 
 
 def free_port():
     """Return a TCP port of 127.0.0.1 that is free now, of this process's own range."""
-    base = PORTS_FIRST + os.getpid() % PORT_SLOTS * PORTS_PER_PROCESS
-    for _ in range(PORTS_PER_PROCESS):
-        port = base + next(_ports) % PORTS_PER_PROCESS
+    for port in itertools.islice(_ports, PORTS_PER_PROCESS):
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
@@ -74,7 +93,7 @@
             except OSError:
                 continue
             return port
-    raise RuntimeError(f"no free port from {base}")
+    raise RuntimeError("no free port")
 
 
 def free_address():
--- a/tests/member.feature
+++ b/tests/member.feature
@@ -15,3 +15,9 @@
     Given a member of the fleet that reads the log
     When its process stands still for a minute
     Then it sends to no VM until it has read the tail
+
+  Scenario: requests that waited while the process stood still are sent afterwards
+    Given a member of the fleet that reads the log
+    When its process stands still for a minute
+    And it has read the tail since
+    Then it tells those who wait that it may send again, once
--- a/tests/steps/entry_process.py
+++ b/tests/steps/entry_process.py
@@ -222,9 +222,9 @@
 def by_vm1(context):
     failed = [answers[0] for answers in context.answers if not answers[0]]
     failed += [item for item in context.answers if isinstance(item[0], Exception)]
-    assert not failed, failed
+    assert not failed, (failed, context.processes["e1"].poll())
     places = [answers[0].header("endpoint") for answers in context.answers]
-    assert set(places) == {"vm1"}, places
+    assert set(places) == {"vm1"}, [item[0] for item in context.answers]
 
 
 @when("200 requests that must run once go to e1 and e2 and e1 is killed")
--- a/tests/steps/member.py
+++ b/tests/steps/member.py
@@ -28,7 +28,8 @@
         self.rig.loop.now = lambda: self.now
         self.appended = []
         seat = Seat(ENTRIES[0], "z0", "127.0.0.1:1", 7)
-        hooks = dict.fromkeys(("on_change", "on_replaced"), lambda: None)
+        self.changes = 0
+        hooks = {"on_change": self._changed, "on_replaced": lambda: None}
         self.member = Member(
             self.rig.loop,
             self.rig.net,
@@ -44,6 +45,9 @@
         self.member.freshen(self.now)
         self.member.seat.incarnation = 7
 
+    def _changed(self):
+        self.changes += 1
+
     def _submit(self, record, on_verdict):
         self.appended.append(record)
 
@@ -104,3 +108,19 @@
     lone.member.follower._beat()
     lone.member.freshen(lone.now + 0.1)
     assert lone.member.may_send("a1") is True
+
+
+@when("it has read the tail since")
+def step_read_tail(context):
+    lone = context.lone
+    lone.member.follower._beat()
+    lone.changes = 0
+    for _ in range(3):
+        lone.now += 0.1
+        lone.member.freshen(lone.now)
+
+
+@then("it tells those who wait that it may send again, once")
+def step_told(context):
+    assert context.lone.member.may_send("a1") is True
+    assert context.lone.changes == 1, context.lone.changes
