Leave the term to nodes that are large enough for it

Starts are up to 5 kB each. Nodes with less than one core or 100 Mbit/s now stand 0.7 s later, so that a larger one comes first.

--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -15,7 +15,7 @@
 from .follow import TopicFollower
 from .records import encode, KEY_TERM
 from .store import Appended, AppendFate, WriterMark
-from .term import RESIGNED_JITTER_S, Term
+from .term import is_small, RESIGNED_JITTER_S, Term
 from .view import JobView
 from .writer import first_term, WRITER_NAME
 
@@ -89,7 +89,7 @@
         self._net = Net(loop)
         self._platform = make_platform(loop, self._net, cfg)
         self._incarnation = uuid.uuid4().hex[:12]
-        self._term = Term(cfg.node, self._incarnation)
+        self._term = Term(cfg.node, self._incarnation, is_small(cfg))
         self._queue_cfg = None
         self._waves = {}
         self._driver = None
--- a/src/cardamomgrade/jobs/settings.py
+++ b/src/cardamomgrade/jobs/settings.py
@@ -9,6 +9,8 @@
 
     ``max_lease_ms`` is the longest lease that an executor takes, ``machine_lease_ms``
     how long the orders of one scheduler for VMs keep those of another away.
+    ``core_share`` is the share of ``cores`` processors that the node may use,
+    ``link_mbps`` what its link carries.
     """
 
     node: str
@@ -17,6 +19,9 @@
     ready: str
     store: str
     machines: str
+    core_share: float
+    cores: float
+    link_mbps: float
     max_lease_ms: int
     machine_lease_ms: int
     upkeep_ms: int
--- a/src/cardamomgrade/jobs/term.py
+++ b/src/cardamomgrade/jobs/term.py
@@ -15,10 +15,21 @@
 TERM_TIMEOUT_S = 1.5  # three beats and a read that waited in vain
 TERM_JITTER_S = 0.3  # spreads candidates, so that the first mostly stands alone
 RESIGNED_JITTER_S = 0.06
+# an order is 1 to 5 kB, and a burst is hundreds of them a second
+LEAST_CORES = 1.0
+LEAST_LINK_MBPS = 100
+SMALL_DELAY_S = 0.7  # the term still changes within the lease of what runs
+SMALL_RESIGNED_DELAY_S = 0.4  # several reads of the topic by other nodes
 BEAT_S = 0.4
 CHART = load_chart("term")
 
 
+def is_small(cfg):
+    """Return whether a node of these NodeSettings should schedule only at need."""
+    cores = cfg.core_share * cfg.cores
+    return cores < LEAST_CORES or cfg.link_mbps < LEAST_LINK_MBPS
+
+
 @event(623)
 class TermChanged:
     """This node's part in the term changed."""
@@ -31,13 +42,15 @@
 class Term:
     """A node's part: follower, candidate or scheduler.
 
-    ``handed_on`` tells that the newest term has ended and nobody schedules.
+    ``handed_on`` tells that the newest term has ended and nobody schedules. A node
+    that is ``small`` stands later than others, where there are any.
     """
 
-    def __init__(self, node, incarnation):
+    def __init__(self, node, incarnation, small=False):
         self._node = node
         self._incarnation = incarnation
         self._quiet_since = None
+        self._small = small
         self._jitter = random.Random(incarnation)
         self._wait = 0.0
         self.handed_on = False
@@ -68,8 +81,10 @@
         self._quiet_since = now
         if self.handed_on:
             self._wait = self._jitter.uniform(0, RESIGNED_JITTER_S)
+            self._wait += SMALL_RESIGNED_DELAY_S if self._small else 0
         else:
             self._wait = TERM_TIMEOUT_S + self._jitter.uniform(0, TERM_JITTER_S)
+            self._wait += SMALL_DELAY_S if self._small else 0
 
     def should_stand(self, now):
         """Return whether to stand now, after a good read."""
--- a/src/cardamomgrade/platform/boot.py
+++ b/src/cardamomgrade/platform/boot.py
@@ -18,11 +18,12 @@
     """Where a value stands in the file, its type and what is allowed."""
 
     path: tuple
-    kind: type
+    kind: type | tuple
     allowed: str
 
 
 _TEXT, COUNT = "text", "a number of 0 or more"
+_NUMBER = (int, float)
 FIELDS = {
     "node": _Field(("nodeName",), str, _TEXT),
     "zone": _Field(("zone",), str, _TEXT),
@@ -30,6 +31,9 @@
     "ready": _Field(("listen", "ready"), str, "ip:port"),
     "store": _Field(("platform", "address"), str, "ip:port"),
     "machines": _Field(("cloud", "address"), str, "ip:port"),
+    "core_share": _Field(("limits", "cpuShare"), _NUMBER, COUNT),
+    "cores": _Field(("limits", "cores"), _NUMBER, COUNT),
+    "link_mbps": _Field(("limits", "linkMbps"), _NUMBER, COUNT),
 }
 BOUNDS = {
     # field: (name of the platform, factor to our unit)
@@ -78,7 +82,7 @@
         raise SettingsError(f"{path}: no table of settings")
     values = {name: _dig(path, tree, field) for name, field in FIELDS.items()}
     for name, (key, factor) in BOUNDS.items():
-        field = _Field(("bounds", key), (int, float), COUNT)
+        field = _Field(("bounds", key), _NUMBER, COUNT)
         values[name] = int(_dig(path, tree, field) * factor)
     return NodeSettings(**values)
 
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -15,6 +15,7 @@
       | nodeName             | missing |
       | listen.front         | missing |
       | platform.address     | 7       |
+      | limits.linkMbps      | fast    |
       | bounds.maxHoldMs     | soon    |
       | bounds.graceS        | true    |
 
--- a/tests/steps/jobs_term.py
+++ b/tests/steps/jobs_term.py
@@ -1,9 +1,11 @@
 """Steps for the term of the scheduler."""
 
+import attrs
 from behave import given, then, when
 
 from cardamomgrade.jobs.records import TermRecord
-from cardamomgrade.jobs.term import Term
+from cardamomgrade.jobs.settings import NodeSettings
+from cardamomgrade.jobs.term import is_small, Term
 
 
 @given("a node that follows the term of another")
@@ -14,6 +16,16 @@
     context.now = 0.0
 
 
+@given("a node with {cores:g} cores and a link of {mbps:g} Mbit/s that follows another")
+def step_sized(context, cores, mbps):
+    names = [field.name for field in attrs.fields(NodeSettings)]
+    values = dict.fromkeys(names, 0)
+    cfg = NodeSettings(**{**values, "core_share": cores, "cores": 1, "link_mbps": mbps})
+    context.term = Term("n1", "life-2", is_small(cfg))
+    context.term.seen(TermRecord(3, "n2", "life-1", 7, False), 0.0)
+    context.now = 0.0
+
+
 @given("a node that reads a term of its own last life")
 def step_own(context):
     context.term = Term("n1", "life-2")
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -20,6 +20,7 @@
 platform: {address: "127.0.0.1:8621", recordBytes: 1000, writesPerS: 600}
 cloud: {address: "127.0.0.1:8620"}
 somethingNew: [1, 2]
+limits: {cpuShare: 0.537, cores: 2, linkMbps: 1000.0}
 bounds:
   stopTimeoutMs: 900
   maxHoldMs: 10000
@@ -50,6 +51,7 @@
     assert (cfg.front, cfg.ready) == ("127.0.0.1:8624", "127.0.0.1:8622")
     assert (cfg.store, cfg.machines) == ("127.0.0.1:8621", "127.0.0.1:8620")
     assert (cfg.grace_ms, cfg.upkeep_ms, cfg.status_ms) == (6000, 2500, 120_000)
+    assert (cfg.core_share, cfg.cores, cfg.link_mbps) == (0.537, 2, 1000.0)
     assert (cfg.machine_lease_ms, cfg.max_lease_ms) == (3000, 10_000)
 
 
