Count an end that an executor tells after its run was given up

The scheduler dropped that end, since the run was not under way any more, acknowledged it, and started run 3 at 38.67 s.

Ruled out: two schedulers (epoch 1 until 38.37 s), an end acknowledged before it was stored (nothing of it was to store).

An end of the newest run now counts as long as its task has not started again; a run that ended for certain is marked so, also in what is stored, and is not counted twice.

--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -13,7 +13,11 @@
 
 @attrs.define(eq=False)
 class TaskState:
-    """The newest run of one task; ``failures`` are its runs that ended failed."""
+    """The newest run of one task; ``failures`` are its runs that ended failed.
+
+    A task that waits names the executor of its newest run as long as how that run
+    ended is not known for certain.
+    """
 
     id: TaskId
     run: int = 0
@@ -210,12 +214,27 @@
             return None
         return task
 
+    def given_up(self, task_id, run, executor):
+        """Return the TaskState of a run that was taken as lapsed unheard, else None.
+
+        Nothing of its task, or of its gang, has started since.
+        """
+        task = self._find(task_id)
+        if task is None:
+            return None
+        step = self._steps[task_id.occurrence, task_id.step]
+        for member in step.tasks if step.step.gang else [task]:
+            if member.run != run or member.phase is not Phase.WAITING:
+                return None
+        return task if task.executor == executor else None
+
     def withdraw(self, task):
         """Take back a run that never began."""
+        task.executor = ""
         self._move(task, Phase.WAITING)
 
-    def end(self, task, outcome, checkpoint=""):
-        """Take note of the end of the run under way."""
+    def end(self, task, outcome, checkpoint="", heard=True):
+        """Take note of the end of the newest run; ``heard`` from its executor."""
         step = self._steps[task.id.occurrence, task.id.step]
         if checkpoint:
             task.checkpoint = checkpoint
@@ -228,6 +247,8 @@
             self._count_failure(task, step)
         if task.phase is Phase.PLACED:
             self._move(task, Phase.WAITING)
+        if heard and task.phase is Phase.WAITING:
+            task.executor = ""
 
     def _count_failure(self, task, step):
         task.failed_on.append(task.executor)
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -247,24 +247,30 @@
             (task, run) for task, (run, _) in self._lost_room.pop(name, {}).items()
         )
         for task, run in runs.items():
-            self.end(name, task, run, Outcome.LAPSED, "", now_ms)
+            self.end(name, task, run, Outcome.LAPSED, "", now_ms, heard=False)
 
-    def end(self, name, task_name, run, outcome, checkpoint, now_ms):
-        """Take note that a run ended; return whether it was the one under way."""
+    def end(self, name, task_name, run, outcome, checkpoint, now_ms, heard=True):
+        """Take note that a run ended; return whether that was news of its task.
+
+        An executor that was out of reach may tell, after its runs were taken as
+        lapsed, that one of them had ended before: its task need not start again.
+        """
         executor = self.executors.get(name)
         holding = executor.holdings.get(task_name) if executor is not None else None
         if holding is not None and holding.run == run:
             executor.release(task_name)
             self._changed.add(executor.entry.service)
         job, task = self._find(task_name, run)
+        if task is None and job is not None:
+            task = job.given_up(parse_task(task_name), run, name)
         if task is None or task.executor != name:
             return False
         note(TaskEnded(job.spec.job, task_name, run, name, outcome.value))
-        if outcome is Outcome.DONE and task.placed_ms:
+        if outcome is Outcome.DONE and task.phase is Phase.PLACED and task.placed_ms:
             step = job.spec.steps[task.id.step]
             took_ms = now_ms - task.placed_ms
             self.durations.report(job.spec.queue, step.estimate_ms, took_ms)
-        job.end(task, outcome, checkpoint)
+        job.end(task, outcome, checkpoint, heard)
         self._judge(executor, task, outcome, now_ms)
         self._touch(job)
         self._changed.add(self.service_of(job.spec))
--- a/tests/jobs/scheduler.feature
+++ b/tests/jobs/scheduler.feature
@@ -49,6 +49,30 @@
     Then its tasks start again elsewhere as run 2
     And a late end of run 1 changes nothing
 
+  Scenario Outline: an end that is heard after its run was given up counts while it can
+    Given a pool of 2 executors with 4 cores each
+    When a job with steps of 2 and 1 tasks of 1 core is added
+    Then the plan starts 2 tasks
+    When the executor of the first task surely runs nothing any more
+    And its executor tells that run 1 of the first task ended <outcome>
+    Then the first task <result>
+    And hearing of it once more changes nothing
+
+    Examples:
+      | outcome | result                        |
+      | done    | is done and does not start    |
+      | failed  | has 1 failure and starts again |
+      | lapsed  | has 0 failures and starts again |
+
+  Scenario: a run that ended for certain is not counted twice
+    Given a pool of 2 executors with 4 cores each
+    When a job with steps of 2 and 1 tasks of 1 core is added
+    Then the plan starts 2 tasks
+    When its executor tells that run 1 of the first task ended failed
+    And another scheduler takes over
+    And its executor tells that run 1 of the first task ended failed
+    Then the first task has 1 failure and starts again
+
   Scenario: a draining, an unlisted, a silent and a cordoned executor get nothing new
     Given a pool of 5 executors with 4 cores each
     When the first drains, the second is unlisted, the third is silent and the fourth is cordoned
--- a/tests/steps/jobs_scheduler.py
+++ b/tests/steps/jobs_scheduler.py
@@ -6,7 +6,13 @@
 from behave import given, then, when
 
 from cardamomgrade.jobs.queues import Queue, QueueConfig, Service
-from cardamomgrade.jobs.records import decode_job, decode_progress, encode, JobState
+from cardamomgrade.jobs.records import (
+    decode_job,
+    decode_progress,
+    encode,
+    JobState,
+    Phase,
+)
 from cardamomgrade.jobs.reports import ExecutorEntry, Outcome
 from cardamomgrade.jobs.scheduler import ASIDE_MIN_MS, Scheduler
 from cardamomgrade.jobs.spec import JobSpec, Step
@@ -357,3 +363,57 @@
     world = context.jobs
     world.scheduler.set_config(attrs.evolve(CONFIG, queues=()))
     world.add(Step(1, cores_m=1000), max_attempts=attempts)
+
+
+def first_task(context):
+    world = context.jobs
+    job = world.scheduler.jobs[world.job]
+    return next(task for task in job._tasks() if task.id.index == task.id.step == 0)
+
+
+@when("its executor tells that run 1 of the first task ended {outcome}")
+def step_told_end(context, outcome):
+    world, task = context.jobs, first_task(context)
+    context.told = (task.executor or context.told[0], str(task.id), Outcome(outcome))
+    name, task_name, end = context.told
+    world.scheduler.end(name, task_name, 1, end, "", world.now_ms)
+
+
+@when("another scheduler takes over")
+def step_takes_over(context):
+    world = context.jobs
+    job = world.scheduler.jobs[world.job]
+    record = decode_progress(encode(job.record()))
+    entries = [item.entry for item in world.scheduler.executors.values()]
+    world.scheduler = Scheduler(CONFIG)
+    world.scheduler.add_job(job.spec, record, world.now_ms)
+    for entry in entries:
+        world.scheduler.put_executor(entry)
+
+
+def starts_of_first(context):
+    name = str(first_task(context).id)
+    return [item.run for item in context.jobs.plan() if item.task == name]
+
+
+@then("the first task is done and does not start")
+def step_late_done(context):
+    assert first_task(context).phase is Phase.DONE
+    assert starts_of_first(context) == []
+
+
+@then("the first task has {count:d} failure{plural} and starts again")
+@then("the first task has {count:d} failure and starts again")
+def step_late_failed(context, count, plural=""):
+    task = first_task(context)
+    assert task.failures == count, task
+    assert starts_of_first(context) == [2]
+
+
+@then("hearing of it once more changes nothing")
+def step_once_more(context):
+    world, task = context.jobs, first_task(context)
+    before = attrs.astuple(task)
+    name, task_name, end = context.told
+    world.scheduler.end(name, task_name, 1, end, "", world.now_ms)
+    assert attrs.astuple(task) == before
