--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -62,12 +62,13 @@
 class Driver:
     """One term of the scheduler; ``on_deposed(why)`` is called when it is over."""
 
-    def __init__(self, loop, cfg, platform, term, view, queue_cfg, on_deposed):
+    def __init__(self, loop, cfg, platform, term, view, queue_cfg, on_deposed, metrics):
         self._loop = loop
         self._cfg = cfg
         self._platform = platform
         self._view = view
         self._on_deposed = on_deposed
+        self._metrics = metrics
         self._epoch = term.epoch
         self._lease_ms = min(LEASE_MS, cfg.max_lease_ms)
         self._learned_at = loop.now()
@@ -80,7 +81,7 @@
         self._pacer = Pacer()
         self._scheduler = Scheduler(queue_cfg)
         self._jobs_topic = platform.jobs_topic()
-        self._writer = Writer(loop, self._jobs_topic, term, self.depose)
+        self._writer = Writer(loop, self._jobs_topic, term, self.depose, metrics)
         self._availability = Availability(self._step)
         parts = Parts(self._scheduler, self._writer, self._availability)
         self._vms = VmManager(loop, cfg, platform, term, view, parts, self)
@@ -134,6 +135,18 @@
 
     # What the scheduler is told
 
+    def gauges(self):
+        """Return what the scheduler has in hand, by name."""
+        jobs = [item for item in self._scheduler.jobs.values() if not item.state.final]
+        executors = self._scheduler.executors.values()
+        return {
+            "jobs_open": len(jobs),
+            "jobs_not_begun": sum(not item.begun for item in jobs),
+            "executors": len(executors),
+            "executors_silent": sum(item.silent for item in executors),
+            "runs": sum(len(item.holdings) for item in executors),
+        }
+
     def read_back(self, term):
         """Take note that a term record of this scheduler was read in the topic."""
         self._writer.read_back(term.beat)
@@ -189,6 +202,9 @@
             return
         now_ms = self._loop.now() * MS
         starts = self._scheduler.plan(now_ms, time.time() * MS)
+        for waited_ms in self._scheduler.take_waits():
+            self._metrics.time("first_start", waited_ms / MS)
+        self._metrics.time("plan", self._loop.now() - now_ms / MS)
         stops = self._scheduler.take_stops()
         dirty = self._scheduler.take_dirty()
         marks, self._marks = self._marks, {}
@@ -269,6 +285,7 @@
         """Runs ended on an executor."""
         self._availability.ended(item.task for item in ends)
         for item in ends:
+            self._metrics.count("run_ends", outcome=item.outcome.value)
             self._scheduler.end(
                 name,
                 item.task,
--- a/src/cardamomgrade/jobs/entry.py
+++ b/src/cardamomgrade/jobs/entry.py
@@ -39,10 +39,13 @@
     not; all records of one append are stored together.
     """
 
-    def __init__(self, client):
+    def __init__(self, loop, client, metrics):
+        self._loop = loop
         self._client = client
+        self._metrics = metrics
         self._waiting = []
         self._batch = []
+        self._sent_at = 0.0
 
     def store(self, key, value, on_done):
         """Store one record; ``on_done(Appended | AppendFailed)``."""
@@ -57,6 +60,9 @@
 
     def _finish(self, result):
         batch, self._batch = self._batch, []
+        fate = "done" if isinstance(result, Appended) else result.fate.value
+        self._metrics.count("appends", by="entry", fate=fate)
+        self._metrics.time("entry_append", self._loop.now() - self._sent_at)
         for _, _, on_done in batch:
             on_done(result)
         self._flush()
@@ -66,6 +72,7 @@
             return
         batch = self._batch = self._waiting
         self._waiting = []
+        self._sent_at = self._loop.now()
         items = list({key: value for key, value, _ in batch}.items())
 
         def done(result):
@@ -81,8 +88,9 @@
     ``sync(on_done)`` brings the view up to date before a job is called unknown.
     """
 
-    def __init__(self, loop, view, follower, intake, sync, wall_ms=None):
+    def __init__(self, loop, view, follower, intake, sync, metrics, wall_ms=None):
         self._loop = loop
+        self._metrics = metrics
         self._view = view
         self._follower = follower
         self._intake = intake
@@ -100,13 +108,16 @@
 
         def answer(result):
             now = self._loop.now()
+            call_kind, kind = call.kind.value, result.kind.value
+            self._metrics.count("answers", call=call_kind, answer=kind)
+            self._metrics.time(f"answer_{call_kind}", now - started)
             state = result.state.name.lower() if result.state is not None else ""
             note(
                 JobAnswered(
-                    call.kind.value,
+                    call_kind,
                     call.job,
                     call.queue,
-                    result.kind.value,
+                    kind,
                     state,
                     int(min(self._follower.age(), 3600) * MS),
                     round((now - started) * MS, 1),
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -6,7 +6,9 @@
 
 from ..errors import RecordError, SettingsError
 from ..journal import event, note
+from ..metrics import Metrics
 from ..net import Net, parse_address
+from ..scrape import ScrapeServer
 from ..server import HttpServer, ServerLimits
 from ..wire import HttpResponse
 from .calls import Answer, AnswerKind
@@ -25,6 +27,7 @@
 READY_STALE_S = 1.8  # a node that the store turns away leaves the rotation
 ROTATION_S = 2.5  # the balancer sees two probes missed, one a second
 DRAIN_POLL_S = 0.1
+NEVER_READ_S = 3600.0  # what is told as the age of a copy that was never read
 CONNECTIONS = 1500
 MS = 1000
 
@@ -83,8 +86,10 @@
 class Node:
     """All parts of one process; it ends by ``stop`` and is closed once."""
 
-    def __init__(self, loop, cfg, make_platform):
+    def __init__(self, loop, cfg, make_platform, metrics_page=None):
         self._loop = loop
+        self._metrics = Metrics()
+        self._metrics_page = metrics_page
         self._cfg = cfg
         self._net = Net(loop)
         self._platform = make_platform(loop, self._net, cfg)
@@ -113,9 +118,11 @@
         self._intake_topic = self._platform.jobs_topic()
         self._probe_topic = self._platform.jobs_topic()
         self._stand_topic = self._platform.jobs_topic()
-        intake = Intake(self._intake_topic)
+        intake = Intake(loop, self._intake_topic, self._metrics)
         self._view.on_stored = intake.read_back
-        self._entry = JobEntry(loop, self._view, self._follower, intake, self._sync)
+        self._entry = JobEntry(
+            loop, self._view, self._follower, intake, self._sync, self._metrics
+        )
         self._front = HttpServer(
             loop,
             self._net,
@@ -124,11 +131,16 @@
             self._platform.bad_request,
         )
         self._ready = HttpServer(loop, self._net, self._on_ready)
+        self._scrapes = ScrapeServer(loop, self._net, self._metrics, self._gauges)
 
     def start(self):
         """Listen and begin to follow the store."""
         self._front.listen(*parse_address(self._cfg.front))
         self._ready.listen(*parse_address(self._cfg.ready))
+        if self._metrics_page is not None:
+            host, _ = parse_address(self._cfg.front)
+            port, path = self._metrics_page
+            self._scrapes.listen(f"{host}:{port}", path)
         note(
             NodeStarted(
                 self._cfg.zone, self._cfg.front, self._cfg.store, self._incarnation
@@ -147,6 +159,17 @@
         """Whether this node schedules now."""
         return self._driver is not None
 
+    def _gauges(self):
+        driver = self._driver
+        return {
+            "scheduling": int(driver is not None),
+            "epoch": self._term.epoch,
+            "config_version": self._queue_cfg.version if self._queue_cfg else 0,
+            "copy_age_seconds": min(self._follower.age(), NEVER_READ_S),
+            "open_requests": self._open,
+            **(driver.gauges() if driver is not None else {}),
+        }
+
     def close(self):
         """End at once, as a process that is killed does."""
         if self._driver is not None:
@@ -156,6 +179,7 @@
             follower.close()
         for server in (self._front, self._ready):
             server.drop_others(None)
+        self._scrapes.close()
         for topic in (self._intake_topic, self._probe_topic, self._stand_topic):
             topic.close()
         self._net.close_listeners()
@@ -202,14 +226,16 @@
     # Callers
 
     def _on_ready(self, exchange):
-        ready = (
-            exchange.req.path == self._platform.ready_path
-            and not self._stopping
+        known = exchange.req.path == self._platform.ready_path
+        exchange.respond(HttpResponse(200 if known and self._ready_now() else 503))
+
+    def _ready_now(self):
+        return (
+            not self._stopping
             and self._queue_cfg is not None
             and self._follower.loaded
             and self._follower.age() < READY_STALE_S
         )
-        exchange.respond(HttpResponse(200 if ready else 503))
 
     def _on_request(self, exchange):
         self._open += 1
@@ -301,6 +327,7 @@
             self._view,
             self._queue_cfg,
             self._deposed,
+            self._metrics,
         )
         for request in self._waves.values():
             self._driver.add_wave(request)
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -71,6 +71,7 @@
         self._lost_room = {}
         self._changed = set()
         self._resting = {}
+        self._waits = []
         self.placed_here = set()
         self.durations = Durations()
         self._needs = PoolNeeds()
@@ -172,6 +173,11 @@
             for name, job in dirty.items()
         ]
 
+    def take_waits(self):
+        """Return how long, in ms, jobs waited that began since the last call."""
+        waits, self._waits = self._waits, []
+        return waits
+
     def take_stops(self):
         """Return the Stop orders decided since the last call."""
         stops, self._stops = self._stops, {}
@@ -388,6 +394,7 @@
         starts = []
         waiting_m = blocked_vms = 0
         for _, job, steps, outlook in ready:
+            begun = job.begun
             for step in steps:
                 place = self._place_gang if step.step.gang else self._place_tasks
                 starts.extend(place(job, step, executors, now_ms))
@@ -395,6 +402,8 @@
                     waiting_m += step.waiting * step.step.counted_cores_m
                 if step.waiting and any(item.fits(step.step) for item in executors):
                     blocked_vms += -(-step.waiting // (step.step.per_executor or 1))
+            if job.begun and not begun:
+                self._waits.append(max(0.0, outlook.age_ms))
         self._needs.planned(service, waiting_m, blocked_vms)
         return starts
 
--- a/src/cardamomgrade/jobs/writer.py
+++ b/src/cardamomgrade/jobs/writer.py
@@ -35,14 +35,16 @@
     items: list
     callbacks: list
     sequence: int
+    sent_at: float
     noted: bool = False
 
 
 class Writer:
     """Stores records in order and calls back once they are acknowledged."""
 
-    def __init__(self, loop, client, term, on_deposed):
+    def __init__(self, loop, client, term, on_deposed, metrics):
         self._loop = loop
+        self._metrics = metrics
         self._client = client
         self._epoch = term.epoch
         self._term = term
@@ -104,7 +106,7 @@
         callbacks = []
         if not self._items:
             callbacks, self._callbacks = self._callbacks, []
-        self._batch = _Batch(items, callbacks, self._sequence)
+        self._batch = _Batch(items, callbacks, self._sequence, now)
         self._send()
 
     def _send(self):
@@ -122,6 +124,8 @@
 
     def _acknowledged(self):
         batch, self._batch = self._batch, None
+        self._metrics.count("appends", by="scheduler", fate="done")
+        self._metrics.time("scheduler_append", self._loop.now() - batch.sent_at)
         for callback in batch.callbacks:
             callback()
         self._flush()
@@ -136,6 +140,7 @@
             self._on_deposed(result.fate.value)
             return
         batch = self._batch
+        self._metrics.count("appends", by="scheduler", fate=result.fate.value)
         if not batch.noted:
             batch.noted = True
             note(AppendRetried(batch.sequence, result.fate.value, result.detail))
--- a/src/cardamomgrade/jobsd.py
+++ b/src/cardamomgrade/jobsd.py
@@ -15,9 +15,23 @@
 PROGRAM = "cardamom-jobs"
 
 
+class MetricsPage(click.ParamType):
+    """``PORT/PATH`` as a pair of the port and the path with its slash."""
+
+    name = "PORT/PATH"
+
+    def convert(self, value, param, ctx):
+        """Return (port, path); fail on anything else."""
+        port, slash, path = value.partition("/")
+        if not port.isdecimal() or not 0 < int(port) < 2**16 or not slash:
+            self.fail(f"{value!r} is not PORT/PATH, such as 7070/metrics", param, ctx)
+        return int(port), f"/{path}"
+
+
 @click.command(help=__doc__)
 @click.option("--check-settings", is_flag=True, help="Print settings and exit.")
-def main(check_settings):
+@click.option("--metrics", type=MetricsPage(), help="Serve metrics there.")
+def main(check_settings, metrics):
     """Run a node with the settings file that the platform names."""
     try:
         cfg = load_settings()
@@ -29,7 +43,7 @@
         return
     start_journal(PROGRAM, cfg.node, BoundedStream(sys.stdout.fileno()))
     loop = Loop()
-    node = Node(loop, cfg, Platform)
+    node = Node(loop, cfg, Platform, metrics)
     loop.on_stop(node.stop)
     loop.on_reload(lambda: node.reload(load_settings))
     node.start()
--- a/src/cardamomgrade/metrics.py
+++ b/src/cardamomgrade/metrics.py
@@ -18,6 +18,7 @@
     p90_us: int
     p99_us: int
     max_us: int
+    sum_us: int
 
 
 @attrs.frozen
@@ -35,6 +36,7 @@
         histogram.get_value_at_percentile(90),
         histogram.get_value_at_percentile(99),
         histogram.get_max_value(),
+        int(histogram.get_mean_value() * histogram.get_total_count()),
     )
 
 
@@ -45,9 +47,10 @@
         self._counters = {}
         self._timings = {}
 
-    def count(self, name, amount=1):
-        """Add ``amount`` to a counter."""
-        self._counters[name] = self._counters.get(name, 0) + amount
+    def count(self, name, amount=1, **labels):
+        """Add ``amount`` to the counter of a name and these labels."""
+        key = (name, tuple(sorted(labels.items())))
+        self._counters[key] = self._counters.get(key, 0) + amount
 
     def time(self, name, seconds):
         """Record a duration in seconds."""
@@ -58,7 +61,14 @@
         value = max(LOWEST_US, min(int(seconds * US_PER_S), HIGHEST_US))
         histogram.record_value(value)
 
+    def counters(self):
+        """Return the counters by (name, (label, value) pairs)."""
+        return dict(self._counters)
+
     def view(self):
         """Return a MetricsView of what was recorded so far."""
         timings = {name: _timing_view(item) for name, item in self._timings.items()}
-        return MetricsView(dict(self._counters), timings)
+        totals = {}
+        for (name, _), value in self._counters.items():
+            totals[name] = totals.get(name, 0) + value
+        return MetricsView(totals, timings)
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -120,3 +120,11 @@
     When the store is down
     And the node has noticed
     Then the next submission is answered 503 without a call to the store
+
+  Scenario: counters and timings are told to scrapers
+    Given 2 nodes on an emulated platform with 2 executors
+    When a caller submits a job of 2 steps with 3 tasks each at node 1
+    Then node 2 shows the job as completed
+    And a scraper of the scheduling node reads what was counted
+    And a scraper of the node that took the job reads how it was answered
+    And another path of the metrics address has no page
--- a/tests/steps/jobs_node.py
+++ b/tests/steps/jobs_node.py
@@ -18,7 +18,7 @@
 from cardamomgrade.jobs.settings import NodeSettings
 from cardamomgrade.platform.adapter import Platform
 from cardamomgrade.wire import HttpRequest
-from harness import free_address, Rig
+from harness import free_address, free_port, Rig
 
 TASK_MS = 60
 LONG_TASK_MS = 1500
@@ -75,6 +75,7 @@
         for number in range(executors):
             self.platform.add_executor(f"i-{number}", "s", 4000, 64_000)
         self.platform.put("keyed.op", "config", CONFIG)
+        self.metrics_ports = {}
         self.cfgs = [self.settings(number) for number in range(nodes)]
         self.nodes = [self.start(cfg) for cfg in self.cfgs]
         self.callers = [
@@ -82,6 +83,19 @@
         ]
         self.rig.run_until(lambda: self.scheduler() is not None)
 
+    def scrape(self, node, path="/metrics"):
+        """Return the status and the samples by name of a node's metrics page."""
+        port = self.metrics_ports[self.cfgs[node].node]
+        caller = Requester(self.rig.loop, self.rig.net, f"{HOST}:{port}")
+        answers = []
+        req = HttpRequest("GET", path, ((b"host", b"metrics"),))
+        caller.request(req, answers.append, 5.0)
+        self.rig.run_until(lambda: answers)
+        caller.close()
+        lines = answers[0].body.decode().splitlines()
+        pairs = [line.rsplit(" ", 1) for line in lines if not line.startswith("#")]
+        return answers[0].status, dict(pairs)
+
     def settings(self, number):
         return attrs.evolve(
             SETTINGS,
@@ -93,7 +107,9 @@
         )
 
     def start(self, cfg):
-        node = Node(self.rig.loop, cfg, Platform)
+        port = free_port()
+        self.metrics_ports[cfg.node] = port
+        node = Node(self.rig.loop, cfg, Platform, (port, "/metrics"))
         node.start()
         return node
 
@@ -483,3 +499,65 @@
         target for target in world.platform.faults.asked if "producer" not in target
     ]
     assert not [item for item in intake if "log-append" in item], intake
+
+
+@then("a scraper of the scheduling node reads what was counted")
+def step_scrape(context):
+    nodes = context.nodes
+    status, samples = nodes.scrape(nodes.scheduler())
+    assert status == 200
+    assert float(samples["cardamom_scheduling"]) == 1
+    assert float(samples['cardamom_run_ends_total{outcome="done"}']) == 6, samples
+    assert float(samples["cardamom_first_start_seconds_count"]) == 1
+    assert 0 < float(samples['cardamom_first_start_seconds{quantile="0.99"}']) < 5
+    assert float(samples["cardamom_executors_silent"]) == 0
+
+
+@then("a scraper of the node that took the job reads how it was answered")
+def step_scrape_entry(context):
+    _, samples = context.nodes.scrape(0)
+    key = 'cardamom_answers_total{answer="done",call="submit"}'
+    assert float(samples[key]) == 1, samples
+    assert float(samples["cardamom_answer_submit_seconds_count"]) == 1
+
+
+@then("another path of the metrics address has no page")
+def step_scrape_other(context):
+    assert context.nodes.scrape(0, "/other")[0] == 404
+
+
+@when("the node is not ready any more")
+def step_not_ready(context):
+    nodes = context.nodes
+    probe = Requester(nodes.rig.loop, nodes.rig.net, nodes.cfgs[0].ready)
+    answers = []
+
+    def ask():
+        req = HttpRequest("GET", "/api/ready", ((b"host", b"ready"),))
+        probe.request(req, answers.append, 5.0)
+
+    def turned():
+        if not answers:
+            return False
+        if answers[-1].status == 503:
+            return True
+        answers.clear()
+        nodes.rig.loop.call_later(0.1, ask)
+        return False
+
+    ask()
+    nodes.rig.run_until(turned)
+    probe.close()
+
+
+@then("its next answer {what} the connection")
+def step_connection(context, what):
+    answer = context.nodes.submit([{"count": 1}])
+    assert answer.status == 503
+    closing = answer.header("connection") == "close"
+    assert closing == (what == "closes"), answer.headers
+
+
+@then("its next answer leaves the connection open")
+def step_connection_open(context):
+    step_connection(context, "leaves open")
