Close the connections of callers whom a node cannot serve

Cause: a node that the store turns away leaves the rotation after 1.8 s, but answered 503 on connections that were open, so that some callers asked it up to five times. Such an answer now ends its connection; the balancer sends the next one to another node. The new scenario failed before.

--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -242,7 +242,9 @@
 
         def answer(result):
             self._open -= 1
-            exchange.respond(self._platform.encode_answer(result))
+            # the balancer sends the caller's next connection to another node
+            close = result.kind is AnswerKind.UNAVAILABLE and not self._ready_now()
+            exchange.respond(self._platform.encode_answer(result), close)
 
         req, cfg = exchange.req, self._queue_cfg
         if cfg is None:
--- a/src/cardamomgrade/server.py
+++ b/src/cardamomgrade/server.py
@@ -51,12 +51,15 @@
         self.answered = False
         self.on_gone = None
 
-    def respond(self, response):
-        """Answer the request; later calls do nothing."""
+    def respond(self, response, close=False):
+        """Answer the request, and close the connection after it or not.
+
+        Later calls do nothing.
+        """
         if self.answered:
             return
         self.answered = True
-        self._session.answer(self, response)
+        self._session.answer(self, response, close)
 
     def drop(self):
         """Close the caller's connection without an answer."""
@@ -225,13 +228,13 @@
         self._exchange = Exchange(self, req, self._conn.peer)
         self._server.on_request(self._exchange)
 
-    def answer(self, exchange, response):
-        """Write the response and go on with the next pipelined request."""
+    def answer(self, exchange, response, close):
+        """Write the response; close, or go on with the next pipelined request."""
         if self._conn.closed:
             return
         http, self._http, self._exchange = self._http, None, None
         headers = response_headers(response)
-        if self._server.draining:
+        if close or self._server.draining:
             headers.append((b"connection", b"close"))
         try:
             out = http.send(h11.Response(status_code=response.status, headers=headers))
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -128,3 +128,11 @@
     And a scraper of the scheduling node reads what was counted
     And a scraper of the node that took the job reads how it was answered
     And another path of the metrics address has no page
+
+  Scenario: a node that the store turns away closes its callers' connections
+    Given 1 nodes on an emulated platform with 1 executors
+    When the store is down
+    And the node has noticed
+    Then its next answer leaves the connection open
+    When the node is not ready any more
+    Then its next answer closes the connection
