Switch VMs off that were idle for one second, not three

A move costs about 1.2 seconds of a VM, so off and on again costs 2.3; a pool's next burst comes after some ten seconds. Ruled out: lasting tasks, which hold one VM each and are spread by their budgets.

--- a/src/cardamomgrade/jobs/pools.py
+++ b/src/cardamomgrade/jobs/pools.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-IDLE_S = 3.0  # off and on again costs as much as two seconds of an idle VM
+IDLE_S = 1.0  # a VM that rested this long mostly rests until its pool's next burst
 JOIN_TIMEOUT_S = 6.0  # a VM that did not join by then is not counted on any more
 LEAST_VMS = 2  # of each pool: one may be lost, or be in upkeep
 REFUSED_S = 5.0  # before a VM that could not be moved is tried again
