Add commands on jobs, and the emulated platform as a program

cardamomctl job list, show, queues, submit and cancel read and write the jobs' store itself, with the settings of any node; a job is written in a file in the project's own names, checked field by field. cardamom-emulator serves the emulated platform on loopback and writes settings for nodes.

console.py has what ctl.py and jobctl.py share.

--- /dev/null
+++ b/src/cardamomgrade/console.py
@@ -0,0 +1,56 @@
+"""What the commands of operators share: output, exit codes and errors."""
+
+import json
+import sys
+from functools import wraps
+
+import click
+
+from .errors import BundleError, FeedError
+from .ops import to_json
+from .text import render
+
+EXIT_REFUSED = 1
+EXIT_BAD_INPUT = 2
+EXIT_LOG_UNAVAILABLE = 3
+EXIT_UNKNOWN = 4
+
+
+def show(value, as_json):
+    """Print an attrs instance, or a list of them, as JSON or as text."""
+    data = to_json(value)
+    text = json.dumps(data, indent=2) + "\n" if as_json else render(data)
+    click.echo(text, nl=False)
+
+
+def fail(status, text):
+    """Print an error and exit."""
+    click.echo(text, err=True)
+    sys.exit(status)
+
+
+def _guarded(function):
+    """Turn the package's errors into exit codes."""
+
+    @wraps(function)
+    def call(*args, **kwargs):
+        try:
+            return function(*args, **kwargs)
+        except BundleError as exc:
+            fail(EXIT_BAD_INPUT, str(exc))
+        except FeedError as exc:
+            fail(EXIT_LOG_UNAVAILABLE, str(exc))
+
+    return call
+
+
+def command(group, title, example):
+    """Return a decorator that adds a command with ``--json`` and an example."""
+
+    def decorate(function):
+        added = group.command(title, epilog=f"Example: {example}")(_guarded(function))
+        option = click.Option(["--json", "as_json"], is_flag=True, help="Print JSON.")
+        added.params.append(option)
+        return added
+
+    return decorate
--- a/src/cardamomgrade/ctl.py
+++ b/src/cardamomgrade/ctl.py
@@ -3,27 +3,30 @@
 Exit codes: 0 done, 1 refused, 2 bad input, 3 log unavailable, 4 outcome unknown.
 """
 
-import json
 import sys
-from functools import wraps
 from pathlib import Path
 
 import attrs
 import click
 
+from . import console
 from .bundle import diff_sections, parse_bundle
-from .errors import BundleError, FeedError, PeerError
+from .console import (
+    EXIT_BAD_INPUT,
+    EXIT_LOG_UNAVAILABLE,
+    EXIT_REFUSED,
+    EXIT_UNKNOWN,
+    fail,
+    show,
+)
+from .errors import BundleError, PeerError
 from .explain import bundle_view, bundles_view, explain_vm, fleet_view, wave_views
-from .ops import to_json
+from .jobctl import job
 from .records import BundleProposed, BundleRolled, BundleSigned
 from .refusal import Reason, Refusal
 from .session import ask_ops, LogSession
-from .text import diff_text, render
+from .text import diff_text
 
-EXIT_REFUSED = 1
-EXIT_BAD_INPUT = 2
-EXIT_LOG_UNAVAILABLE = 3
-EXIT_UNKNOWN = 4
 DIGEST_MIN_CHARS = 6
 DIGEST_SHOWN_CHARS = 12
 EPILOGS = {
@@ -88,45 +91,9 @@
     refused: Refusal
 
 
-def show(value, as_json):
-    """Print an attrs instance, or a list of them, as JSON or as text."""
-    data = to_json(value)
-    text = json.dumps(data, indent=2) + "\n" if as_json else render(data)
-    click.echo(text, nl=False)
-
-
-def fail(status, text):
-    """Print an error and exit."""
-    click.echo(text, err=True)
-    sys.exit(status)
-
-
-def _guarded(function):
-    """Turn the package's errors into exit codes."""
-
-    @wraps(function)
-    def call(*args, **kwargs):
-        try:
-            return function(*args, **kwargs)
-        except BundleError as exc:
-            fail(EXIT_BAD_INPUT, str(exc))
-        except FeedError as exc:
-            fail(EXIT_LOG_UNAVAILABLE, str(exc))
-
-    return call
-
-
 def _command(group, title, key=None):
-    """Return a decorator that adds a command with ``--json`` and an example."""
-
-    def decorate(function):
-        epilog = f"Example: {EPILOGS[key or title]}"
-        command = group.command(title, epilog=epilog)(_guarded(function))
-        option = click.Option(["--json", "as_json"], is_flag=True, help="Print JSON.")
-        command.params.append(option)
-        return command
-
-    return decorate
+    """Return a decorator that adds a command with ``--json`` and its example."""
+    return console.command(group, title, EPILOGS[key or title])
 
 
 def _log(access):
@@ -203,6 +170,9 @@
     ctx.obj = Access(log, operator)
 
 
+main.add_command(job)
+
+
 @main.group()
 def bundle():
     """Check, publish, sign off and roll bundles."""
--- /dev/null
+++ b/src/cardamomgrade/emulator/program.py
@@ -0,0 +1,95 @@
+"""Program ``cardamom-emulator``: the emulated platform, and settings for its nodes."""
+
+import socket
+from pathlib import Path
+
+import click
+import yaml
+
+from ..loop import Loop
+from .server import EmulatedPlatform, HOST
+
+QUEUE = "notices"
+SERVICE = "letters"
+CORES_M = 4000
+MEMORY_MB = 16_000
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": QUEUE,
+            "host": "jobs.example",
+            "pathPrefix": f"/{QUEUE}/",
+            "kind": "unsafe",
+            "timeoutMs": 3000,
+            "targetLatencyMs": 600,
+            "priority": 0,
+            "service": SERVICE,
+            "maxAttempts": 3,
+            "stretch": 1.6,
+        }
+    ],
+    "services": [
+        {"name": SERVICE, "enforceLimits": False, "standby": False},
+        {"name": "spare", "enforceLimits": False, "standby": True},
+    ],
+    "limits": {"maxBodyBytes": 262_144},
+}
+BOUNDS = {
+    "maxHoldMs": 10_000,
+    "leaseMs": 3000,
+    "maintenanceS": 2,
+    "status_s": 120,
+    "graceS": 6,
+}
+
+
+def _free_address():
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return f"{HOST}:{sock.getsockname()[1]}"
+
+
+def node_settings(number, platform):
+    """Return the settings of a node as the platform writes them, as a table."""
+    return {
+        "nodeName": f"n{number}",
+        "zone": "z",
+        "listen": {"front": _free_address(), "ready": _free_address()},
+        "limits": {"cpuShare": 1.0, "cores": 1, "linkMbps": 1000},
+        "bounds": BOUNDS,
+        "platform": {"address": f"{HOST}:{platform.store_port}"},
+        "cloud": {"address": f"{HOST}:{platform.vms_port}"},
+    }
+
+
+@click.command(help=__doc__)
+@click.argument("folder", type=click.Path(file_okay=False))
+@click.option("--nodes", default=2, show_default=True, help="Settings to write.")
+@click.option("--executors", default=4, show_default=True, help="In the pool.")
+@click.option("--spare", default=2, show_default=True, help="VMs that are off.")
+@click.option("--task-ms", default=300, show_default=True, help="How long tasks run.")
+def main(folder, nodes, executors, spare, task_ms):
+    """Serve until SIGTERM; FOLDER gets n1.yaml and so on, then a line says ready."""
+    loop = Loop()
+    platform = EmulatedPlatform(loop, lambda task: (task_ms, "done"))
+    for number in range(executors + spare):
+        pool = SERVICE if number < executors else "spare"
+        platform.add_executor(f"i-{number}", pool, CORES_M, MEMORY_MB)
+    platform.put("keyed.op", "config", CONFIG)
+    place = Path(folder)
+    place.mkdir(parents=True, exist_ok=True)
+    for number in range(1, nodes + 1):
+        text = yaml.safe_dump(node_settings(number, platform))
+        (place / f"n{number}.yaml").write_text(text)
+    loop.on_stop(loop.finish)
+    click.echo(
+        f"ready: {nodes} nodes, {executors} executors, store {HOST}:"
+        f"{platform.store_port}"
+    )
+    loop.run()
+    platform.close()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cardamomgrade/jobctl.py
@@ -0,0 +1,125 @@
+"""Commands of ``cardamomctl`` on jobs; the store is asked, no node."""
+
+import secrets
+import time
+from pathlib import Path
+
+import attrs
+import click
+
+from .console import command, EXIT_BAD_INPUT, EXIT_REFUSED, EXIT_UNKNOWN, fail, show
+from .errors import SettingsError
+from .jobs.account import job_lines, job_story, queue_lines
+from .jobs.order import parse_order
+from .jobs.records import CancelRecord, encode, JobState, PREFIX_CANCEL, PREFIX_JOB
+from .jobs.session import JobSession
+from .platform.adapter import Platform
+from .platform.boot import load_settings, PATH_VARIABLE
+
+ID_BYTES = 8
+STATES = [state.name.lower() for state in JobState]
+
+
+@attrs.frozen
+class Stored:
+    """What was stored of a job."""
+
+    job: str
+    stored: str
+
+
+def _now_ms():
+    return int(time.time() * 1000)
+
+
+def _session(path):
+    try:
+        return JobSession(load_settings(path), Platform)
+    except SettingsError as exc:
+        fail(EXIT_BAD_INPUT, str(exc))
+
+
+@click.group()
+@click.option("--settings", default="", help=f"Settings of a node; or {PATH_VARIABLE}.")
+@click.pass_context
+def job(ctx, settings):
+    """Submit and cancel jobs, and see what became of them."""
+    ctx.obj = settings
+
+
+@command(job, "list", "cardamomctl job list --state running")
+@click.option("--queue", default="", help="Only jobs of this queue.")
+@click.option("--state", default="", type=click.Choice(["", *STATES]), help="Only.")
+@click.pass_obj
+def list_jobs(path, queue, state, as_json):
+    """List the jobs that the store knows, the oldest first."""
+    with _session(path) as session:
+        show(job_lines(session.view, _now_ms(), queue, state), as_json)
+
+
+@command(job, "show", "cardamomctl job show 5c0e7a21d94b36f8")
+@click.argument("name", metavar="JOB")
+@click.pass_obj
+def show_job(path, name, as_json):
+    """Tell a job's state, and where each of its tasks ran last."""
+    with _session(path) as session:
+        story = job_story(session.view, name)
+    if story is None:
+        fail(EXIT_REFUSED, f"{name}: no such job")
+    show(story, as_json)
+
+
+@command(job, "queues", "cardamomctl job queues --json")
+@click.pass_obj
+def queues(path, as_json):
+    """List the queues in force with their jobs that are not over."""
+    with _session(path) as session:
+        if session.config is None:
+            fail(EXIT_REFUSED, "no configuration is in force")
+        show(queue_lines(session.view, session.config), as_json)
+
+
+@command(job, "submit", "cardamomctl job submit notices job.json")
+@click.argument("queue")
+@click.argument("file")
+@click.option("--id", "name", default="", help="Submit again under the same id.")
+@click.pass_obj
+def submit(path, queue, file, name, as_json):
+    """Submit the job in FILE to QUEUE; the same id twice is one job."""
+    name = name or secrets.token_hex(ID_BYTES)
+    with _session(path) as session:
+        found = session.config.queue(queue) if session.config is not None else None
+        if found is None:
+            fail(EXIT_REFUSED, f"{queue}: no such queue")
+        if session.view.find(name) is None:
+            spec = parse_order(file, _read(file), name, found, _now_ms())
+            _store(session, name, PREFIX_JOB + name, encode(spec))
+    show(Stored(name, "job"), as_json)
+
+
+@command(job, "cancel", "cardamomctl job cancel 5c0e7a21d94b36f8")
+@click.argument("name", metavar="JOB")
+@click.pass_obj
+def cancel(path, name, as_json):
+    """Cancel a job; its runs are stopped."""
+    with _session(path) as session:
+        row = session.view.find(name)
+        if row is None:
+            fail(EXIT_REFUSED, f"{name}: no such job")
+        if row.state.final:
+            fail(EXIT_REFUSED, f"{name}: {row.state.name.lower()} already")
+        record = encode(CancelRecord(_now_ms()))
+        _store(session, name, PREFIX_CANCEL + name, record)
+    show(Stored(name, "cancellation"), as_json)
+
+
+def _read(file):
+    try:
+        return Path(file).read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        fail(EXIT_BAD_INPUT, f"{file}: {exc}")
+
+
+def _store(session, name, key, value):
+    if not session.store(key, value):
+        fail(EXIT_UNKNOWN, f"{name}: the store did not answer; ask again with --id")
--- a/src/cardamomgrade/platform/boot.py
+++ b/src/cardamomgrade/platform/boot.py
@@ -87,9 +87,9 @@
     return NodeSettings(**values)
 
 
-def load_settings():
-    """Return the NodeSettings of this process; raise SettingsError."""
-    path = settings_path()
+def load_settings(path=""):
+    """Return the NodeSettings of a file, or of this process; raise SettingsError."""
+    path = path or settings_path()
     try:
         text = Path(path).read_text()
     except (OSError, UnicodeDecodeError) as exc:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -101,9 +101,9 @@
     return f"127.0.0.1:{free_port()}"
 
 
-def start(module, *args, log=None):
+def start(module, *args, log=None, env=None):
     """Start ``python -m cardamomgrade.MODULE`` and return its Popen."""
-    return _start(["-m", f"cardamomgrade.{module}", *args], log)
+    return _start(["-m", f"cardamomgrade.{module}", *args], log, env)
 
 
 def start_script(name, *args):
@@ -111,8 +111,8 @@
     return _start([str(ROOT / "scripts" / name), *args], None)
 
 
-def _start(arguments, log):
-    env = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
+def _start(arguments, log, more=None):
+    env = dict(os.environ, PYTHONPATH=str(ROOT / "src"), **(more or {}))
     process = subprocess.Popen(
         [sys.executable, *arguments],
         cwd=ROOT,
