--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,11 +1,15 @@
 #!/bin/sh
 # Runs the whole path on loopback: platform, endpoints, two entries, two controls.
 # A bundle is published, signed off and rolled; a wave runs under load; a table shows
-# what callers were told and what the endpoints counted. Ends with 1 on a broken promise.
+# what callers were told and what the endpoints counted. Beside it jobs run on the
+# emulated platform while the first of two nodes is ended. Ends with 1 on a broken
+# promise.
 set -eu
 PYTHON=${PYTHON:-python3}
 OUT=${OUT:-out/demo}
 LOG=127.0.0.1:21000
+JOBS=6
+JOBS_LIMIT_S=20
 PIDS=""
 mkdir -p "$OUT"
 
@@ -16,6 +20,35 @@
     PIDS="$! $PIDS"
 }
 
+begin_node() {
+    CARDAMOMGRADE_BOOT="$OUT/jobs/n$1.yaml" "$PYTHON" -m cardamomgrade.jobsd \
+        >"$OUT/node-$1.log" 2>&1 &
+    PIDS="$! $PIDS"
+}
+
+job() {
+    CARDAMOMGRADE_BOOT="$OUT/jobs/n2.yaml" "$PYTHON" -m cardamomgrade.ctl job "$@"
+}
+
+# Submits jobs, ends the node that schedules, and waits until all are completed.
+run_jobs() {
+    begin_node 1
+    FIRST=$!
+    sleep 3
+    begin_node 2
+    for number in $(seq "$JOBS"); do
+        job submit notices examples/jobs/notice.json --id "00000000000000a$number" \
+            >"$OUT/submitted.txt"
+    done
+    kill "$FIRST"
+    for _ in $(seq "$JOBS_LIMIT_S"); do
+        job list --json >"$OUT/jobs.json"
+        "$PYTHON" scripts/demo_jobs.py "$OUT/jobs.json" "$JOBS" >"$OUT/jobs.txt" && return
+        sleep 1
+    done
+    return 1
+}
+
 end_all() {
     for pid in $PIDS; do
         kill "$pid" 2>/dev/null || true
@@ -40,6 +73,8 @@
 }
 
 "$PYTHON" scripts/demo_settings.py "$OUT"
+rm -rf "$OUT/jobs"
+begin emulator emulator.program "$OUT/jobs" --nodes 2 >"$OUT/emulator.txt"
 begin platform standin "$OUT/platform.ini"
 for zone in agdal hay-riad souissi temara; do
     begin "zone-$zone" standin "$OUT/zone-$zone.ini"
@@ -63,6 +98,8 @@
 sleep 1
 release "$OUT/bundle-2.ini"
 STATUS=0
+run_jobs || STATUS=1
+cat "$OUT/jobs.txt"
 wait "$LOAD" || STATUS=$?
 ctl n-benali wave status --json >"$OUT/waves.json"
 ctl n-benali bundle status --json >"$OUT/bundles.json"
