Size pools by the larger of two windows of arriving work

Cause: a burst rises within half a second, but the mean of 1.5 s shows a third of it by then; VMs, which need 1.5 s to join, were ordered late. The last half second counts now where it shows more. Scenario 'a burst that has just begun is seen whole' failed before.

--- a/src/cardamomgrade/jobs/demand.py
+++ b/src/cardamomgrade/jobs/demand.py
@@ -2,11 +2,12 @@
 
 Load pattern: a queue goes from next to nothing to several times its mean within a
 second, and back after some seconds. The work that arrived in the last WINDOW_MS is
-taken as what will go on to arrive.
+taken as what will go on to arrive, or that of the last RISE_MS where it is more.
 """
 
 from collections import deque
 
+RISE_MS = 500.0  # a burst rises within a second
 WINDOW_MS = 1500.0  # about the time that a VM needs to join a pool
 
 
@@ -25,4 +26,6 @@
         arrivals = self._arrivals.get(service, ())
         while arrivals and arrivals[0][0] < now_ms - WINDOW_MS:
             arrivals.popleft()
-        return sum(work for _, work in arrivals) / WINDOW_MS * 1000
+        mean = sum(work for _, work in arrivals) / WINDOW_MS
+        recent = sum(work for at, work in arrivals if at > now_ms - RISE_MS) / RISE_MS
+        return max(mean, recent) * 1000
--- a/tests/jobs/pools.feature
+++ b/tests/jobs/pools.feature
@@ -36,3 +36,7 @@
     Given work of 16 core-seconds arrives in each of 6 steps of 250 ms
     Then the demand is 64 cores at its end
     And the demand is 0 cores 2 s later
+
+  Scenario: a burst that has just begun is seen whole
+    Given work of 16 core-seconds arrives in each of 2 steps of 250 ms
+    Then the demand is 64 cores at its end
