Take an upkeep as begun only when its order was answered or the list shows it

An upkeep that began is stored as such. One that was stored but not answered is ordered again, which the platform answers with success when it was done; that answer does not end the VM's present life then, since it may be a new one. A VM that the list lacks is gone after 5 s, not at once: the list is read page by page.

Ruled out: orders of two schedulers (the VM is in no order's log), a VM that left.

--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -88,11 +88,15 @@
 
 @attrs.frozen
 class UpkeepRecord:
-    """An upkeep that is about to be ordered; ``executor`` is the life it ends."""
+    """An upkeep that is about to be ordered; ``executor`` is the life it ends.
+
+    ``begun`` tells that it surely began.
+    """
 
     wave: int
     executor: str
     epoch: int
+    begun: bool = False
 
 
 @attrs.frozen
--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -9,8 +9,10 @@
 import attrs
 
 DRAIN_S = 3.0  # a little over the longest task seen on the sheets, 2.5 s
+GONE_S = 5.0  # longer than a move or an upkeep; the list is read page by page
 BACK_MARGIN_S = 0.3  # the platform's timers and its list
 STATE_UP = "up"
+STATE_UPKEEP = "upkeep"
 
 
 @attrs.frozen
@@ -23,13 +25,20 @@
 
 @attrs.define(eq=False)
 class WaveState:
-    """An open wave; ``begun`` are the VMs whose upkeep surely began."""
+    """An open wave; ``begun`` are the VMs whose upkeep surely began, or that are gone.
+
+    ``missing`` tells since when the list lacks a VM. An earlier order for a VM in
+    ``doubtful`` may have been carried out: that another one is answered as done does
+    not tell that the present life has ended.
+    """
 
     request: object
     since: float
     begun: set = attrs.field(factory=set)
     ordered: dict = attrs.field(factory=dict)
     draining: dict = attrs.field(factory=dict)
+    missing: dict = attrs.field(factory=dict)
+    doubtful: set = attrs.field(factory=set)
 
     def left(self):
         """Return the VMs whose upkeep has not begun."""
@@ -73,6 +82,45 @@
             state.begun.add(vm)
             state.draining.pop(vm, None)
 
+    def resume(self, wave, vm, order, begun):
+        """Take in an OrderedUpkeep that an earlier scheduler stored before it left.
+
+        Unless it ``begun`` for certain, nobody may have sent it.
+        """
+        state = self.waves[wave]
+        state.ordered[vm] = order
+        if begun:
+            self.begun(wave, vm)
+        else:
+            state.doubtful.add(vm)
+
+    def look(self, listed, now):
+        """Take in a reading of the list; return what began.
+
+        Rows are (wave, VM, the executor that the order was to end).
+
+        A VM that it lacks for GONE_S is gone. A new life alone proves no upkeep: a
+        move or a crash gives one as well.
+        """
+        seen = []
+        for wave, state in self.waves.items():
+            for vm, order in list(state.ordered.items()):
+                machine = listed.get(vm)
+                if machine is None or vm in state.begun:
+                    continue
+                if machine.state == STATE_UPKEEP:
+                    self.begun(wave, vm)
+                    seen.append((wave, vm, order.executor))
+                elif machine.executor not in ("", order.executor):
+                    del state.ordered[vm]
+                    state.doubtful.add(vm)
+            missing = {vm for vm in state.left() if vm not in listed}
+            state.missing = {vm: state.missing.get(vm, now) for vm in missing}
+            for vm, since in state.missing.items():
+                if now - since >= GONE_S:
+                    self.begun(wave, vm)
+        return seen
+
     def is_complete(self, wave):
         """Return whether every VM of a wave has begun its upkeep."""
         return not self.waves[wave].left()
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -15,7 +15,6 @@
 RETRY_S = 0.2
 VM_LEASE_MARGIN_S = 0.3  # the platform's clock and ours
 STATUS_TIMEOUT_S = 1.0
-STATE_UPKEEP = "upkeep"
 MS = 1000
 
 
@@ -91,7 +90,7 @@
         for vm, record in self._view.upkeeps.items():
             if record.wave == request.wave and vm in request.vms:
                 order = OrderedUpkeep(record.executor, self._since)
-                self._upkeep.waves[request.wave].ordered[vm] = order
+                self._upkeep.resume(request.wave, vm, order, record.begun)
 
     def look(self):
         """Read the list of VMs, then plan upkeeps and moves."""
@@ -111,8 +110,11 @@
 
     def _plan_vms(self):
         now = self._loop.now()
+        if self._listed:
+            for wave, vm, executor in self._upkeep.look(self._listed, now):
+                self._store_begun(wave, vm, executor)
         for wave, state in self._upkeep.waves.items():
-            self._settle_wave(wave, state)
+            self._announce(wave, state)
         plan = self._upkeep.plan(
             self._listed,
             self._scheduler.executors,
@@ -132,19 +134,10 @@
             if vm not in self._ordering:
                 self._order_upkeep(vm, wave, executor)
 
-    def _settle_wave(self, wave, state):
-        """Take note of upkeeps that the VM list shows as begun."""
-        for vm, order in state.ordered.items():
-            machine = self._listed.get(vm)
-            if machine is not None and (
-                machine.state == STATE_UPKEEP
-                or machine.executor not in ("", order.executor)
-            ):
-                self._upkeep.begun(wave, vm)
-        for vm in state.left():
-            if self._listed and vm not in self._listed:
-                self._upkeep.begun(wave, vm)
-        self._announce(wave, state)
+    def _store_begun(self, wave, vm, executor):
+        """Store that an upkeep began, so that no later scheduler orders it again."""
+        record = UpkeepRecord(wave, executor, self._epoch, True)
+        self._writer.store([(PREFIX_UPKEEP + vm, encode(record))])
 
     def _announce(self, wave, state):
         completed = self._upkeep.is_complete(wave)
@@ -244,10 +237,14 @@
             note(UpkeepOrdered(vm, wave, executor, result.value))
             if result is VmOrderResult.DONE:
                 self._upkeep.begun(wave, vm)
+                self._store_begun(wave, vm, executor)
                 self._announce(wave, state)
-                self._hub.on_over(executor)
+                if vm not in state.doubtful:
+                    self._hub.on_over(executor)
             elif result in (VmOrderResult.BUSY, VmOrderResult.NOT_DONE):
                 state.ordered.pop(vm, None)
+            elif result is VmOrderResult.NO_ANSWER:
+                state.doubtful.add(vm)
             elif result is VmOrderResult.FENCED:
                 self._hub.depose("the platform has seen a newer holder")
 
--- a/tests/steps/jobs_upkeep.py
+++ b/tests/steps/jobs_upkeep.py
@@ -95,3 +95,70 @@
 @when("those VMs may not be ordered by this scheduler")
 def step_barred(context):
     context.wave.barred = frozenset(context.wave.ordered)
+
+
+def look(world):
+    world.planner.look(world.listed, world.now)
+
+
+@when("the list lacks the VM {vm}")
+def step_lacks(context, vm):
+    world = context.wave
+    world.lacked = world.listed.pop(vm)
+    look(world)
+
+
+@when("{seconds:g} s go by and the list has the VM {vm} again")
+def step_listed_again(context, seconds, vm):
+    world = context.wave
+    world.now += seconds
+    world.listed[vm] = world.lacked
+    look(world)
+
+
+@then("the wave is not complete")
+def step_incomplete(context):
+    look(context.wave)
+    assert not context.wave.planner.is_complete(1)
+
+
+@then("the wave is complete")
+def step_complete(context):
+    look(context.wave)
+    assert context.wave.planner.is_complete(1)
+
+
+@when("the last scheduler stored that every upkeep began, and was killed")
+def step_stored_begun(context):
+    context.begun = True
+    step_stored(context)
+
+
+@when("the last scheduler stored the upkeep of every VM and was killed")
+def step_stored(context):
+    world = context.wave
+    context.begun = getattr(context, "begun", False)
+    for vm, machine in world.listed.items():
+        order = OrderedUpkeep(machine.executor, world.now)
+        world.planner.resume(1, vm, order, context.begun)
+
+
+@when("every VM joins a pool with a new life")
+def step_join(context):
+    world = context.wave
+    for vm in world.listed:
+        new = f"i-{vm}-2"
+        world.listed[vm] = ListedMachine(vm, "s", "up", new)
+        world.executors[new] = Executor(executor_entry(new, 4))
+
+
+@when("every VM is shown in upkeep")
+def step_in_upkeep(context):
+    world = context.wave
+    world.listed = {vm: ListedMachine(vm, "s", "upkeep", "") for vm in world.listed}
+
+
+@then("their lives are not taken as ended by that alone")
+def step_doubtful(context):
+    world = context.wave
+    assert world.planner.waves[1].doubtful == set(world.ordered)
