--- a/src/cardamomgrade/exposition.py
+++ b/src/cardamomgrade/exposition.py
@@ -11,7 +11,7 @@
 
     Timings are summaries in seconds.
     """
-    # the library takes 3 MB and is of use only where somebody scrapes
+    # loaded at the first scrape: processes that nobody scrapes do without it
     from prometheus_client.core import (
         CounterMetricFamily,
         GaugeMetricFamily,
--- a/src/cardamomgrade/jobs/order.py
+++ b/src/cardamomgrade/jobs/order.py
@@ -7,8 +7,13 @@
 from ..errors import BundleError
 from .spec import JobSpec, Step
 
-JOB_FIELDS = {"text": str, "steps": list, "repeat": int, "start_at_ms": int}
-JOB_FIELDS["interval_ms"] = int
+JOB_FIELDS = {
+    "text": str,
+    "steps": list,
+    "repeat": int,
+    "start_at_ms": int,
+    "interval_ms": int,
+}
 
 
 def _fail(path, name, value, allowed):
