Do not count VMs that take no runs for a pool's size

A pool of two VMs that are silent or set aside counted as two, so that work that waited for them pulled no other VM. Scenario 'VMs that take no runs do not count' failed before.

--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -28,8 +28,12 @@
         self._waiting_m[service] = waiting_m
         self._blocked_vms[service] = blocked_vms
 
-    def load(self, service, pool, now_ms):
-        """Return the PoolLoad of a Service with the executors in ``pool``."""
+    def load(self, service, pool, now_ms, aside=frozenset()):
+        """Return the PoolLoad of a Service with the executors in ``pool``.
+
+        Those that are silent, or named in ``aside``, do not count for its size: a
+        small pool would otherwise keep work waiting that nothing in it can take.
+        """
         self._largest_m = max(
             (item.entry.cores_m for item in pool), default=self._largest_m
         )
@@ -44,7 +48,13 @@
         arriving_m = self.demand.cores_m(service.name, now_ms)
         needed_m = max(held_m + waiting_m, arriving_m) + lasting_m
         needed = -(-int(needed_m * HEADROOM) // max(1, self._largest_m))
-        size = sum(item.listed and not item.entry.draining for item in pool)
+        size = sum(
+            item.listed
+            and not item.entry.draining
+            and not item.silent
+            and item.name not in aside
+            for item in pool
+        )
         blocked = self._blocked_vms.get(service.name, 0)
         if blocked:
             needed = max(needed, size + blocked)
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -428,10 +428,12 @@
 
     def pool_loads(self, now_ms):
         """Return the PoolLoad of each service by name."""
-        return {
-            service.name: self._needs.load(service, self.pool(service.name), now_ms)
-            for service in self.cfg.services
-        }
+        loads = {}
+        for service in self.cfg.services:
+            pool = self.pool(service.name)
+            aside = {item.name for item in pool if self._health.is_aside(item.name)}
+            loads[service.name] = self._needs.load(service, pool, now_ms, aside)
+        return loads
 
     def _place_tasks(self, job, step, executors, now_ms):
         spread, bound = Bound(step, executors), Bound(step)
--- a/tests/jobs/scheduler.feature
+++ b/tests/jobs/scheduler.feature
@@ -118,6 +118,18 @@
     Then the plan starts 2 tasks
     And the pool needs 4 VMs
 
+  Scenario Outline: VMs that take no runs do not count for work that waits
+    Given a pool of 2 executors with 16 cores each
+    When both executors are <state>
+    And a job with steps of 4 and 1 tasks of 1 core is added
+    Then the plan starts 0 tasks
+    And the pool is short of VMs
+
+    Examples:
+      | state     |
+      | silent    |
+      | set aside |
+
   Scenario: a lasting task shares a VM rather than wait for one without its step
     Given a pool of 3 executors with 4 cores each
     When tasks that take all of two executors run
--- a/tests/steps/jobs_scheduler.py
+++ b/tests/steps/jobs_scheduler.py
@@ -5,6 +5,7 @@
 import attrs
 from behave import given, then, when
 
+from cardamomgrade.health import Health
 from cardamomgrade.jobs.queues import Queue, QueueConfig, Service
 from cardamomgrade.jobs.records import (
     decode_job,
@@ -417,3 +418,26 @@
     name, task_name, end = context.told
     world.scheduler.end(name, task_name, 1, end, "", world.now_ms)
     assert attrs.astuple(task) == before
+
+
+@when("both executors are silent")
+def step_both_silent(context):
+    for executor in context.jobs.scheduler.executors.values():
+        executor.silent = True
+
+
+@when("both executors are set aside")
+def step_both_aside(context):
+    scheduler = context.jobs.scheduler
+    scheduler._health = Health(1, ASIDE_MIN_MS, ASIDE_MIN_MS, 1.0)
+    for name in context.jobs.names:
+        for job in ("j1", "j2"):
+            scheduler._health.failed(name, "s", job, 2, context.jobs.now_ms)
+    assert all(map(scheduler._health.is_aside, context.jobs.names))
+
+
+@then("the pool is short of VMs")
+def step_short(context):
+    world = context.jobs
+    load = world.scheduler.pool_loads(world.now_ms)["s"]
+    assert load.short_vms > 0, load
