Keep one copy of a lease's length, of VM states and of two test steps

Found on reading the whole change again; behaviour stays as it is.

- The time after which a lease has surely lapsed was worked out in jobs/lease.py and again in the driver; lease.longest_s serves both.
- The words for a VM's state stood in pools, upkeep and, unused, in the adapter; they are next to ListedMachine now.
- account.py spelled a task's name that TaskId spells.
- Executor.could_hold and PoolPlanner.joining had no caller.
- Two test steps repeated others ('the node leaves the rotation'; VMs with new lives); the assertions are the same.

--- a/src/cardamomgrade/jobs/account.py
+++ b/src/cardamomgrade/jobs/account.py
@@ -3,6 +3,7 @@
 import attrs
 
 from .records import JobState, Phase
+from .spec import TaskId
 
 
 @attrs.frozen
@@ -60,7 +61,7 @@
     return row.progress.tasks if row.progress is not None else ()
 
 
-def job_line(name, row, now_ms):
+def _job_line(name, row, now_ms):
     """Return the JobLine of a JobRow at a time of day."""
     spec, tasks = row.spec, _tasks(row)
     pending = row.state is JobState.PENDING
@@ -84,7 +85,7 @@
         and queue in ("", row.spec.queue)
         and state in ("", row.state.name.lower())
     ]
-    return [job_line(name, row, now_ms) for _, name, row in sorted(rows)]
+    return [_job_line(name, row, now_ms) for _, name, row in sorted(rows)]
 
 
 def job_story(view, name):
@@ -95,7 +96,7 @@
     spec, term = row.spec, view.term
     lines = [
         TaskLine(
-            f"{name}.{item.occurrence}.{item.step}.{item.index}",
+            str(TaskId(name, item.occurrence, item.step, item.index)),
             item.run,
             Phase(item.phase).name.lower(),
             item.executor,
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -9,7 +9,7 @@
 from .agent import ExecutorAgent
 from .availability import Availability
 from .follow import TopicFollower
-from .lease import CLOCK_SLOWEST, LAPSE_MARGIN_MS, LEASE_MS
+from .lease import LEASE_MS, longest_s
 from .pace import Pacer
 from .records import (
     encode,
@@ -257,8 +257,7 @@
         self._timers = [self._loop.call_later(TICK_S, self._tick)]
         now = self._loop.now()
         self._scheduler.next_due_ms(time.time() * MS)
-        lease_s = (self._lease_ms / CLOCK_SLOWEST + LAPSE_MARGIN_MS) / MS
-        if now - self._since > lease_s:
+        if now - self._since > longest_s(self._lease_ms):
             for name in self._scheduler.lost_executors():
                 self._scheduler.lose_runs(name, now * MS)
         self._forget_jobs(now)
--- a/src/cardamomgrade/jobs/executors.py
+++ b/src/cardamomgrade/jobs/executors.py
@@ -54,16 +54,6 @@
             and self.accelerators + step.accelerators <= entry.accelerators
         )
 
-    def could_hold(self, step):
-        """Return whether a task of a step fits when nothing else runs here."""
-        entry = self.entry
-        return (
-            step.counted_cores_m <= entry.cores_m
-            and step.memory_mb <= entry.memory_mb
-            and step.accelerators <= entry.accelerators
-            and (not step.label or step.label in entry.labels)
-        )
-
     @property
     def free_share(self):
         """The share of the processors that no run holds."""
--- a/src/cardamomgrade/jobs/lease.py
+++ b/src/cardamomgrade/jobs/lease.py
@@ -11,6 +11,15 @@
 MS = 1000
 
 
+def longest_s(lease_ms):
+    """Return the seconds after which a lease that was granted has surely lapsed.
+
+    A deadline is never further ahead than the lease when it is sent, and a late
+    renewal still carries its old deadline.
+    """
+    return (lease_ms / CLOCK_SLOWEST + LAPSE_MARGIN_MS) / MS
+
+
 class Lease:
     """Times are seconds of the monotonic clock here and ms of the clock there.
 
@@ -39,10 +48,5 @@
         return int(self.clock_floor_ms(now) + self._lease_ms)
 
     def surely_lapsed(self, now):
-        """Return whether nothing granted so far can still be in force.
-
-        A deadline is never further ahead than the lease when it is sent, and a late
-        renewal still carries its old deadline.
-        """
-        longest_s = (self._lease_ms / CLOCK_SLOWEST + LAPSE_MARGIN_MS) / MS
-        return now - self._granted_at > longest_s
+        """Return whether nothing granted so far can still be in force."""
+        return now - self._granted_at > longest_s(self._lease_ms)
--- a/src/cardamomgrade/jobs/pools.py
+++ b/src/cardamomgrade/jobs/pools.py
@@ -8,11 +8,12 @@
 
 import attrs
 
+from .reports import STATE_UP
+
 IDLE_S = 1.0  # a VM that rested this long mostly rests until its pool's next burst
 JOIN_TIMEOUT_S = 6.0  # a VM that did not join by then is not counted on any more
 LEAST_VMS = 2  # of each pool: one may be lost, or be in upkeep
 REFUSED_S = 5.0  # before a VM that could not be moved is tried again
-STATE_UP = "up"
 
 
 @attrs.frozen
@@ -69,10 +70,6 @@
         self._joining.pop(move.vm, None)
         self._refused[move.vm, move.pool] = now
 
-    def joining(self):
-        """Return the VMs that are on their way."""
-        return set(self._joining)
-
     def plan(self, loads, listed, now, barred):
         """Return the Moves to order now.
 
--- a/src/cardamomgrade/jobs/reports.py
+++ b/src/cardamomgrade/jobs/reports.py
@@ -102,9 +102,16 @@
     remaining_ms: int = -1
 
 
+STATE_UP = "up"
+STATE_UPKEEP = "upkeep"
+
+
 @attrs.frozen
 class ListedMachine:
-    """A VM of the executors in the platform's list; ``executor`` is its life."""
+    """A VM of the executors in the platform's list; ``executor`` is its life.
+
+    ``state`` is STATE_UP, STATE_UPKEEP or any other word: neither of the two.
+    """
 
     vm: str
     pool: str
--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -8,11 +8,11 @@
 
 import attrs
 
+from .reports import STATE_UP, STATE_UPKEEP
+
 DRAIN_S = 3.0  # a little over the longest task seen on the sheets, 2.5 s
 GONE_S = 5.0  # longer than a move or an upkeep; the list is read page by page
 BACK_MARGIN_S = 0.3  # the platform's timers and its list
-STATE_UP = "up"
-STATE_UPKEEP = "upkeep"
 
 
 @attrs.frozen
--- a/src/cardamomgrade/platform/machines.py
+++ b/src/cardamomgrade/platform/machines.py
@@ -9,7 +9,6 @@
 
 CALL_TIMEOUT_S = 1.0  # the platform answers in ms; its slow phases last seconds
 LIST_LIMIT_BYTES = 8 * 1024 * 1024
-STATE_UP = "up"
 _CONFLICTS = {
     "fence": VmOrderResult.FENCED,
     "busy": VmOrderResult.BUSY,
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -134,5 +134,5 @@
     When the store is down
     And the node has noticed
     Then its next answer leaves the connection open
-    When the node is not ready any more
-    Then its next answer closes the connection
+    And the node leaves the rotation
+    And its next answer closes the connection
--- a/tests/steps/jobs_node.py
+++ b/tests/steps/jobs_node.py
@@ -527,30 +527,6 @@
     assert context.nodes.scrape(0, "/other")[0] == 404
 
 
-@when("the node is not ready any more")
-def step_not_ready(context):
-    nodes = context.nodes
-    probe = Requester(nodes.rig.loop, nodes.rig.net, nodes.cfgs[0].ready)
-    answers = []
-
-    def ask():
-        req = HttpRequest("GET", "/api/ready", ((b"host", b"ready"),))
-        probe.request(req, answers.append, 5.0)
-
-    def turned():
-        if not answers:
-            return False
-        if answers[-1].status == 503:
-            return True
-        answers.clear()
-        nodes.rig.loop.call_later(0.1, ask)
-        return False
-
-    ask()
-    nodes.rig.run_until(turned)
-    probe.close()
-
-
 @then("its next answer {what} the connection")
 def step_connection(context, what):
     answer = context.nodes.submit([{"count": 1}])
--- a/tests/steps/jobs_upkeep.py
+++ b/tests/steps/jobs_upkeep.py
@@ -25,6 +25,13 @@
         self.listed = {vm: ListedMachine(vm, "s", "up", f"i-{vm}") for vm in names}
         self.planner.add(WaveRequest(1, names, 20.0, at_once), 0.0)
 
+    def renew(self, vms):
+        """Give VMs new lives in a pool."""
+        for vm in vms:
+            new = f"i-{vm}-2"
+            self.listed[vm] = ListedMachine(vm, "s", "up", new)
+            self.executors[new] = Executor(executor_entry(new, 4))
+
     def step(self):
         self.plan = self.planner.plan(
             self.listed,
@@ -74,11 +81,7 @@
 
 @when("those VMs are up again with new lives")
 def step_back(context):
-    world = context.wave
-    for vm in world.ordered:
-        new = f"i-{vm}-2"
-        world.listed[vm] = ListedMachine(vm, "s", "up", new)
-        world.executors[new] = Executor(executor_entry(new, 4))
+    context.wave.renew(context.wave.ordered)
 
 
 @then("{count:d} VMs are ordered")
@@ -145,11 +148,7 @@
 
 @when("every VM joins a pool with a new life")
 def step_join(context):
-    world = context.wave
-    for vm in world.listed:
-        new = f"i-{vm}-2"
-        world.listed[vm] = ListedMachine(vm, "s", "up", new)
-        world.executors[new] = Executor(executor_entry(new, 4))
+    context.wave.renew(list(context.wave.listed))
 
 
 @when("every VM is shown in upkeep")
