Log the counts that allow an upkeep or the stop of an excess task

UpkeepAllowed (615) and TaskStopAllowed (616) give, for each budgeted step on the executor, its tasks there, those known to be ready, those elsewhere that are not, and the budget, as they were before the decision. One line a decision; no decision changes.

--- a/src/cardamomgrade/jobs/availability.py
+++ b/src/cardamomgrade/jobs/availability.py
@@ -75,18 +75,39 @@
                 stopped.append(names[0])
         return stopped
 
+    def count_steps(self, executor, now):
+        """Return the counts that decide whether tasks on an executor may be stopped.
+
+        A row for each budgeted step: its name, its tasks on the executor, those of them
+        known to be ready, its tasks elsewhere that are not, and its budget.
+        """
+        return [
+            (
+                names[0].rpartition(".")[0],
+                len(names),
+                sum(self._is_ready(name, now) for name in names),
+                self._count_unavailable(names, step, now),
+                step.may_miss,
+            )
+            for names, step in self._budgeted_steps(executor)
+        ]
+
     def _budgeted_tasks(self, executor, now):
         """Return (names, step) of budgeted steps with ready tasks on an executor."""
+        return [
+            (names, step)
+            for names, step in self._budgeted_steps(executor)
+            if any(self._is_ready(name, now) for name in names)
+        ]
+
+    def _budgeted_steps(self, executor):
+        """Return (names, step) of budgeted steps with tasks on an executor."""
         by_step = {}
         for name in executor.allocations:
             step = self._step_of(name)
             if step is not None and step.lasting and step.may_miss >= 0:
                 by_step.setdefault(name.rpartition(".")[0], []).append(name)
-        return [
-            (names, self._step_of(names[0]))
-            for names in by_step.values()
-            if any(self._is_ready(name, now) for name in names)
-        ]
+        return [(names, self._step_of(names[0])) for names in by_step.values()]
 
     def _count_unavailable(self, names, step, now):
         """Return how many tasks of a step, excluding ``names``, are not ready."""
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -51,6 +51,33 @@
     result: str
 
 
+@event(615)
+class UpkeepAllowed:
+    """The availability budgets allow an upkeep, which is ordered once it is stored.
+
+    ``runs`` counts the runs that it ends; ``steps`` has the rows of
+    Availability.count_steps before the decision.
+    """
+
+    vm: str
+    wave: int
+    executor: str
+    runs: int
+    steps: list
+
+
+@event(616)
+class TaskStopAllowed:
+    """A task is stopped because its executor runs more of its step than may be away.
+
+    ``steps`` has the rows of Availability.count_steps before the decision.
+    """
+
+    task: str
+    executor: str
+    steps: list
+
+
 class VmManager:
     """Plans and sends the orders for VMs in one term.
 
@@ -121,25 +148,39 @@
                 self._store_begun(wave, vm, executor)
         for wave, state in self._upkeep.waves.items():
             self._announce(wave, state)
+        counted = {}
+
+        def reserve(executor):
+            counted[executor.name] = self._availability.count_steps(executor, now)
+            return self._availability.reserve(executor, now)
+
         plan = self._upkeep.plan(
             self._vms_by_name,
             self._scheduler.executors,
             now,
-            self._reserve,
+            reserve,
             self._locked_vms(),
         )
         for name in plan.cordoned:
             executor = self._scheduler.executors.get(name)
             if executor is not None:
-                for task in self._availability.select_excess_tasks(executor, now):
-                    self._scheduler.stop_run(task)
+                self._stop_excess_tasks(executor, now)
         ending = self._plan_moves(now, plan.vms)
         self._scheduler.cordon(plan.cordoned | ending)
         self._driver.request_plan()
         for vm, wave, executor in plan.orders:
             if vm not in self._upkeep_in_flight:
+                runs = len(self._tasks_on(executor))
+                steps = counted.get(executor, [])
+                log_event(UpkeepAllowed(vm, wave, executor, runs, steps))
                 self._order_upkeep(vm, wave, executor)
 
+    def _stop_excess_tasks(self, executor, now):
+        steps = self._availability.count_steps(executor, now)
+        for task in self._availability.select_excess_tasks(executor, now):
+            log_event(TaskStopAllowed(task, executor.name, steps))
+            self._scheduler.stop_run(task)
+
     def _store_begun(self, wave, vm, executor):
         """Store that an upkeep began, so that no later scheduler orders it again."""
         record = UpkeepRecord(wave, executor, self._epoch, True)
@@ -220,9 +261,6 @@
         if not self._closed:
             self._store_order(move.vm, [], stored)
 
-    def _reserve(self, executor):
-        return self._availability.reserve(executor, self._loop.now())
-
     def _tasks_on(self, name):
         executor = self._scheduler.executors.get(name)
         return set(executor.allocations) if executor is not None else set()
--- a/tests/jobs/availability.feature
+++ b/tests/jobs/availability.feature
@@ -28,3 +28,11 @@
     And none of its tasks is stopped yet
     When another scheduler started 3.0 s ago
     Then one of its tasks is stopped first
+
+  Scenario: the counts behind a decision tell ready, starting and missing tasks apart
+    Given a lasting step of 3 tasks with a budget of 1, each on its own executor
+    Then the first executor's counts are 1 task, 0 ready, 2 away, budget 1
+    When all its tasks are ready
+    Then the first executor's counts are 1 task, 1 ready, 0 away, budget 1
+    When the third executor has not reported for 3 s
+    Then the first executor's counts are 1 task, 1 ready, 1 away, budget 1
--- a/tests/steps/jobs_availability.py
+++ b/tests/steps/jobs_availability.py
@@ -98,3 +98,13 @@
 def step_none_stopped(context):
     world = context.lasting
     assert world.state.select_excess_tasks(world.executors[0], world.now) == []
+
+
+@then(
+    "the first executor's counts are {tasks:d} task, {ready:d} ready, {away:d} away, "
+    "budget {budget:d}"
+)
+def step_counts(context, tasks, ready, away, budget):
+    world = context.lasting
+    counts = world.state.count_steps(world.executors[0], world.now)
+    assert counts == [("j.0.0", tasks, ready, away, budget)], counts
