--- a/src/cardamomgrade/emulator/executor.py
+++ b/src/cardamomgrade/emulator/executor.py
@@ -9,6 +9,7 @@
 FAILED = "failed"
 STOPPED = "stopped"
 LAPSED = "lapsed"
+GONE = "gone"
 
 
 @attrs.define
@@ -28,7 +29,8 @@
     ``plan(task)`` returns a new run's (duration in ms or None, outcome), and
     ``trace(kind, executor, task, run)`` is called for every start and end. ``token``
     is the highest fencing token received. ``highest_ended_run`` maps a task to the
-    highest number of a run that ended or was stopped.
+    highest number of a run that ended or was stopped. ``percent`` is the progress that
+    is reported for every run.
     """
 
     name: str
@@ -40,6 +42,7 @@
     highest_ended_run: dict = attrs.field(factory=dict)
     ends: list = attrs.field(factory=list)
     next_end: int = 1
+    percent: int = 100
 
     def end_due_runs(self, now_ms):
         """End the runs that are due, and all runs once the lease has lapsed."""
@@ -108,6 +111,14 @@
         self.ends = [item for item in self.ends if item[0] > stored_end]
         return ""
 
+    def shut_down(self):
+        """End all runs without listing their ends, as an order for the VM does."""
+        for item in self.runs.values():
+            self.trace(GONE, self.name, item.task, item.run)
+        self.runs.clear()
+
     def rows(self):
         """Return a list per current run, in the order of the platform's fields."""
-        return [[item.task, item.run, "", 100, 0] for item in self.runs.values()]
+        return [
+            [item.task, item.run, "", self.percent, 0] for item in self.runs.values()
+        ]
--- a/src/cardamomgrade/emulator/server.py
+++ b/src/cardamomgrade/emulator/server.py
@@ -45,7 +45,8 @@
     """Store, executors and VMs on one loop.
 
     ``plan(task)`` returns (duration in ms or None, outcome) of a new run. ``trace`` has
-    (start or outcome, executor, task, run) for every start and end of a run, ``orders``
+    (start or outcome, executor, task, run) for every start and end of a run, where the
+    outcome of a run that an order for its VM ended is "gone", and ``orders``
     the (call, fields) of every order for a VM.
     """
 
@@ -248,7 +249,7 @@
         instance = self.instances.get(old)
         if instance is not None:
             instance.silent = True
-            instance.executor.runs.clear()
+            instance.executor.shut_down()
             self.put("keyed.servers", old, None)
         name = f"{old}x" if old else f"i-{machine['machine']}"
         rack = machine["labels"][1]
--- a/tests/jobs/availability.feature
+++ b/tests/jobs/availability.feature
@@ -36,3 +36,18 @@
     Then the first executor's counts are 1 task, 1 ready, 0 away, budget 1
     When the third executor has not reported for 3 s
     Then the first executor's counts are 1 task, 1 ready, 1 away, budget 1
+
+  Scenario: starting tasks count against the budget, as they may be ready before the order arrives
+    Given a lasting step of 2 tasks with a budget of 1, both on one executor
+    Then the first executor may not be taken down while both tasks start
+
+  Scenario: tasks of an executor that does not report count against the budget
+    Given a lasting step of 2 tasks with a budget of 1, both on one executor
+    When all its tasks are ready
+    And no executor has reported for 3 s
+    Then the first executor may not be taken down while it does not report
+
+  Scenario: a new scheduler that has no reports takes no executor down while stops may be pending
+    Given a lasting step of 3 tasks with a budget of 1, each on its own executor
+    When another scheduler started 0.5 s ago
+    Then the first executor may not be taken down while stops may be pending
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -95,6 +95,15 @@
     When an operator requests a wave of all VMs, at most 1 at once
     Then each VM had its upkeep once, never 2 at once, and the wave is completed
 
+  Scenario: a wave waits for starting tasks, then takes down no more of them than may be away
+    Given 1 nodes on an emulated platform with 1 executors
+    When a caller submits a lasting job of 2 tasks, 1 of which may be away
+    And both tasks start slowly on the only executor
+    And an operator requests a wave of all VMs, at most 1 at once
+    Then no VM is taken down for 2 s
+    When 2 more executors register and both tasks are ready
+    Then the wave is completed, and never ended more than 1 task at once
+
   Scenario: a pool without enough capacity gets VMs from the standby pool
     Given 1 nodes on an emulated platform with 1 executors
     And 2 VMs in the standby pool
--- a/tests/steps/jobs_availability.py
+++ b/tests/steps/jobs_availability.py
@@ -77,6 +77,11 @@
         world.state.record_readiness(name, 100, world.now)
 
 
+@when("no executor has reported for {seconds:d} s")
+def step_no_reports(context, seconds):
+    context.lasting.now += seconds
+
+
 @then("one of its tasks is stopped first")
 def step_one_stopped(context):
     world = context.lasting
--- a/tests/steps/jobs_node.py
+++ b/tests/steps/jobs_node.py
@@ -1,6 +1,7 @@
 """Steps that run nodes and the emulated platform on one loop."""
 
 import json
+from collections import Counter
 
 import attrs
 from behave import given, then, when
@@ -414,20 +415,66 @@
     platform.put("keyed.op", "wave/4", fields)
 
 
+def wave_completed(world):
+    found = world.platform.log.newest("keyed.status").get(b"wave/4")
+    return found is not None and json.loads(found[0]) == {"state": "completed"}
+
+
 @then("each VM had its upkeep once, never 2 at once, and the wave is completed")
 def step_wave_done(context):
     world = context.nodes
-
-    def completed():
-        found = world.platform.log.newest("keyed.status").get(b"wave/4")
-        return found is not None and json.loads(found[0]) == {"state": "completed"}
-
-    world.rig.run_until(completed)
+    world.rig.run_until(lambda: wave_completed(world))
     ordered = [fields["machine"] for call, fields in world.platform.orders]
     assert sorted(ordered) == sorted(set(ordered)), ordered
     assert len(ordered) == 3
 
 
+@when(
+    "a caller submits a lasting job of {tasks:d} tasks, {budget:d} of which may be away"
+)
+def step_budgeted(context, tasks, budget):
+    context.nodes.lasting = True
+    steps = [step_fields(tasks, longRunning=True, mayMiss=budget)]
+    assert context.nodes.submit(steps).status == 200
+
+
+def set_progress(world, percent):
+    for instance in world.platform.instances.values():
+        instance.executor.percent = percent
+
+
+@when("both tasks start slowly on the only executor")
+def step_start_slowly(context):
+    world = context.nodes
+    set_progress(world, 50)
+    (instance,) = world.platform.instances.values()
+    world.rig.run_until(lambda: len(instance.executor.runs) == 2)
+
+
+@then("no VM is taken down for {seconds:d} s")
+def step_none_down(context, seconds):
+    context.nodes.rig.run_for(seconds)
+    assert context.nodes.platform.orders == []
+
+
+@when("{count:d} more executors register and both tasks are ready")
+def step_more_executors(context, count):
+    world = context.nodes
+    for number in range(count):
+        world.platform.add_executor(f"i-more-{number}", "s", 4000, 64_000)
+    set_progress(world, 100)
+
+
+@then("the wave is completed, and never ended more than {budget:d} task at once")
+def step_wave_budget(context, budget):
+    world = context.nodes
+    world.rig.run_until(lambda: wave_completed(world))
+    ended = Counter(
+        executor for kind, executor, _, _ in world.platform.trace if kind == "gone"
+    )
+    assert max(ended.values(), default=0) <= budget, world.platform.trace
+
+
 @when("a caller submits more work than the pool has capacity for")
 def step_overload(context):
     world = context.nodes
