Count tasks not known to be ready against the budget of a stop (AVAIL)

Callers of a lasting service saw two of its tasks end at once where one may be away.

Cause: Availability looked only at steps with a task known to be ready on the executor. A step none of whose tasks there is known to be ready was left out, so that missing knowledge allowed any stop: after 2 s without a report of the executor, while its tasks start, and before a new scheduler has had a report, whose wait for orders of its predecessor was skipped the same way.

Change: all tasks on the executor count, ready or not.

--- a/src/cardamomgrade/jobs/availability.py
+++ b/src/cardamomgrade/jobs/availability.py
@@ -4,8 +4,10 @@
 
 Load pattern: maintenance waves stop lasting tasks while other executors fail. A task
 counts as unavailable once this system is about to stop it, while it starts up, and when
-its executor has not reported it for REPORT_TIMEOUT_S. After a change of scheduler, a
-task that is reported as ready may have been ordered to stop by the previous one.
+its executor has not reported it for REPORT_TIMEOUT_S. A task to be stopped counts as
+ready all the same, since it may be by the time the order arrives. After a change of
+scheduler, a task that is reported as ready may have been ordered to stop by the
+previous one.
 """
 
 READY_PERCENT = 100
@@ -48,7 +50,7 @@
 
         Returns whether it did.
         """
-        for names, step in self._budgeted_tasks(executor, now):
+        for names, step in self._budgeted_steps(executor):
             if now < self._settled_at:
                 return False
             if self._count_unavailable(names, step, now) + len(names) > step.may_miss:
@@ -65,7 +67,7 @@
         stopped = []
         if now < self._settled_at:
             return stopped
-        for names, step in self._budgeted_tasks(executor, now):
+        for names, step in self._budgeted_steps(executor):
             crowded = len(names) > step.may_miss and names[0] not in self._stopping
             if (
                 crowded
@@ -92,14 +94,6 @@
             for names, step in self._budgeted_steps(executor)
         ]
 
-    def _budgeted_tasks(self, executor, now):
-        """Return (names, step) of budgeted steps with ready tasks on an executor."""
-        return [
-            (names, step)
-            for names, step in self._budgeted_steps(executor)
-            if any(self._is_ready(name, now) for name in names)
-        ]
-
     def _budgeted_steps(self, executor):
         """Return (names, step) of budgeted steps with tasks on an executor."""
         by_step = {}
