Track the readiness and the stop of a run, not of a task

Availability kept readiness and reservations by the task's name. The end of an earlier run that its executor told late gave back the reservation of the current run, so a second executor could be taken down; the report of an earlier run made the current one count as ready; and a run that lapsed while it was to be stopped left the task counted as unavailable until its next end, which held waves up.

Both belong to a run now, and only a task whose current run is placed counts as ready. The three new tests failed on the old logic (run there through a wrapper for the old calls).

--- a/src/cardamomgrade/jobs/availability.py
+++ b/src/cardamomgrade/jobs/availability.py
@@ -10,6 +10,8 @@
 previous one.
 """
 
+from .records import Phase
+
 READY_PERCENT = 100
 REPORT_TIMEOUT_S = 2.0  # two lease renewals; an executor that misses them may be gone
 
@@ -17,45 +19,52 @@
 class Availability:
     """Tracks which lasting tasks are ready, and those about to be stopped.
 
-    ``step_of(name)`` returns the Step of a task, or None. No task under an availability
-    budget may be stopped before ``settled_at``, when the orders of the previous
-    scheduler have taken effect.
+    ``step_state_of(name)`` returns the StepState of a task, or None. No task under an
+    availability budget may be stopped before ``settled_at``, when the orders of the
+    previous scheduler have taken effect. Readiness and stops belong to one run of a
+    task: an executor may report the end of an earlier run late.
     """
 
-    def __init__(self, step_of, settled_at=float("-inf")):
-        self._step_of = step_of
+    def __init__(self, step_state_of, settled_at=float("-inf")):
+        self._step_state_of = step_state_of
         self._settled_at = settled_at
-        self._ready_at = {}
-        self._stopping = set()
+        self._ready = {}
+        self._stopping = {}
 
-    def record_readiness(self, name, percent, now):
-        """Record the readiness that an executor reported; return whether it is 100%."""
-        if percent < READY_PERCENT:
+    def record_readiness(self, item, now):
+        """Record the readiness in a RunningTask; return whether it is 100%."""
+        if item.percent < READY_PERCENT:
             return False
-        self._ready_at[name] = now
+        self._ready[item.task] = (item.run, now)
         return True
 
-    def record_ended(self, names):
-        """Record that the runs of tasks ended."""
-        for name in names:
-            self._ready_at.pop(name, None)
-            self._stopping.discard(name)
+    def record_ended(self, runs):
+        """Record that runs, pairs of task name and run number, ended."""
+        for name, run in runs:
+            if self._ready.get(name, (0, 0.0))[0] == run:
+                del self._ready[name]
+            if self._stopping.get(name) == run:
+                del self._stopping[name]
 
-    def cancel_reservation(self, names):
-        """Undo ``reserve`` for tasks that were not stopped."""
-        self._stopping.difference_update(names)
+    def cancel_reservation(self, runs):
+        """Undo ``reserve`` for runs that were not stopped."""
+        for name, run in runs:
+            if self._stopping.get(name) == run:
+                del self._stopping[name]
 
     def reserve(self, executor, now):
         """Count all tasks on an executor as unavailable if every budget allows it.
 
         Returns whether it did.
         """
-        for names, step in self._budgeted_steps(executor):
+        for names, state in self._budgeted_steps(executor):
             if now < self._settled_at:
                 return False
-            if self._count_unavailable(names, step, now) + len(names) > step.may_miss:
+            away = self._count_unavailable(names, state, now)
+            if away + len(names) > state.step.may_miss:
                 return False
-        self._stopping.update(executor.allocations)
+        for name, allocation in executor.allocations.items():
+            self._stopping[name] = allocation.run
         return True
 
     def select_excess_tasks(self, executor, now):
@@ -67,14 +76,15 @@
         stopped = []
         if now < self._settled_at:
             return stopped
-        for names, step in self._budgeted_steps(executor):
-            crowded = len(names) > step.may_miss and names[0] not in self._stopping
-            if (
-                crowded
-                and self._count_unavailable(names[:1], step, now) < step.may_miss
-            ):
-                self._stopping.add(names[0])
-                stopped.append(names[0])
+        for names, state in self._budgeted_steps(executor):
+            first = names[0]
+            run = executor.allocations[first].run
+            budget = state.step.may_miss
+            if len(names) <= budget or self._stopping.get(first) == run:
+                continue
+            if self._count_unavailable(names[:1], state, now) < budget:
+                self._stopping[first] = run
+                stopped.append(first)
         return stopped
 
     def count_steps(self, executor, now):
@@ -87,30 +97,42 @@
             (
                 names[0].rpartition(".")[0],
                 len(names),
-                sum(self._is_ready(name, now) for name in names),
-                self._count_unavailable(names, step, now),
-                step.may_miss,
+                sum(
+                    str(task.id) in names and self._is_ready(task, now)
+                    for task in state.tasks
+                ),
+                self._count_unavailable(names, state, now),
+                state.step.may_miss,
             )
-            for names, step in self._budgeted_steps(executor)
+            for names, state in self._budgeted_steps(executor)
         ]
 
     def _budgeted_steps(self, executor):
-        """Return (names, step) of budgeted steps with tasks on an executor."""
+        """Return (names, state) of budgeted steps with tasks on an executor."""
         by_step = {}
         for name in executor.allocations:
-            step = self._step_of(name)
-            if step is not None and step.lasting and step.may_miss >= 0:
-                by_step.setdefault(name.rpartition(".")[0], []).append(name)
-        return [(names, self._step_of(names[0])) for names in by_step.values()]
+            by_step.setdefault(name.rpartition(".")[0], []).append(name)
+        rows = [(names, self._step_state_of(names[0])) for names in by_step.values()]
+        return [
+            (names, state)
+            for names, state in rows
+            if state is not None and state.step.lasting and state.step.may_miss >= 0
+        ]
 
-    def _count_unavailable(self, names, step, now):
+    def _count_unavailable(self, names, state, now):
         """Return how many tasks of a step, excluding ``names``, are not ready."""
-        prefix = names[0].rpartition(".")[0]
-        others = {f"{prefix}.{index}" for index in range(step.tasks)} - set(names)
-        return sum(not self._is_ready(name, now) for name in others)
-
-    def _is_ready(self, name, now):
-        ready_at = self._ready_at.get(name)
-        if ready_at is None or name in self._stopping:
-            return False
-        return now - ready_at < REPORT_TIMEOUT_S
+        return sum(
+            str(task.id) not in names and not self._is_ready(task, now)
+            for task in state.tasks
+        )
+
+    def _is_ready(self, task, now):
+        """Return whether the current run of a task is ready and not to be stopped."""
+        name = str(task.id)
+        run, ready_at = self._ready.get(name, (0, 0.0))
+        return (
+            task.phase is Phase.PLACED
+            and run == task.run
+            and self._stopping.get(name) != run
+            and now - ready_at < REPORT_TIMEOUT_S
+        )
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -91,7 +91,7 @@
         self._jobs_topic = platform.jobs_topic()
         self._writer = Writer(loop, self._jobs_topic, term, self.depose, metrics)
         settled_at = loop.now() + cfg.stop_ms / MS + EPOCH_SPREAD_S
-        self._availability = Availability(self._step_of, settled_at)
+        self._availability = Availability(self._step_state_of, settled_at)
         deps = VmDependencies(self._scheduler, self._writer, self._availability)
         self._vms = VmManager(loop, cfg, platform, term, view, deps, self)
         self._executors = TopicFollower(
@@ -293,7 +293,7 @@
 
     def on_runs_ended(self, name, ends):
         """Record the EndedTask items that an executor reported."""
-        self._availability.record_ended(item.task for item in ends)
+        self._availability.record_ended((item.task, item.run) for item in ends)
         for item in ends:
             self._metrics.count("run_ends", outcome=item.outcome.value)
             self._scheduler.end(
@@ -353,13 +353,12 @@
         """
         serving, fills, starting = [], [], False
         for item in running:
-            step = self._step_of(item.task)
-            if step is None:
+            state = self._step_state_of(item.task)
+            if state is None:
                 continue
+            step = state.step
             if step.lasting:
-                ready = self._availability.record_readiness(
-                    item.task, item.percent, self._loop.now()
-                )
+                ready = self._availability.record_readiness(item, self._loop.now())
                 starting = starting or not ready
             if step.fills:
                 fills.append((item.task, item.run))
@@ -379,7 +378,7 @@
         if answer.result is not OrderResult.TAKEN:
             self._pacer.failed(order)
 
-    def _step_of(self, task_name):
+    def _step_state_of(self, task_name):
         task_id = parse_task(task_name)
         job = self._scheduler.jobs.get(task_id.job) if task_id is not None else None
-        return job.spec.steps[task_id.step] if job is not None else None
+        return job.step_state(task_id) if job is not None else None
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -150,6 +150,10 @@
             for number in step.step.after
         )
 
+    def step_state(self, task_id):
+        """Return the StepState of a task, or None if its occurrence is not open."""
+        return self._steps.get((task_id.occurrence, task_id.step))
+
     def _find(self, task_id):
         if not 0 <= task_id.step < len(self.spec.steps):
             return None
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -170,7 +170,7 @@
         self._driver.request_plan()
         for vm, wave, executor in plan.orders:
             if vm not in self._upkeep_in_flight:
-                runs = len(self._tasks_on(executor))
+                runs = len(self._runs_on(executor))
                 steps = counted.get(executor, [])
                 log_event(UpkeepAllowed(vm, wave, executor, runs, steps))
                 self._order_upkeep(vm, wave, executor)
@@ -261,23 +261,24 @@
         if not self._closed:
             self._store_order(move.vm, [], stored)
 
-    def _tasks_on(self, name):
+    def _runs_on(self, name):
         executor = self._scheduler.executors.get(name)
-        return set(executor.allocations) if executor is not None else set()
+        placed = executor.allocations.items() if executor is not None else ()
+        return {(task, item.run) for task, item in placed}
 
     def _order_upkeep(self, vm, wave, executor):
         self._upkeep_in_flight.add(vm)
         state = self._upkeep.waves[wave]
         state.ordered[vm] = OrderedUpkeep(executor, self._loop.now())
         record = UpkeepRecord(wave, executor, self._epoch)
-        tasks = self._tasks_on(executor)
+        runs = self._runs_on(executor)
 
         def answered(result):
             self._upkeep_in_flight.discard(vm)
             if result is VmOrderResult.DONE:
-                self._availability.record_ended(tasks)
+                self._availability.record_ended(runs)
             else:
-                self._availability.cancel_reservation(tasks)
+                self._availability.cancel_reservation(runs)
             if self._closed:
                 return
             log_event(UpkeepOrdered(vm, wave, executor, result.value))
--- a/tests/jobs/availability.feature
+++ b/tests/jobs/availability.feature
@@ -51,3 +51,27 @@
     Given a lasting step of 3 tasks with a budget of 1, each on its own executor
     When another scheduler started 0.5 s ago
     Then the first executor may not be taken down while stops may be pending
+
+  Scenario: the late end of an earlier run does not undo a reservation of the current run
+    Given a lasting step of 3 tasks with a budget of 1, each on its own executor
+    When all its tasks are in their second run
+    And all its tasks are ready
+    Then the first executor may be taken down
+    When the end of run 1 of the first task is reported
+    And run 2 of the first task is still reported as ready
+    Then the second executor may not be taken down while the first one is down
+
+  Scenario: the report of an earlier run does not make the current run ready
+    Given a lasting step of 3 tasks with a budget of 1, each on its own executor
+    When all its tasks are ready
+    And the first task is placed again after its lease lapsed
+    And run 1 of the first task is reported as ready
+    Then the second executor may not be taken down while the first task starts
+
+  Scenario: a task that was to be stopped when its lease lapsed counts as ready once it runs again
+    Given a lasting step of 2 tasks with a budget of 1, both on one executor
+    When all its tasks are ready
+    Then one of its tasks is stopped first
+    When the first task is placed again after its lease lapsed
+    And all its tasks are ready
+    Then the first executor may be taken down
--- a/tests/steps/jobs_availability.py
+++ b/tests/steps/jobs_availability.py
@@ -5,7 +5,9 @@
 
 from cardamomgrade.jobs.availability import Availability
 from cardamomgrade.jobs.executors import Executor
-from cardamomgrade.jobs.spec import Step
+from cardamomgrade.jobs.progress import JobProgress
+from cardamomgrade.jobs.reports import RunningTask
+from cardamomgrade.jobs.spec import JobSpec, Step
 
 SETTLE_S = 2.0
 
@@ -15,14 +17,40 @@
 
     def __init__(self, tasks, budget, same_executor):
         self.step = Step(tasks, cores_m=100, lasting=True, may_miss=budget)
-        self.names = [f"j.0.0.{index}" for index in range(tasks)]
-        self.state = Availability(lambda name: self.step)
+        job = JobProgress(JobSpec("j", "q", "s", "", 0, (self.step,)), 1)
+        job.open_due_occurrences(0)
+        (self.step_state,) = job.ready_steps()
+        self.job = job
+        self.state = self.availability()
         self.executors = []
         self.now = 0.0
-        for index, name in enumerate(self.names):
+        for index, task in enumerate(self.step_state.tasks):
             if not same_executor or not self.executors:
-                self.executors.append(Executor(executor_entry(f"e{index}", 4)))
-            self.executors[-1].allocate(name, 1, self.step)
+                self.add_executor(f"e{index}")
+            self.place(task, self.executors[-1])
+
+    @property
+    def names(self):
+        return [str(task.id) for task in self.step_state.tasks]
+
+    def availability(self, **fields):
+        return Availability(lambda name: self.step_state, **fields)
+
+    def add_executor(self, name):
+        self.executors.append(Executor(executor_entry(name, 4)))
+
+    def place(self, task, executor):
+        """Start the next run of a task, after the executor of its last run lost it."""
+        for item in self.executors:
+            if item.name == task.executor:
+                item.release(str(task.id))
+        self.job.place(task, executor.name)
+        executor.allocate(str(task.id), task.run, self.step)
+
+    def report(self, index, percent=100, run=None):
+        task = self.step_state.tasks[index]
+        item = RunningTask(str(task.id), run or task.run, "", percent, 0)
+        return self.state.record_readiness(item, self.now)
 
     def may_take_down(self, index):
         return self.state.reserve(self.executors[index], self.now)
@@ -47,9 +75,9 @@
 @when("all its tasks are ready")
 def step_ready(context):
     world = context.lasting
-    assert not world.state.record_readiness(world.names[0], 99, world.now)
-    for name in world.names:
-        assert world.state.record_readiness(name, 100, world.now)
+    assert not world.report(0, 99)
+    for index in range(len(world.names)):
+        assert world.report(index)
 
 
 @then("the {place} executor may be taken down")
@@ -65,16 +93,19 @@
 @when("the first task is ready on another executor")
 def step_ready_elsewhere(context):
     world = context.lasting
-    world.state.record_ended([world.names[0]])
-    world.state.record_readiness(world.names[0], 100, world.now)
+    task = world.step_state.tasks[0]
+    world.state.record_ended([(str(task.id), task.run)])
+    world.add_executor("elsewhere")
+    world.place(task, world.executors[-1])
+    world.report(0)
 
 
 @when("the third executor has not reported for {seconds:d} s")
 def step_not_reporting(context, seconds):
     world = context.lasting
     world.now += seconds
-    for name in world.names[:2]:
-        world.state.record_readiness(name, 100, world.now)
+    for index in range(2):
+        world.report(index)
 
 
 @when("no executor has reported for {seconds:d} s")
@@ -95,8 +126,8 @@
 def step_new_scheduler(context, seconds):
     world = context.lasting
     previous = world.state
-    world.state = Availability(lambda name: world.step, world.now - seconds + SETTLE_S)
-    world.state._ready_at = previous._ready_at
+    world.state = world.availability(settled_at=world.now - seconds + SETTLE_S)
+    world.state._ready = previous._ready
 
 
 @then("none of its tasks is stopped yet")
@@ -113,3 +144,29 @@
     world = context.lasting
     counts = world.state.count_steps(world.executors[0], world.now)
     assert counts == [("j.0.0", tasks, ready, away, budget)], counts
+
+
+@when("all its tasks are in their second run")
+def step_second_runs(context):
+    world = context.lasting
+    for task, executor in zip(world.step_state.tasks, world.executors, strict=True):
+        world.place(task, executor)
+
+
+@when("the end of run 1 of the first task is reported")
+def step_old_end(context):
+    world = context.lasting
+    world.state.record_ended([(world.names[0], 1)])
+
+
+@when("the first task is placed again after its lease lapsed")
+def step_placed_again(context):
+    world = context.lasting
+    world.add_executor("elsewhere")
+    world.place(world.step_state.tasks[0], world.executors[-1])
+
+
+@when("run {run:d} of the first task is reported as ready")
+@when("run {run:d} of the first task is still reported as ready")
+def step_run_ready(context, run):
+    context.lasting.report(0, run=run)
