Keep tasks unavailable for as long as an upkeep may end them

A new scheduler did not reserve the upkeeps that it found stored either.

The reservation is no longer a set of its own that each answer must keep in step: the executors that an order may end are worked out in each planning round from the orders that are not decided (upkeeps in flight, unanswered ones up to 5 s, moves), and tasks on them count as unavailable. Those executors also get no new runs.

--- a/src/cardamomgrade/jobs/availability.py
+++ b/src/cardamomgrade/jobs/availability.py
@@ -3,11 +3,11 @@
 Pure state, performs no I/O; times are in seconds.
 
 Load pattern: maintenance waves stop lasting tasks while other executors fail. A task
-counts as unavailable once this system is about to stop it, while it starts up, and when
-its executor has not reported it for REPORT_TIMEOUT_S. A task to be stopped counts as
-ready all the same, since it may be by the time the order arrives. After a change of
-scheduler, a task that is reported as ready may have been ordered to stop by the
-previous one.
+counts as unavailable once this system is about to stop it, while an order may end its
+executor, while it starts up, and when its executor has not reported it for
+REPORT_TIMEOUT_S. A task to be stopped counts as ready all the same, since it may be by
+the time the order arrives. After a change of scheduler, a task that is reported as
+ready may have been ordered to stop by the previous one.
 """
 
 from .records import Phase
@@ -22,7 +22,8 @@
     ``step_state_of(name)`` returns the StepState of a task, or None. No task under an
     availability budget may be stopped before ``settled_at``, when the orders of the
     previous scheduler have taken effect. Readiness and stops belong to one run of a
-    task: an executor may report the end of an earlier run late.
+    task: an executor may report the end of an earlier run late. ``ending`` are the
+    executors that an order for their VM may end.
     """
 
     def __init__(self, step_state_of, settled_at=float("-inf")):
@@ -30,6 +31,7 @@
         self._settled_at = settled_at
         self._ready = {}
         self._stopping = {}
+        self.ending = set()
 
     def record_readiness(self, item, now):
         """Record the readiness in a RunningTask; return whether it is 100%."""
@@ -46,14 +48,8 @@
             if self._stopping.get(name) == run:
                 del self._stopping[name]
 
-    def cancel_reservation(self, runs):
-        """Undo ``reserve`` for runs that were not stopped."""
-        for name, run in runs:
-            if self._stopping.get(name) == run:
-                del self._stopping[name]
-
     def reserve(self, executor, now):
-        """Count all tasks on an executor as unavailable if every budget allows it.
+        """Add an executor to ``ending`` if every budget allows it.
 
         Returns whether it did.
         """
@@ -63,8 +59,7 @@
             away = self._count_unavailable(names, state, now)
             if away + len(names) > state.step.may_miss:
                 return False
-        for name, allocation in executor.allocations.items():
-            self._stopping[name] = allocation.run
+        self.ending.add(executor.name)
         return True
 
     def select_excess_tasks(self, executor, now):
@@ -132,6 +127,7 @@
         run, ready_at = self._ready.get(name, (0, 0.0))
         return (
             task.phase is Phase.PLACED
+            and task.executor not in self.ending
             and run == task.run
             and self._stopping.get(name) != run
             and now - ready_at < REPORT_TIMEOUT_S
--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -16,6 +16,7 @@
 DRAIN_TIMEOUT_S = 3.0  # slightly more than the longest known task, 2.5 s
 UNLISTED_TIMEOUT_S = 5.0  # longer than a move or upkeep; list pages differ in age
 RETURN_MARGIN_S = 0.3  # inaccuracy of the platform's timers and delay of its list
+UNANSWERED_TIMEOUT_S = 5.0  # longer than slow phases of the platform's VM interface
 
 
 @attrs.frozen
@@ -130,6 +131,21 @@
                     self.record_begun(wave, vm)
         return begun_upkeeps
 
+    def ending_executors(self, listed, now):
+        """Return the executors that an ordered upkeep may end, or has just ended.
+
+        An order counts until the VM list shows that the VM is back, but at most for
+        UNANSWERED_TIMEOUT_S.
+        """
+        return {
+            order.executor
+            for state in self.waves.values()
+            for vm, order in state.ordered.items()
+            if order.executor
+            and now - order.ordered_at < UNANSWERED_TIMEOUT_S
+            and not (vm in listed and self._is_back(listed[vm], order, now))
+        }
+
     def is_complete(self, wave):
         """Return whether the upkeep of every VM of a wave has begun."""
         return not self.waves[wave].pending_vms()
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -104,7 +104,7 @@
         self._upkeep = UpkeepPlanner(cfg.upkeep_ms / MS)
         self._vms_by_name = {}
         self._listing = False
-        self._upkeep_in_flight = set()
+        self._upkeep_in_flight = {}
         self._ending_by_move = {}
         self._announced = set()
         self._closed = False
@@ -148,6 +148,11 @@
                 self._store_begun(wave, vm, executor)
         for wave, state in self._upkeep.waves.items():
             self._announce(wave, state)
+        self._availability.ending = (
+            self._upkeep.ending_executors(self._vms_by_name, now)
+            | set(self._upkeep_in_flight.values())
+            | set(self._ending_by_move.values())
+        )
         counted = {}
 
         def reserve(executor):
@@ -166,15 +171,18 @@
             if executor is not None:
                 self._stop_excess_tasks(executor, now)
         ending = self._plan_moves(now, plan.vms)
-        self._scheduler.cordon(plan.cordoned | ending)
+        self._scheduler.cordon(plan.cordoned | ending | self._availability.ending)
         self._driver.request_plan()
         for vm, wave, executor in plan.orders:
             if vm not in self._upkeep_in_flight:
-                runs = len(self._runs_on(executor))
-                steps = counted.get(executor, [])
-                log_event(UpkeepAllowed(vm, wave, executor, runs, steps))
+                self._log_allowed(vm, wave, executor, counted)
                 self._order_upkeep(vm, wave, executor)
 
+    def _log_allowed(self, vm, wave, name, counted):
+        executor = self._scheduler.executors.get(name)
+        runs = len(executor.allocations) if executor is not None else 0
+        log_event(UpkeepAllowed(vm, wave, name, runs, counted.get(name, [])))
+
     def _stop_excess_tasks(self, executor, now):
         steps = self._availability.count_steps(executor, now)
         for task in self._availability.select_excess_tasks(executor, now):
@@ -230,7 +238,7 @@
 
     def _plan_moves(self, now, wave_vms):
         """Order moves between pools; return the executors that pending moves end."""
-        excluded = wave_vms | self._upkeep_in_flight | self._locked_vms()
+        excluded = wave_vms | set(self._upkeep_in_flight) | self._locked_vms()
         loads = self._scheduler.pool_loads(now * MS)
         for move in self._pools.plan(loads, self._vms_by_name, now, excluded):
             self._pools.record_ordered(move, now)
@@ -261,24 +269,14 @@
         if not self._closed:
             self._store_order(move.vm, [], stored)
 
-    def _runs_on(self, name):
-        executor = self._scheduler.executors.get(name)
-        placed = executor.allocations.items() if executor is not None else ()
-        return {(task, item.run) for task, item in placed}
-
     def _order_upkeep(self, vm, wave, executor):
-        self._upkeep_in_flight.add(vm)
+        self._upkeep_in_flight[vm] = executor
         state = self._upkeep.waves[wave]
         state.ordered[vm] = OrderedUpkeep(executor, self._loop.now())
         record = UpkeepRecord(wave, executor, self._epoch)
-        runs = self._runs_on(executor)
 
         def answered(result):
-            self._upkeep_in_flight.discard(vm)
-            if result is VmOrderResult.DONE:
-                self._availability.record_ended(runs)
-            else:
-                self._availability.cancel_reservation(runs)
+            del self._upkeep_in_flight[vm]
             if self._closed:
                 return
             log_event(UpkeepOrdered(vm, wave, executor, result.value))
--- /dev/null
+++ b/tests/steps/jobs_vms.py
@@ -0,0 +1,208 @@
+"""Steps for the orders for VMs, with a simulated clock and platform."""
+
+import attrs
+from behave import given, then, when
+from jobs_node import SETTINGS
+from jobs_scheduler import CONFIG, executor_entry, WALL_MS
+
+from cardamomgrade.jobs.availability import Availability
+from cardamomgrade.jobs.driver import VmDependencies
+from cardamomgrade.jobs.records import TermRecord, UpkeepRecord, VmOrderRecord
+from cardamomgrade.jobs.reports import ListedVm, RunningTask, VmOrderResult, WaveRequest
+from cardamomgrade.jobs.scheduler import Scheduler
+from cardamomgrade.jobs.spec import JobSpec, parse_task, Step
+from cardamomgrade.jobs.view import JobView
+from cardamomgrade.jobs.vms import VmManager
+
+UPKEEP_S = 2.0
+JOB = "00000000000000a1"
+
+
+@attrs.define(eq=False)
+class SimulatedTimers:
+    """Stands in for the loop; ``advance`` runs the callbacks that are due."""
+
+    time_s: float = 100.0
+    pending: list = attrs.field(factory=list)
+
+    def now(self):
+        return self.time_s
+
+    def call_later(self, delay, callback):
+        self.pending.append((self.time_s + delay, callback))
+
+    def advance(self, seconds):
+        self.time_s += seconds
+        due = [item for item in self.pending if item[0] <= self.time_s]
+        self.pending = [item for item in self.pending if item[0] > self.time_s]
+        for _, callback in due:
+            callback()
+
+
+class SimulatedPlatform:
+    """The VM interface: a list of VMs, and orders that wait for ``answer``."""
+
+    def __init__(self, listed):
+        self.listed = listed
+        self.orders = []
+        self.waiting = {}
+
+    def machines(self, epoch):
+        return self
+
+    def status_topic(self):
+        return self
+
+    def encode_wave_status(self, wave, completed):
+        return (wave, completed)
+
+    def append(self, items, on_done, timeout):
+        pass
+
+    def close(self):
+        pass
+
+    def list_vms(self, on_done):
+        on_done(tuple(self.listed.values()))
+
+    def upkeep(self, vm, wave, on_done):
+        self.orders.append(("upkeep", vm))
+        self.waiting[vm] = on_done
+
+    def move(self, vm, pool, on_done):
+        self.orders.append(("move", vm))
+        self.waiting[vm] = on_done
+
+    def answer(self, vm, result):
+        self.waiting.pop(vm)(result)
+
+
+class VmsFixture:
+    """A VmManager whose store acknowledges at once, unless ``store_holds`` is set."""
+
+    def __init__(self, vms, budget, at_once):
+        self.loop = SimulatedTimers()
+        self.scheduler = Scheduler(CONFIG)
+        names = [f"m{number}" for number in range(vms)]
+        self.platform = SimulatedPlatform(
+            {vm: ListedVm(vm, "s", "up", f"i-{vm}") for vm in names}
+        )
+        for vm in names:
+            self.scheduler.put_executor(executor_entry(f"i-{vm}", 4))
+        self.availability = Availability(self.step_state)
+        self.gone = []
+        self.store_holds = False
+        self.held = []
+        self.budget = budget
+        self.wave = WaveRequest(1, tuple(names), 20.0, at_once)
+        self.manager = self.make_manager()
+        self.manager.add_wave(self.wave)
+
+    def make_manager(self, upkeeps=(), epoch=1):
+        """Return a manager; ``upkeeps`` has pairs of a VM and its UpkeepRecord."""
+        view = JobView()
+        view.upkeeps.update(upkeeps)
+        view.orders.update((vm, VmOrderRecord(item.epoch)) for vm, item in upkeeps)
+        cfg = attrs.evolve(SETTINGS, upkeep_ms=int(UPKEEP_S * 1000))
+        term = TermRecord(epoch, "n1", "life-1", 1, False)
+        deps = VmDependencies(self.scheduler, self, self.availability)
+        return VmManager(self.loop, cfg, self.platform, term, view, deps, self)
+
+    def step_state(self, name):
+        task_id = parse_task(name)
+        return self.scheduler.jobs[task_id.job].step_state(task_id)
+
+    def add_lasting_job(self, tasks):
+        step = Step(
+            tasks, cores_m=100, lasting=True, may_miss=self.budget, per_executor=1
+        )
+        spec = JobSpec(JOB, "q", "s", "text", WALL_MS, (step,))
+        self.scheduler.add_job(spec, now_ms=self.loop.now() * 1000)
+        self.place()
+
+    def place(self):
+        self.scheduler.plan(self.loop.now() * 1000, WALL_MS)
+        self.report_ready()
+
+    def report_ready(self):
+        """Report all placed tasks as ready, but those of VMs that are not up."""
+        up = {item.executor for item in self.platform.listed.values()}
+        for task in self.scheduler.jobs[JOB].placed() if self.scheduler.jobs else ():
+            if task.executor in up:
+                item = RunningTask(str(task.id), task.run, "", 100, 0)
+                self.availability.record_readiness(item, self.loop.now())
+
+    # The driver and the writer of the manager
+
+    def request_plan(self):
+        pass
+
+    def on_executor_gone(self, name):
+        self.gone.append(name)
+        self.scheduler.mark_runs_lapsed(name, self.loop.now() * 1000)
+        self.scheduler.forget_executor(name)
+
+    def store(self, items, on_stored=None):
+        if on_stored is not None:
+            self.held.append(on_stored)
+        if not self.store_holds:
+            self.release_store()
+
+    def release_store(self):
+        held, self.held = self.held, []
+        for callback in held:
+            callback()
+
+
+@given(
+    "{vms:d} VMs with a ready task each of a step that may miss {budget:d}, in a wave "
+    "of {at_once:d} at once"
+)
+def step_vms(context, vms, budget, at_once):
+    context.vms = VmsFixture(vms, budget, at_once)
+    context.vms.add_lasting_job(vms)
+    assert all(
+        len(x.allocations) == 1 for x in context.vms.scheduler.executors.values()
+    )
+
+
+@when("another scheduler takes over, which finds the upkeep of {vm} stored")
+def step_takes_over(context, vm):
+    world = context.vms
+    world.manager.close()
+    record = UpkeepRecord(world.wave.wave, f"i-{vm}", 1)
+    world.manager = world.make_manager([(vm, record)], epoch=2)
+    world.manager.add_wave(world.wave)
+
+
+@when("VMs are planned")
+def step_planned(context):
+    world = context.vms
+    world.loop.advance(0.15)
+    world.report_ready()
+    context.before = len(world.platform.orders)
+    world.manager.refresh()
+
+
+def new_orders(context):
+    return context.vms.platform.orders[context.before :]
+
+
+@then("the upkeep of {vm} is ordered")
+def step_ordered(context, vm):
+    assert new_orders(context) == [("upkeep", vm)], new_orders(context)
+
+
+@then("no further upkeep is ordered")
+def step_none_ordered(context):
+    assert new_orders(context) == [], new_orders(context)
+
+
+def list_vm(context, vm, state, executor):
+    context.vms.platform.listed[vm] = ListedVm(vm, "s", state, executor)
+
+
+@when("that order gets no answer and the list shows {vm} in upkeep")
+def step_no_answer_upkeep(context, vm):
+    list_vm(context, vm, "upkeep", "")
+    context.vms.platform.answer(vm, VmOrderResult.NO_ANSWER)
