Repeat an upkeep without an answer also when no other VM may go down

A VM whose upkeep had no answer counts as down, so with as many of them as the wave allows at once nothing was ordered any more, not even these again; and a new scheduler, which does not pick VMs that count as down, never repeated an upkeep that its predecessor had stored. Such a wave could not end. A repeated order takes no further place, and upkeeps found stored are drained and ordered again. Both new tests failed before the change.

--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -101,6 +101,7 @@
             self.record_begun(wave, vm)
         else:
             state.unconfirmed.add(vm)
+            state.draining[vm] = order.ordered_at
 
     def apply_vm_list(self, listed, now):
         """Apply the platform's VM list as just read; return the upkeeps that began.
@@ -186,11 +187,12 @@
                 continue
             if machine.executor:
                 cordoned.add(machine.executor)
-            if free > 0 and self._may_take_down(
+            repeated = vm in down
+            if (repeated or free > 0) and self._may_take_down(
                 machine, executors, now - since, reserve
             ):
                 orders.append((vm, machine.executor))
-                free -= 1
+                free -= not repeated
         return _WavePlan(cordoned, orders)
 
     def _down(self, state, listed, now):
--- a/tests/jobs/vms.feature
+++ b/tests/jobs/vms.feature
@@ -13,3 +13,18 @@
     When another scheduler takes over, which finds the upkeep of m0 stored
     And VMs are planned
     Then no further upkeep is ordered
+
+  Scenario: an upkeep without an answer is ordered again although no other VM may go down
+    Given 3 VMs with a ready task each of a step that may miss 1, in a wave of 1 at once
+    When VMs are planned
+    Then the upkeep of m0 is ordered
+    When that order gets no answer
+    And VMs are planned
+    Then the upkeep of m0 is ordered
+
+  Scenario: an upkeep that an earlier scheduler stored is ordered again once its lease is over
+    Given 3 VMs with a ready task each of a step that may miss 1, in a wave of 1 at once
+    When another scheduler takes over, which finds the upkeep of m0 stored
+    And the lease of the earlier scheduler's order ends
+    And VMs are planned
+    Then the upkeep of m0 is ordered
--- a/tests/steps/jobs_vms.py
+++ b/tests/steps/jobs_vms.py
@@ -12,7 +12,7 @@
 from cardamomgrade.jobs.scheduler import Scheduler
 from cardamomgrade.jobs.spec import JobSpec, parse_task, Step
 from cardamomgrade.jobs.view import JobView
-from cardamomgrade.jobs.vms import VmManager
+from cardamomgrade.jobs.vms import VM_LEASE_MARGIN_S, VmManager
 
 UPKEEP_S = 2.0
 JOB = "00000000000000a1"
@@ -202,6 +202,17 @@
     context.vms.platform.listed[vm] = ListedVm(vm, "s", state, executor)
 
 
+@when("that order gets no answer")
+def step_no_answer(context):
+    (vm,) = context.vms.platform.waiting
+    context.vms.platform.answer(vm, VmOrderResult.NO_ANSWER)
+
+
+@when("the lease of the earlier scheduler's order ends")
+def step_lease_over(context):
+    context.vms.loop.advance(SETTINGS.machine_lease_ms / 1000 + VM_LEASE_MARGIN_S)
+
+
 @when("that order gets no answer and the list shows {vm} in upkeep")
 def step_no_answer_upkeep(context, vm):
     list_vm(context, vm, "upkeep", "")
