Count a VM as back when its upkeep had been done before the order

An upkeep that had begun without an answer is ordered again for the VM's next incarnation, answered as done, and changes no incarnation; the VM then counted as down for the rest of the wave and took one of its places. After the time of an upkeep such a VM counts as back. The new test failed before the change.

--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -144,7 +144,7 @@
             for vm, order in state.ordered.items()
             if order.executor
             and now - order.ordered_at < UNANSWERED_TIMEOUT_S
-            and not (vm in listed and self._is_back(listed[vm], order, now))
+            and not (vm in listed and self._is_back(state, listed[vm], now))
         }
 
     def is_complete(self, wave):
@@ -199,15 +199,22 @@
         """Return the VMs of a wave that are or may be down for their upkeep."""
         return {
             vm
-            for vm, order in state.ordered.items()
-            if vm in listed and not self._is_back(listed[vm], order, now)
+            for vm in state.ordered
+            if vm in listed and not self._is_back(state, listed[vm], now)
         }
 
-    def _is_back(self, machine, order, now):
+    def _is_back(self, state, machine, now):
+        """Return whether a VM with an ordered upkeep is surely up after it.
+
+        An upkeep that had been done before the order changes no incarnation.
+        """
+        order = state.ordered[machine.vm]
         if machine.state != STATE_UP:
             return False
-        if order.executor:
-            return machine.executor != order.executor
+        if order.executor and machine.executor != order.executor:
+            return True
+        if order.executor and machine.vm not in state.begun:
+            return False
         return now - order.ordered_at > self._upkeep_s + RETURN_MARGIN_S
 
     def _may_take_down(self, machine, executors, waited_s, reserve):
--- a/tests/jobs/upkeep.feature
+++ b/tests/jobs/upkeep.feature
@@ -81,3 +81,12 @@
     Then the wave is complete
     When upkeeps are planned and ordered
     Then 0 VMs are ordered
+
+  Scenario: a VM whose upkeep had been done before the order counts as back after an upkeep's time
+    Given a wave of 2 VMs, 1 at once
+    When upkeeps are planned and ordered
+    Then 1 VMs are ordered
+    When 2.4 s go by
+    And the list still shows the incarnation that the order was to end
+    And upkeeps are planned and ordered
+    Then 2 VMs are ordered
--- a/tests/steps/jobs_upkeep.py
+++ b/tests/steps/jobs_upkeep.py
@@ -161,3 +161,10 @@
 def step_unconfirmed(context):
     world = context.wave
     assert world.planner.waves[1].unconfirmed == set(world.ordered)
+
+
+@when("the list still shows the incarnation that the order was to end")
+def step_still_up(context):
+    world = context.wave
+    (vm,) = world.ordered
+    assert world.listed[vm].executor == world.planner.waves[1].ordered[vm].executor
