Check an upkeep and an excess stop again when they are sent

An upkeep is sent only if the budgets still allow it, the stop of an excess task likewise (a task of a cancelled job is always stopped), and no order for a VM is sent later than TERM_TIMEOUT_S after it was planned, after which another node may have become the scheduler; it is planned again instead. The three new tests failed before the change (that of the stop by its missing call).

--- a/src/cardamomgrade/jobs/availability.py
+++ b/src/cardamomgrade/jobs/availability.py
@@ -48,20 +48,26 @@
             if self._stopping.get(name) == run:
                 del self._stopping[name]
 
-    def reserve(self, executor, now):
-        """Add an executor to ``ending`` if every budget allows it.
-
-        Returns whether it did.
-        """
+    def allows(self, executor, now):
+        """Return whether the budgets allow to stop all tasks on an executor."""
         for names, state in self._budgeted_steps(executor):
             if now < self._settled_at:
                 return False
             away = self._count_unavailable(names, state, now)
             if away + len(names) > state.step.may_miss:
                 return False
-        self.ending.add(executor.name)
         return True
 
+    def reserve(self, executor, now):
+        """Add an executor to ``ending`` if the budgets allow it.
+
+        Returns whether they do.
+        """
+        allowed = self.allows(executor, now)
+        if allowed:
+            self.ending.add(executor.name)
+        return allowed
+
     def select_excess_tasks(self, executor, now):
         """Return tasks to stop on an executor that runs more than a budget allows.
 
@@ -82,6 +88,22 @@
                 stopped.append(first)
         return stopped
 
+    def may_send_stop(self, name, run, now):
+        """Return whether a stop from ``select_excess_tasks`` is still allowed.
+
+        The run counts as not to be stopped otherwise. Stops for other reasons are
+        always allowed.
+        """
+        if self._stopping.get(name) != run:
+            return True
+        state = self._step_state_of(name)
+        if state is not None:
+            away = self._count_unavailable([name], state, now)
+            if away >= state.step.may_miss:
+                del self._stopping[name]
+                return False
+        return True
+
     def count_steps(self, executor, now):
         """Return the counts that decide whether tasks on an executor may be stopped.
 
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -238,9 +238,18 @@
                 self._scheduler.withdraw(order.executor, order.task, order.run)
                 self.request_plan()
         for order in stops:
-            if order.executor in self._scheduler.executors:
+            if order.executor in self._scheduler.executors and self._may_stop(order):
                 self._agent(order.executor).stop(order.task, order.run)
 
+    def _may_stop(self, order):
+        task_id = parse_task(order.task)
+        state = self._scheduler.state_of(task_id.job)
+        return (
+            state is None
+            or state.final
+            or self._availability.may_send_stop(order.task, order.run, self._loop.now())
+        )
+
     def _agent(self, name):
         agent = self._agents.get(name)
         if agent is None:
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -10,6 +10,7 @@
     VmOrderRecord,
 )
 from .reports import VmOrderResult
+from .term import TERM_TIMEOUT_S
 from .upkeep import OrderedUpkeep, UpkeepPlanner
 
 MOVE_RETRY_S = 0.2
@@ -222,16 +223,24 @@
             vm for vm, record in self._view.orders.items() if record.epoch < self._epoch
         }
 
-    def _store_order(self, vm, items, on_stored):
-        """Store that this scheduler orders a VM; delete the record after the lease."""
+    def _store_order(self, vm, items, on_stored, on_expired):
+        """Store that this scheduler orders a VM; delete the record after the lease.
+
+        Calls ``on_expired`` instead of ``on_stored`` if that took so long that another
+        node may have become the scheduler.
+        """
         key = PREFIX_ORDER + vm
         record = encode(VmOrderRecord(self._epoch))
+        planned_at = self._loop.now()
 
         def stored():
             if self._closed:
                 return
-            on_stored()
             self._loop.call_later(self._vm_lease_s, forget)
+            if self._loop.now() - planned_at > TERM_TIMEOUT_S:
+                on_expired()
+            else:
+                on_stored()
 
         def forget():
             if not self._closed:
@@ -266,8 +275,11 @@
         def stored():
             self._machines.move(move.vm, move.pool, answered)
 
+        def expired():
+            answered(VmOrderResult.NOT_DONE)
+
         if not self._closed:
-            self._store_order(move.vm, [], stored)
+            self._store_order(move.vm, [], stored, expired)
 
     def _repeat_move(self, move):
         """Order a move again, unless the VM list shows that its executor is gone."""
@@ -317,6 +329,14 @@
                 self._driver.depose("the platform has received a newer epoch")
 
         def stored():
-            self._machines.upkeep(vm, wave, answered)
+            target = self._scheduler.executors.get(executor)
+            if target is None or self._availability.allows(target, self._loop.now()):
+                self._machines.upkeep(vm, wave, answered)
+            else:
+                expired()
+
+        def expired():
+            answered(VmOrderResult.NOT_DONE)
 
-        self._store_order(vm, [(PREFIX_UPKEEP + vm, encode(record))], stored)
+        items = [(PREFIX_UPKEEP + vm, encode(record))]
+        self._store_order(vm, items, stored, expired)
--- a/tests/jobs/availability.feature
+++ b/tests/jobs/availability.feature
@@ -75,3 +75,13 @@
     When the first task is placed again after its lease lapsed
     And all its tasks are ready
     Then the first executor may be taken down
+
+  Scenario: the stop of an excess task is not sent if another task became unavailable meanwhile
+    Given a lasting step of 2 tasks with a budget of 1, both on one executor
+    When all its tasks are ready
+    Then one of its tasks is stopped first
+    When only the first task is reported for 3 s
+    Then its stop is not sent
+    When all its tasks are ready
+    Then one of its tasks is stopped first
+    And its stop is sent
--- a/tests/jobs/vms.feature
+++ b/tests/jobs/vms.feature
@@ -49,3 +49,25 @@
     When its repetition is refused as busy and the list shows m0 in upkeep
     And VMs are planned
     Then no further upkeep is ordered
+
+  Scenario: an upkeep is not sent if a budget no longer allows it when it is stored
+    Given 3 VMs with a ready task each of a step that may miss 1, in a wave of 3 at once
+    When only the executor of m0 reports for 1 s
+    And the store holds records back and VMs are planned
+    And only the executor of m0 reports for 1.2 s
+    And the records are stored
+    Then no further order is sent
+    When VMs are planned
+    Then the upkeep of m0 is ordered
+
+  Scenario: an order is not sent if another scheduler may have taken over while it was stored
+    Given 3 VMs with a ready task each of a step that may miss 1, in a wave of 3 at once
+    When the store holds records back and VMs are planned
+    And 1.6 s go by in which all executors report
+    And the records are stored
+    Then no further order is sent
+    Given 3 VMs in a pool that needs none
+    When the store holds records back and VMs are planned for 1.2 s
+    And 1.6 s go by in which all executors report
+    And the records are stored
+    Then no further order is sent
--- a/tests/steps/jobs_availability.py
+++ b/tests/steps/jobs_availability.py
@@ -170,3 +170,24 @@
 @when("run {run:d} of the first task is still reported as ready")
 def step_run_ready(context, run):
     context.lasting.report(0, run=run)
+
+
+@when("only the first task is reported for {seconds:d} s")
+def step_first_reported(context, seconds):
+    context.lasting.now += seconds
+    context.lasting.report(0)
+
+
+def may_send_stop(world):
+    task = world.step_state.tasks[0]
+    return world.state.may_send_stop(str(task.id), task.run, world.now)
+
+
+@then("its stop is not sent")
+def step_stop_withheld(context):
+    assert not may_send_stop(context.lasting)
+
+
+@then("its stop is sent")
+def step_stop_sent(context):
+    assert may_send_stop(context.lasting)
--- a/tests/steps/jobs_vms.py
+++ b/tests/steps/jobs_vms.py
@@ -126,9 +126,9 @@
         self.scheduler.plan(self.loop.now() * 1000, WALL_MS)
         self.report_ready()
 
-    def report_ready(self):
-        """Report all placed tasks as ready, but those of VMs that are not up."""
-        up = {item.executor for item in self.platform.listed.values()}
+    def report_ready(self, executors=None):
+        """Report the tasks on ``executors``, by default of all VMs in the list."""
+        up = executors or {item.executor for item in self.platform.listed.values()}
         for task in self.scheduler.jobs[JOB].placed() if self.scheduler.jobs else ():
             if task.executor in up:
                 item = RunningTask(str(task.id), task.run, "", 100, 0)
@@ -207,6 +207,46 @@
             world.manager.refresh()
 
 
+@when("only the executor of {vm} reports for {seconds:g} s")
+def step_only_one_reports(context, vm, seconds):
+    world = context.vms
+    world.loop.advance(seconds)
+    world.report_ready([f"i-{vm}"])
+
+
+@when("{seconds:g} s go by in which all executors report")
+def step_time_passes(context, seconds):
+    context.vms.loop.advance(seconds)
+    context.vms.report_ready()
+
+
+@when("the store holds records back and VMs are planned")
+def step_store_holds(context):
+    world = context.vms
+    world.store_holds = True
+    context.before = len(world.platform.orders)
+    world.manager.refresh()
+    assert world.held
+
+
+@when("the store holds records back and VMs are planned for {seconds:g} s")
+def step_store_holds_for(context, seconds):
+    world = context.vms
+    world.store_holds = True
+    context.before = 0
+    for _ in range(int(seconds / TICK_S)):
+        world.loop.advance(TICK_S)
+        world.manager.refresh()
+    assert world.held
+
+
+@when("the records are stored")
+def step_records_stored(context):
+    world = context.vms
+    world.store_holds = False
+    world.release_store()
+
+
 @then("the move of {vm} is ordered")
 def step_move_ordered(context, vm):
     assert new_orders(context) == [("move", vm)], new_orders(context)
@@ -251,6 +291,7 @@
     assert new_orders(context) == [("upkeep", vm)], new_orders(context)
 
 
+@then("no further order is sent")
 @then("no further upkeep is ordered")
 def step_none_ordered(context):
     assert new_orders(context) == [], new_orders(context)
