Count the steps of an executor only when its upkeep is allowed

The counts for the log were made for every VM that a wave considers in each round. They are made once the decision is known, and a task keeps the text of its id. No decision changes.

--- a/src/cardamomgrade/jobs/availability.py
+++ b/src/cardamomgrade/jobs/availability.py
@@ -108,14 +108,14 @@
         """Return the counts that decide whether tasks on an executor may be stopped.
 
         A row for each budgeted step: its name, its tasks on the executor, those of them
-        known to be ready, its tasks elsewhere that are not, and its budget.
+        reported as ready, its tasks elsewhere that are unavailable, and its budget.
         """
         return [
             (
                 names[0].rpartition(".")[0],
                 len(names),
                 sum(
-                    str(task.id) in names and self._is_ready(task, now)
+                    task.name in names and self._is_reported(task, now)
                     for task in state.tasks
                 ),
                 self._count_unavailable(names, state, now),
@@ -139,18 +139,23 @@
     def _count_unavailable(self, names, state, now):
         """Return how many tasks of a step, excluding ``names``, are not ready."""
         return sum(
-            str(task.id) not in names and not self._is_ready(task, now)
+            task.name not in names and not self._is_ready(task, now)
             for task in state.tasks
         )
 
     def _is_ready(self, task, now):
         """Return whether the current run of a task is ready and not to be stopped."""
-        name = str(task.id)
-        run, ready_at = self._ready.get(name, (0, 0.0))
         return (
-            task.phase is Phase.PLACED
+            self._is_reported(task, now)
             and task.executor not in self.ending
+            and self._stopping.get(task.name) != task.run
+        )
+
+    def _is_reported(self, task, now):
+        """Return whether the current run of a task was lately reported as ready."""
+        run, ready_at = self._ready.get(task.name, (0, 0.0))
+        return (
+            task.phase is Phase.PLACED
             and run == task.run
-            and self._stopping.get(name) != run
             and now - ready_at < REPORT_TIMEOUT_S
         )
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -15,8 +15,9 @@
 class TaskState:
     """State of one task and its latest run.
 
-    ``run`` counts its runs, ``failures`` those that failed. A waiting task keeps the
-    name of the executor of its latest run until the end of that run is confirmed.
+    ``name`` is the text of its id. ``run`` counts its runs, ``failures`` those that
+    failed. A waiting task keeps the name of the executor of its latest run until the
+    end of that run is confirmed.
     """
 
     id: TaskId
@@ -27,6 +28,11 @@
     checkpoint: str = ""
     failed_on: list = attrs.field(factory=list)
     placed_ms: float = 0.0
+    name: str = attrs.field(init=False)
+
+    @name.default
+    def _name(self):
+        return str(self.id)
 
     def record(self):
         """Return the TaskRecord to store."""
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -137,10 +137,10 @@
         executor = self.executors.get(task.executor)
         step = job.spec.steps[task.id.step]
         if executor is not None:
-            executor.allocate(str(task.id), task.run, step)
+            executor.allocate(task.name, task.run, step)
         else:
             runs = self._orphaned_runs.setdefault(task.executor, {})
-            runs[str(task.id)] = (task.run, step)
+            runs[task.name] = (task.run, step)
 
     def cancel(self, name):
         """Cancel a job and order its runs stopped."""
@@ -164,7 +164,7 @@
 
     def stop(self, task):
         """Order the current run of a task stopped."""
-        name = str(task.id)
+        name = task.name
         self._pending_stops[name, task.run] = Stop(task.executor, name, task.run)
 
     def stop_run(self, task_name):
@@ -496,7 +496,7 @@
         ]
 
     def _start(self, job, task, run, executor, now_ms):
-        name = str(task.id)
+        name = task.name
         task.placed_ms = now_ms
         if not executor.allocations:
             self.newly_used_executors.add(executor.name)
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -60,7 +60,7 @@
     """The availability budgets allow an upkeep, which is ordered once it is stored.
 
     ``runs`` counts the runs that it ends; ``steps`` has the rows of
-    Availability.count_steps before the decision.
+    Availability.count_steps.
     """
 
     vm: str
@@ -74,7 +74,7 @@
 class TaskStopAllowed:
     """A task is stopped because its executor runs more of its step than may be away.
 
-    ``steps`` has the rows of Availability.count_steps before the decision.
+    ``steps`` has the rows of Availability.count_steps.
     """
 
     task: str
@@ -160,8 +160,10 @@
         counted = {}
 
         def reserve(executor):
-            counted[executor.name] = self._availability.count_steps(executor, now)
-            return self._availability.reserve(executor, now)
+            allowed = self._availability.reserve(executor, now)
+            if allowed:
+                counted[executor.name] = self._availability.count_steps(executor, now)
+            return allowed
 
         plan = self._upkeep.plan(
             self._vms_by_name,
@@ -188,8 +190,8 @@
         log_event(UpkeepAllowed(vm, wave, name, runs, counted.get(name, [])))
 
     def _stop_excess_tasks(self, executor, now):
-        steps = self._availability.count_steps(executor, now)
         for task in self._availability.select_excess_tasks(executor, now):
+            steps = self._availability.count_steps(executor, now)
             log_event(TaskStopAllowed(task, executor.name, steps))
             self._scheduler.stop_run(task)
 
