--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -104,6 +104,14 @@
     When 2 more executors register and both tasks are ready
     Then the wave is completed, and never ended more than 1 task at once
 
+  Scenario: a wave does not take down a silent executor that runs more tasks than may be away
+    Given 1 nodes on an emulated platform with 1 executors
+    When a caller submits a lasting job of 2 tasks, 1 of which may be away
+    And both tasks have been ready for 1.5 s
+    And the only executor stops responding
+    And an operator requests a wave of all VMs, at most 1 at once
+    Then no VM is taken down for 3 s
+
   Scenario: a pool without enough capacity gets VMs from the standby pool
     Given 1 nodes on an emulated platform with 1 executors
     And 2 VMs in the standby pool
--- a/tests/jobs/vms.feature
+++ b/tests/jobs/vms.feature
@@ -33,6 +33,7 @@
     Given 3 VMs in a pool that needs none
     When VMs are planned until a move is ordered
     Then the move of m0 is ordered
+    And no new run may be placed on m0
     When that order gets no answer and its repetition is refused as busy
     And VMs are planned
     Then no new run may be placed on m0
--- a/tests/steps/jobs_node.py
+++ b/tests/steps/jobs_node.py
@@ -451,6 +451,20 @@
     world.rig.run_until(lambda: len(instance.executor.runs) == 2)
 
 
+@when("both tasks have been ready for {seconds:g} s")
+def step_ready_for(context, seconds):
+    world = context.nodes
+    (instance,) = world.platform.instances.values()
+    world.rig.run_until(lambda: len(instance.executor.runs) == 2)
+    world.rig.run_for(seconds)
+
+
+@when("the only executor stops responding")
+def step_only_silent(context):
+    (instance,) = context.nodes.platform.instances.values()
+    instance.silent = True
+
+
 @then("no VM is taken down for {seconds:d} s")
 def step_none_down(context, seconds):
     context.nodes.rig.run_for(seconds)
