Take over the stored upkeeps of a wave only when the wave is new

When the operators' topic is read anew, each wave is added again, and its stored upkeeps were taken over again as those of an earlier scheduler. The new test failed before the change.

--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -78,9 +78,11 @@
         self._upkeep_s = upkeep_s
 
     def add(self, request, now):
-        """Add the wave of an operator's WaveRequest, unless it is known."""
-        if request.wave not in self.waves:
-            self.waves[request.wave] = WaveState(request, now)
+        """Add the wave of an operator's WaveRequest; return False if it is known."""
+        if request.wave in self.waves:
+            return False
+        self.waves[request.wave] = WaveState(request, now)
+        return True
 
     def record_begun(self, wave, vm):
         """Record that the upkeep of a VM is known to have begun."""
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -121,7 +121,8 @@
 
     def add_wave(self, request):
         """Add an operator's WaveRequest, with the upkeeps already stored for it."""
-        self._upkeep.add(request, self._loop.now())
+        if not self._upkeep.add(request, self._loop.now()):
+            return
         for vm, record in self._view.upkeeps.items():
             if record.wave == request.wave and vm in request.vms:
                 order = OrderedUpkeep(record.executor, self._started_at)
--- a/tests/jobs/vms.feature
+++ b/tests/jobs/vms.feature
@@ -72,3 +72,11 @@
     And 1.6 s go by in which all executors report
     And the records are stored
     Then no further order is sent
+
+  Scenario: a wave that is read again does not repeat an upkeep that has begun
+    Given 3 VMs with a ready task each of a step that may miss 1, in a wave of 3 at once
+    When VMs are planned
+    Then the upkeep of m0 is ordered
+    When that order is done, m0 is back, and the wave is read again before its record
+    And VMs are planned
+    Then the upkeep of m1 is ordered
--- a/tests/steps/jobs_vms.py
+++ b/tests/steps/jobs_vms.py
@@ -102,7 +102,7 @@
 
     def make_manager(self, upkeeps=(), epoch=1):
         """Return a manager; ``upkeeps`` has pairs of a VM and its UpkeepRecord."""
-        view = JobView()
+        self.view = view = JobView()
         view.upkeeps.update(upkeeps)
         view.orders.update((vm, VmOrderRecord(item.epoch)) for vm, item in upkeeps)
         cfg = attrs.evolve(SETTINGS, upkeep_ms=int(UPKEEP_S * 1000))
@@ -186,6 +186,17 @@
     world.manager.refresh()
 
 
+@when("that order is done, {vm} is back, and the wave is read again before its record")
+def step_read_again(context, vm):
+    world = context.vms
+    world.view.upkeeps[vm] = UpkeepRecord(world.wave.wave, f"i-{vm}", 1)
+    world.platform.answer(vm, VmOrderResult.DONE)
+    list_vm(context, vm, "up", f"i-{vm}-2")
+    world.scheduler.put_executor(executor_entry(f"i-{vm}-2", 4))
+    world.place()
+    world.manager.add_wave(world.wave)
+
+
 @when("its repetition is refused as busy and the list shows {vm} in upkeep")
 def step_busy_upkeep(context, vm):
     list_vm(context, vm, "upkeep", "")
