Give up a move that is refused for 5 s after an attempt without an answer

The attempt without an answer counts for as long as that of an upkeep. The new test failed before the change.

--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -11,7 +11,7 @@
 )
 from .reports import VmOrderResult
 from .term import TERM_TIMEOUT_S
-from .upkeep import OrderedUpkeep, UpkeepPlanner
+from .upkeep import OrderedUpkeep, UNANSWERED_TIMEOUT_S, UpkeepPlanner
 
 MOVE_RETRY_S = 0.2
 VM_LEASE_MARGIN_S = 0.3  # the platform's clock may differ from this node's
@@ -262,16 +262,22 @@
             self._order_move(move)
         return set(self._ending_by_move.values())
 
-    def _order_move(self, move, repeated=False):
-        """Order a move; ``repeated`` means that an earlier attempt had no answer."""
+    def _order_move(self, move, unanswered_at=None):
+        """Order a move; ``unanswered_at`` is when an earlier attempt had no answer."""
 
         def answered(result):
             if self._closed:
                 return
-            refused = result in (VmOrderResult.BUSY, VmOrderResult.NOT_DONE)
-            if result is VmOrderResult.NO_ANSWER or (repeated and refused):
+            now = self._loop.now()
+            if result is VmOrderResult.NO_ANSWER:
+                self._repeat_move_later(move, now)
+            elif (
+                result in (VmOrderResult.BUSY, VmOrderResult.NOT_DONE)
+                and unanswered_at is not None
+                and now - unanswered_at < UNANSWERED_TIMEOUT_S
+            ):
                 # The attempt without an answer may still take effect.
-                self._loop.call_later(MOVE_RETRY_S, lambda: self._repeat_move(move))
+                self._repeat_move_later(move, unanswered_at)
             else:
                 self._finish_move(move, result)
 
@@ -284,15 +290,19 @@
         if not self._closed:
             self._store_order(move.vm, [], stored, expired)
 
-    def _repeat_move(self, move):
+    def _repeat_move_later(self, move, unanswered_at):
         """Order a move again, unless the VM list shows that its executor is gone."""
-        machine = self._vms_by_name.get(move.vm)
-        if machine is not None and (
-            machine.pool == move.pool or machine.executor not in ("", move.executor)
-        ):
-            self._finish_move(move, VmOrderResult.NO_ANSWER)
-        else:
-            self._order_move(move, repeated=True)
+
+        def repeat():
+            machine = self._vms_by_name.get(move.vm)
+            if machine is not None and (
+                machine.pool == move.pool or machine.executor not in ("", move.executor)
+            ):
+                self._finish_move(move, VmOrderResult.NO_ANSWER)
+            else:
+                self._order_move(move, unanswered_at)
+
+        self._loop.call_later(MOVE_RETRY_S, repeat)
 
     def _finish_move(self, move, result):
         if self._closed:
--- a/tests/jobs/vms.feature
+++ b/tests/jobs/vms.feature
@@ -40,6 +40,14 @@
     When the list is read again and shows m0 in the standby pool
     Then the move of m0 is decided and not repeated
 
+  Scenario: a move without an answer is given up when it is refused for long
+    Given 3 VMs in a pool that needs none
+    When VMs are planned until a move is ordered
+    And that order gets no answer and its repetition is refused as busy
+    And its repetitions are refused as busy for 6 s
+    Then the move of m0 is not repeated
+    And new runs may be placed on m0
+
   Scenario: an upkeep without an answer keeps its tasks unavailable after a later refusal
     Given 3 VMs with a ready task each of a step that may miss 1, in a wave of 3 at once
     When VMs are planned
--- a/tests/steps/jobs_vms.py
+++ b/tests/steps/jobs_vms.py
@@ -278,6 +278,29 @@
     assert not context.vms.scheduler.executors[f"i-{vm}"].open
 
 
+@when("its repetitions are refused as busy for {seconds:d} s")
+def step_refused_for(context, seconds):
+    world = context.vms
+    for _ in range(int(seconds / MOVE_RETRY_S)):
+        world.loop.advance(MOVE_RETRY_S)
+        if "m0" in world.platform.waiting:
+            world.platform.answer("m0", VmOrderResult.BUSY)
+
+
+@then("the move of {vm} is not repeated")
+def step_not_repeated(context, vm):
+    world = context.vms
+    ordered = world.platform.orders.count(("move", vm))
+    world.loop.advance(MOVE_RETRY_S)
+    assert world.platform.orders.count(("move", vm)) == ordered
+
+
+@then("new runs may be placed on {vm}")
+def step_open(context, vm):
+    context.vms.manager.refresh()
+    assert context.vms.scheduler.executors[f"i-{vm}"].open
+
+
 @when("the list is read again and shows {vm} in the standby pool")
 def step_in_standby(context, vm):
     context.vms.platform.listed[vm] = ListedVm(vm, "off", "up", "")
