--- a/src/cardamomgrade/jobs/availability.py
+++ b/src/cardamomgrade/jobs/availability.py
@@ -49,7 +49,7 @@
                 del self._stopping[name]
 
     def allows(self, executor, now):
-        """Return whether the budgets allow to stop all tasks on an executor."""
+        """Return whether the budgets allow stopping all tasks on an executor."""
         for names, state in self._budgeted_steps(executor):
             if now < self._settled_at:
                 return False
--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -189,12 +189,13 @@
                 continue
             if machine.executor:
                 cordoned.add(machine.executor)
-            repeated = vm in down
+            repeated = vm in down  # an order without an answer; it has its place
             if (repeated or free > 0) and self._may_take_down(
                 machine, executors, now - since, reserve
             ):
                 orders.append((vm, machine.executor))
-                free -= not repeated
+                if not repeated:
+                    free -= 1
         return _WavePlan(cordoned, orders)
 
     def _down(self, state, listed, now):
