Log jobs that stand still, with why each executor takes nothing

Callers saw jobs with nothing running for seconds while room was free, and the log had no line on them.

No decision changes.

--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -278,6 +278,7 @@
         if now - self._started_at > lapse_bound_s(self._lease_ms):
             for name in self._scheduler.unregistered_executors():
                 self._scheduler.mark_runs_lapsed(name, now * MS)
+        self._scheduler.log_stalls(now * MS)
         self._forget_jobs(now)
         if now - self._durations_saved_at > DURATIONS_SAVE_INTERVAL_S:
             self._durations_saved_at = now
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -181,6 +181,11 @@
         """Whether any task has ever started."""
         return self._started
 
+    @property
+    def run_count(self):
+        """The number of runs that were placed so far."""
+        return sum(task.run for task in self._tasks())
+
     def critical_path_ms(self, expected_ms, unfinished_only=False):
         """Return the run time of the longest chain of dependent steps, in ms.
 
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -9,6 +9,8 @@
 ``urgency`` defines the order of the jobs, ``placing`` selects the executors.
 """
 
+from collections import Counter
+
 import attrs
 
 from ..health import Health
@@ -28,6 +30,7 @@
     TaskStarted,
 )
 from .spec import parse_task
+from .stalls import count_executor_states, SERVICE_LINES_MAX, stall_event, StallWatch
 from .urgency import Forecast, order_key, Rank, rank_of
 
 FAILURE_STREAK_JOBS = 2  # a healthy executor rarely fails two jobs' tasks in a row
@@ -80,6 +83,7 @@
         self.newly_used_executors = set()
         self.durations = Durations()
         self._pool_needs = PoolNeeds()
+        self._stalls = StallWatch()
         self._health = Health(
             FAILURE_STREAK_JOBS,
             QUARANTINE_MIN_MS,
@@ -447,6 +451,28 @@
         priority = queue.priority if queue is not None else 0
         return order_key(forecast, priority, (job.spec.accepted_ms, job.spec.job))
 
+    def log_stalls(self, now_ms):
+        """Log the jobs that stand still, at most SERVICE_LINES_MAX of a service."""
+        lines = Counter()
+        for item, for_ms in self._stalls.check(
+            self.jobs.values(), self.executors, now_ms
+        ):
+            service = self.service_of(item.job.spec)
+            lines[service] += 1
+            if lines[service] <= SERVICE_LINES_MAX:
+                states = count_executor_states(
+                    item.step_state,
+                    self.pool(service),
+                    PlacementLimits(item.step_state),
+                    self._reason_aside,
+                )
+                log_event(stall_event(item, for_ms, service, states))
+
+    def _reason_aside(self, name):
+        if self._health.is_quarantined(name):
+            return "quarantined"
+        return "paused" if name in self._paused_until_ms else ""
+
     def pool_loads(self, now_ms):
         """Return a dict of service name to PoolLoad."""
         loads = {}
--- a/src/cardamomgrade/jobs/scheduler_events.py
+++ b/src/cardamomgrade/jobs/scheduler_events.py
@@ -51,3 +51,21 @@
     executor: str
     service: str
     state: str
+
+
+@event(617)
+class JobStalled:
+    """Tasks of a job have not been started for ``for_ms``, and none is known to run.
+
+    ``silent`` counts its tasks on executors that do not answer; ``executors`` counts
+    those of its service by why they take no task of ``step``.
+    """
+
+    job: str
+    queue: str
+    service: str
+    step: str
+    waiting: int
+    silent: int
+    for_ms: int
+    executors: dict
