Try out quarantined executors with tasks that fit nowhere else

Callers saw jobs with nothing running for 3 s and more while room was free (LOST). Failures of two hopeless jobs in a row quarantine an executor, up to half of a pool, for 4 to 30 s, although it is healthy. If these are all the executors that a step may use, for example by its label, its tasks wait as long.

A task that fits on no open executor now starts on a quarantined one, one task at a time and not within 1 s of a failure there. If it is done, the quarantine ends at once; if it fails, it is renewed; any other end leaves it as it is. So the wait is bounded by the rest and the run time of probes instead of by the quarantine, and a faulty executor costs one attempt at a time. Tasks that did not fail there are chosen first, then those with more than one attempt left.

Gangs may use quarantined executors too, as few as make them fit: they stand still just as other jobs do, and a failed member costs the same single attempt. Lasting tasks prove nothing while they run and do not keep others from probing.

The default of Health.failed is unchanged for placement. The step that quarantines executors in scheduler.feature by hand now also records the failure in Probes, as the scheduler does; what it asserts is the same. The scenario on quarantined executors in stalls.feature has a first job that takes the probes.

--- a/src/cardamomgrade/health.py
+++ b/src/cardamomgrade/health.py
@@ -24,6 +24,7 @@
     delay_ms: int
     tasks: dict = attrs.field(factory=dict)
     quarantined: bool = False
+    until_ms: float = 0.0
 
 
 class Health:
@@ -50,16 +51,20 @@
         self._quarantined_counts = {}
         self._due = []
 
-    def failed(self, worker, pool, task, pool_workers, now_ms):
+    def failed(self, worker, pool, task, pool_workers, now_ms, renew=False):
         """Count a failed task; return when to try its worker again in ms, or None.
 
-        A returned time means that the worker is quarantined from now on.
+        A returned time means that the worker is quarantined from now on. With
+        ``renew``, a worker that is quarantined already stays so from now on for the
+        next, longer delay.
         """
         streak = self._streaks.setdefault(
             worker, _FailureStreak(pool, self._quarantine_min_ms)
         )
         streak.tasks[task] = True
-        if streak.quarantined or len(streak.tasks) < self._streak_limit:
+        if streak.quarantined:
+            return self._set_end(worker, streak, now_ms) if renew else None
+        if len(streak.tasks) < self._streak_limit:
             return None
         if self._quarantined_counts.get(pool, 0) >= max(
             1, int(pool_workers * self._quarantine_fraction)
@@ -67,10 +72,13 @@
             return None
         streak.quarantined = True
         self._quarantined_counts[pool] = self._quarantined_counts.get(pool, 0) + 1
-        until_ms = now_ms + streak.delay_ms
+        return self._set_end(worker, streak, now_ms)
+
+    def _set_end(self, worker, streak, now_ms):
+        streak.until_ms = now_ms + streak.delay_ms
         streak.delay_ms = min(streak.delay_ms * 2, self._quarantine_max_ms)
-        heapq.heappush(self._due, (until_ms, worker))
-        return until_ms
+        heapq.heappush(self._due, (streak.until_ms, worker))
+        return streak.until_ms
 
     def succeeded(self, worker):
         """Clear the failures of a worker that completed a task, unless quarantined."""
@@ -78,6 +86,12 @@
         if streak is not None and not streak.quarantined:
             del self._streaks[worker]
 
+    def reopen(self, worker):
+        """Clear the failures of a worker and end its quarantine, if it is in one."""
+        streak = self._streaks.pop(worker, None)
+        if streak is not None and streak.quarantined:
+            self._quarantined_counts[streak.pool] -= 1
+
     def absolve(self, worker, task):
         """Remove a worker's failure that was caused by the task itself."""
         streak = self._streaks.get(worker)
@@ -101,8 +115,10 @@
         """
         workers = []
         while self._due and self._due[0][0] <= now_ms:
-            worker = heapq.heappop(self._due)[1]
-            streak = self._streaks[worker]
+            until_ms, worker = heapq.heappop(self._due)
+            streak = self._streaks.get(worker)
+            if streak is None or not streak.quarantined or streak.until_ms != until_ms:
+                continue  # reopened or renewed since
             streak.quarantined = False
             self._quarantined_counts[streak.pool] -= 1
             kept = list(streak.tasks)[: self._streak_limit - 1]
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -19,6 +19,7 @@
 from .executors import Executor
 from .needs import PoolNeeds
 from .placing import choose_executor, choose_gang_executors, PlacementLimits
+from .probes import choose_probe, Probes
 from .progress import JobProgress
 from .records import encode, Phase, PREFIX_PROGRESS
 from .reports import Outcome
@@ -84,6 +85,7 @@
         self.durations = Durations()
         self._pool_needs = PoolNeeds()
         self._stalls = StallWatch()
+        self._probes = Probes()
         self._health = Health(
             FAILURE_STREAK_JOBS,
             QUARANTINE_MIN_MS,
@@ -284,9 +286,13 @@
         allocation = (
             executor.allocations.get(task_name) if executor is not None else None
         )
+        was_probe = False
         if allocation is not None and allocation.run == run:
             executor.release(task_name)
             self._services_to_plan.add(executor.entry.service)
+            was_probe = self._probes.end(name, task_name, run)
+            if was_probe and outcome is Outcome.DONE:
+                self._health.reopen(name)
         job, task = self._find_run(task_name, run)
         if task is None and job is not None:
             task = job.lapsed_task(parse_task(task_name), run, name)
@@ -298,7 +304,7 @@
             duration_ms = now_ms - task.placed_ms
             self.durations.observe(job.spec.queue, step.estimate_ms, duration_ms)
         job.end(task, outcome, checkpoint, confirmed)
-        self._record_health(executor, task, outcome, now_ms)
+        self._record_health(executor, task, outcome, now_ms, was_probe)
         self._mark_dirty(job)
         self._services_to_plan.add(self.service_of(job.spec))
         if job.state.final:
@@ -315,7 +321,7 @@
             ):
                 self.stop(task)
 
-    def _record_health(self, executor, task, outcome, now_ms):
+    def _record_health(self, executor, task, outcome, now_ms, was_probe):
         if executor is None:
             return
         if outcome is Outcome.DONE:
@@ -328,7 +334,10 @@
                 task.id.job,
                 len(self._pools.get(service, ())),
                 now_ms,
+                renew=was_probe,
             )
+            if self._health.is_quarantined(executor.name):
+                self._probes.rest(executor.name, now_ms)
             if until_ms is not None:
                 log_event(ExecutorAside(executor.name, service, int(until_ms - now_ms)))
 
@@ -390,7 +399,7 @@
         for name in expired:
             del self._paused_until_ms[name]
             self.replan_executor(name)
-        for name in self._health.due(now_ms):
+        for name in (*self._health.due(now_ms), *self._probes.rested(now_ms)):
             self.replan_executor(name)
         starts = []
         services, self._services_to_plan = self._services_to_plan, set()
@@ -416,10 +425,10 @@
             and item.name not in self._paused_until_ms
         ]
         ready.sort(key=lambda item: item[0])
+        not_begun = [(job, forecast) for _, job, _, forecast in ready if not job.begun]
         starts = []
         waiting_cores_m = blocked_vms = 0
         for _, job, steps, forecast in ready:
-            begun = job.begun
             for step in steps:
                 place = self._place_gang if step.step.gang else self._place_tasks
                 starts.extend(place(job, step, executors, now_ms))
@@ -427,9 +436,52 @@
                     waiting_cores_m += step.waiting * step.step.reserved_cores_m
                 if step.waiting and any(item.fits(step.step) for item in executors):
                     blocked_vms += -(-step.waiting // (step.step.per_executor or 1))
-            if job.begun and not begun:
-                self._start_delays_ms.append(max(0.0, forecast.age_ms))
         self._pool_needs.record_waiting(service, waiting_cores_m, blocked_vms)
+        waiting = [
+            (job, step) for _, job, steps, _ in ready for step in steps if step.waiting
+        ]
+        if waiting:
+            starts.extend(self._place_probes(service, waiting, executors, now_ms))
+        self._start_delays_ms.extend(
+            max(0.0, forecast.age_ms) for job, forecast in not_begun if job.begun
+        )
+        return starts
+
+    def _place_probes(self, service, waiting, executors, now_ms):
+        """Place tasks that the open ``executors`` do not take on quarantined ones."""
+        quarantined = [
+            item
+            for item in self.pool(service)
+            if item.open
+            and self._health.is_quarantined(item.name)
+            and item.name not in self._paused_until_ms
+            and self._probes.may_begin(item)
+        ]
+        starts, unused = [], []
+        for executor in quarantined:
+            found = choose_probe(executor, waiting)
+            if found is None:
+                unused.append(executor)
+                continue
+            job, task = found
+            run = job.place(task, executor.name)
+            self._mark_dirty(job)
+            starts.append(self._start(job, task, run, executor, now_ms))
+        for job, step in waiting:
+            for count in range(1, len(unused) + 1 if step.step.gang else 0):
+                usable = executors + unused[:count]
+                gang_starts = self._place_gang(job, step, usable, now_ms)
+                if gang_starts:
+                    starts.extend(gang_starts)
+                    unused = unused[count:]
+                    break
+        names = {item.name for item in quarantined}
+        for start in starts:
+            if start.executor in names:
+                self._probes.begin(start.executor, start.task, start.run)
+        if starts:
+            # A lasting task leaves its executor free for another probe.
+            self._services_to_plan.add(service)
         return starts
 
     def _forecast(self, job, wall_ms):
--- a/tests/jobs/stalls.feature
+++ b/tests/jobs/stalls.feature
@@ -17,8 +17,10 @@
     Then 1 stalls are logged, after 2100 ms
     And each counts 1 waiting tasks, and executors limit-by-done 4
 
-  Scenario: quarantined executors, and those that refused a start, are counted apart
+  Scenario: quarantined executors with a probe, and those that refused a start, are counted apart
     When two executors are quarantined and two are paused
+    And a job with steps of 2 and 1 tasks of 1 core is added
+    And it is planned every 150 ms for 1 s
     And a job with steps of 4 and 1 tasks of 1 core is added
     And it is planned every 150 ms for 3 s
     Then 1 stalls are logged, after 2100 ms
--- a/tests/steps/jobs_scheduler.py
+++ b/tests/steps/jobs_scheduler.py
@@ -437,6 +437,7 @@
     for name in context.jobs.names:
         for job in ("j1", "j2"):
             scheduler._health.failed(name, "s", job, 2, context.jobs.now_ms)
+        scheduler._probes.rest(name, context.jobs.now_ms)
     assert all(map(scheduler._health.is_quarantined, context.jobs.names))
 
 
