Test that jobs start when room opens, by what may open it

All of these hold in the scheduler as it is: a queue that moves to another service, an executor that changes its service, a removed queue and service, an executor that is reachable, listed as ready, uncordoned or unpaused again, and occurrences that a new scheduler restores.

--- a/tests/jobs/scheduler.feature
+++ b/tests/jobs/scheduler.feature
@@ -143,3 +143,50 @@
     Then the job ends as running
     When its first task fails 1 times
     Then the job ends as failed
+
+  Scenario: a job whose queue and service were removed starts when room becomes free
+    Given a pool of 1 executors with 1 cores each
+    When a job with steps of 1 and 1 tasks of 1 core is added
+    Then the plan starts 1 tasks
+    When a job with steps of 1 and 1 tasks of 1 core is added
+    Then the plan starts 0 tasks
+    When the queue and its service are removed
+    And all running tasks are done
+    Then the plan starts 2 tasks, one after the other
+
+  Scenario: a job starts when its queue moves to a service with room
+    Given a pool of 1 executors with 1 cores each
+    When a job of a queue whose service has no executors is added
+    Then the plan starts 0 tasks
+    When its queue moves to the service with executors
+    Then the plan starts 1 tasks
+
+  Scenario: a job starts when an executor with room joins its service from another one
+    Given a pool of 1 executors with 1 cores each
+    When a job of a queue whose service has no executors is added
+    Then the plan starts 0 tasks
+    When the executor joins the service of that queue
+    Then the plan starts 1 tasks
+
+  Scenario Outline: a job starts when an executor takes runs again
+    Given a pool of 2 executors with 4 cores each
+    When both executors are <state> and a job is added
+    Then the plan starts 0 tasks
+    When both executors are <state> no more
+    Then the plan starts 4 tasks
+
+    Examples:
+      | state       |
+      | unreachable |
+      | cordoned    |
+      | draining    |
+      | paused      |
+
+  Scenario: a restored job continues with the steps and occurrences that have not begun
+    Given a pool of 2 executors with 4 cores each
+    When a job that repeats 3 times every 1000 ms is added
+    Then 0 tasks start before its time, 1 at its time and 2 more later
+    When the first running task is done
+    And another scheduler takes over
+    And the other running tasks are done
+    Then the job ends as completed
--- a/tests/steps/jobs_scheduler.py
+++ b/tests/steps/jobs_scheduler.py
@@ -446,3 +446,84 @@
     world = context.jobs
     load = world.scheduler.pool_loads(world.now_ms)["s"]
     assert load.short_vms > 0, load
+
+
+@when("the queue and its service are removed")
+def step_service_removed(context):
+    world = context.jobs
+    world.scheduler.set_config(attrs.evolve(CONFIG, queues=(), services=()))
+    world.plan()
+
+
+@then("the plan starts 2 tasks, one after the other")
+def step_one_by_one(context):
+    world = context.jobs
+    for _ in range(2):
+        assert len(world.plan()) == 1
+        world.end_all()
+
+
+@when("a job of a queue whose service has no executors is added")
+def step_empty_service(context):
+    world = context.jobs
+    context.queue = Queue("q2", "h", "/q2/", "t")
+    cfg = attrs.evolve(
+        CONFIG,
+        queues=(*CONFIG.queues, context.queue),
+        services=(*CONFIG.services, Service("t")),
+    )
+    world.scheduler.set_config(cfg)
+    spec = JobSpec("f" * 16, "q2", "t", "text", world.wall_ms, (Step(1, cores_m=500),))
+    world.scheduler.add_job(spec, now_ms=world.now_ms)
+
+
+@when("its queue moves to the service with executors")
+def step_queue_moves(context):
+    scheduler = context.jobs.scheduler
+    moved = attrs.evolve(context.queue, service="s")
+    scheduler.set_config(attrs.evolve(scheduler.cfg, queues=(*CONFIG.queues, moved)))
+
+
+@when("the executor joins the service of that queue")
+def step_executor_joins(context):
+    world = context.jobs
+    (executor,) = world.scheduler.executors.values()
+    world.scheduler.put_executor(attrs.evolve(executor.entry, service="t"))
+
+
+def set_closed(world, state, closed):
+    scheduler = world.scheduler
+    for executor in scheduler.executors.values():
+        if state == "unreachable":
+            executor.unreachable = closed
+            scheduler.replan_executor(executor.name)
+        elif state == "draining":
+            scheduler.put_executor(attrs.evolve(executor.entry, draining=closed))
+        elif state == "paused" and closed:
+            scheduler.pause_executor(executor.name, world.now_ms + 1000)
+    if state == "cordoned":
+        scheduler.cordon(set(world.names) if closed else set())
+    if state == "paused" and not closed:
+        world.now_ms += 1000
+
+
+@when("both executors are {state} and a job is added")
+def step_closed(context, state):
+    set_closed(context.jobs, state, True)
+    context.jobs.add(Step(4, cores_m=1000))
+
+
+@when("both executors are {state} no more")
+def step_open_again(context, state):
+    set_closed(context.jobs, state, False)
+
+
+@when("the first running task is done")
+def step_first_running_done(context):
+    world = context.jobs
+    world.end(world.running[0], Outcome.DONE)
+
+
+@when("the other running tasks are done")
+def step_others_done(context):
+    context.jobs.end_all()
