Release the capacity of a withdrawn run only if it is that run's

A start order whose record is stored late may be about a run that was marked lapsed meanwhile, and its task may run again on the same executor. The scheduler then withdraws the old run, and freed the capacity of the new one: the executor could be filled beyond its size, and its agent took the new run for a stray one and stopped it.

Seen by the new scenario before the change:

Then run 2 of the first task is allocated on the first executor ... failed ASSERT FAILED: {}

Executor.release takes the run now and frees nothing for another one, as end() checked for itself before.

--- a/src/cardamomgrade/jobs/executors.py
+++ b/src/cardamomgrade/jobs/executors.py
@@ -75,11 +75,14 @@
         self.allocations[task] = allocation
         self._adjust_usage(allocation, 1)
 
-    def release(self, task):
-        """Free the capacity of a task's run, if any is allocated."""
-        allocation = self.allocations.pop(task, None)
-        if allocation is not None:
-            self._adjust_usage(allocation, -1)
+    def release(self, task, run):
+        """Free the capacity of a run of a task; return whether any was allocated."""
+        allocation = self.allocations.get(task)
+        if allocation is None or allocation.run != run:
+            return False
+        del self.allocations[task]
+        self._adjust_usage(allocation, -1)
+        return True
 
     def _adjust_usage(self, allocation, sign):
         self.cores_m += sign * allocation.cores_m
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -283,12 +283,8 @@
         start again.
         """
         executor = self.executors.get(name)
-        allocation = (
-            executor.allocations.get(task_name) if executor is not None else None
-        )
         was_probe = False
-        if allocation is not None and allocation.run == run:
-            executor.release(task_name)
+        if executor is not None and executor.release(task_name, run):
             self._services_to_plan.add(executor.entry.service)
             was_probe = self._probes.end(name, task_name, run)
             if was_probe and outcome is Outcome.DONE:
@@ -356,8 +352,7 @@
     def withdraw(self, name, task_name, run):
         """Cancel the placement of a run that the executor can no longer begin."""
         executor = self.executors.get(name)
-        if executor is not None:
-            executor.release(task_name)
+        if executor is not None and executor.release(task_name, run):
             self._services_to_plan.add(executor.entry.service)
         job, task = self._find_run(task_name, run)
         if task is not None and task.executor == name:
--- a/tests/jobs/scheduler.feature
+++ b/tests/jobs/scheduler.feature
@@ -144,6 +144,15 @@
     When its first task fails 1 times
     Then the job ends as failed
 
+  Scenario: withdrawing an earlier run leaves the capacity of the current run allocated
+    Given a pool of 1 executors with 4 cores each
+    When a job with steps of 1 and 1 tasks of 1 core is added
+    Then the plan starts 1 tasks
+    When the runs of the first executor are marked lapsed and it answers again
+    Then the plan starts 1 tasks
+    When run 1 of the first task is withdrawn
+    Then run 2 of the first task is allocated on the first executor
+
   Scenario: a job whose queue and service were removed starts when room becomes free
     Given a pool of 1 executors with 1 cores each
     When a job with steps of 1 and 1 tasks of 1 core is added
--- a/tests/steps/jobs_availability.py
+++ b/tests/steps/jobs_availability.py
@@ -43,7 +43,7 @@
         """Start the next run of a task, after the executor of its last run lost it."""
         for item in self.executors:
             if item.name == task.executor:
-                item.release(str(task.id))
+                item.release(str(task.id), task.run)
         self.job.place(task, executor.name)
         executor.allocate(str(task.id), task.run, self.step)
 
--- a/tests/steps/jobs_scheduler.py
+++ b/tests/steps/jobs_scheduler.py
@@ -448,6 +448,29 @@
     assert load.short_vms > 0, load
 
 
+@when("the runs of the first executor are marked lapsed and it answers again")
+def step_lapsed(context):
+    world = context.jobs
+    world.scheduler.mark_runs_lapsed(world.names[0], world.now_ms)
+    world.scheduler.replan_executor(world.names[0])
+
+
+@when("run {run:d} of the first task is withdrawn")
+def step_withdrawn(context, run):
+    name = str(first_task(context).id)
+    context.jobs.scheduler.withdraw(context.jobs.names[0], name, run)
+
+
+@then("run {run:d} of the first task is allocated on the first executor")
+def step_allocated(context, run):
+    world, task = context.jobs, first_task(context)
+    executor = world.scheduler.executors[world.names[0]]
+    held = {name: item.run for name, item in executor.allocations.items()}
+    assert held == {task.name: run}, held
+    assert executor.cores_m == 1000, executor.cores_m
+    assert (task.run, task.phase) == (run, Phase.PLACED), task
+
+
 @when("the queue and its service are removed")
 def step_service_removed(context):
     world = context.jobs
