Stop the rest of a gang that lost a member before the scheduler changed

A gang starts again only when all its members wait. The scheduler that records the end of a member orders the others stopped, but a scheduler that took over before these orders were sent only restored the placements: the rest of the gang went on until the executors ended it, as broken or, after the gang's timeout, as alone, and the job had no run that made progress so long.

Seen by the new scenario before the change:

Then 3 stops are ordered ... failed ASSERT FAILED: []

A scheduler that restores a job now orders stopped what the earlier one would have: all runs of a final job, and the placed members of a gang with a waiting one.

--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -123,9 +123,8 @@
         for task in job.placed():
             self._allocate(job, task)
         self._services_to_plan.add(self.service_of(spec))
-        if job.state.final:
-            self._stop_all(job)
-        elif not spec.lasting:
+        self._stop_unwanted(job)
+        if not job.state.final and not spec.lasting:
             core_ms = job.core_ms(self._duration_estimator(spec))
             self._pool_needs.demand.record_arrival(
                 self.service_of(spec), core_ms, now_ms
@@ -168,6 +167,14 @@
         for task in job.placed():
             self.stop(task)
 
+    def _stop_unwanted(self, job):
+        """Stop the runs of a final job, and those of gangs that have lost a member."""
+        final = job.state.final
+        for task in job.placed():
+            state = job.step_state(task.id)
+            if final or (state.step.gang and state.waiting):
+                self.stop(task)
+
     def stop(self, task):
         """Order the current run of a task stopped."""
         name = task.name
--- a/tests/jobs/scheduler.feature
+++ b/tests/jobs/scheduler.feature
@@ -153,6 +153,14 @@
     When run 1 of the first task is withdrawn
     Then run 2 of the first task is allocated on the first executor
 
+  Scenario: a gang that has lost a member is stopped by the next scheduler too
+    Given a pool of 2 executors with 2 cores each
+    When a gang of 4 tasks of 1 core is added
+    Then the plan starts 4 tasks under one run number
+    When one member of the gang fails
+    And another scheduler takes over
+    Then 3 stops are ordered
+
   Scenario: a job whose queue and service were removed starts when room becomes free
     Given a pool of 1 executors with 1 cores each
     When a job with steps of 1 and 1 tasks of 1 core is added
