--- a/tests/jobs/scheduler.feature
+++ b/tests/jobs/scheduler.feature
@@ -207,3 +207,17 @@
     And another scheduler takes over
     And the other running tasks are done
     Then the job ends as completed
+
+  Scenario Outline: a gang starts again once its other members have ended
+    Given a pool of 3 executors with 2 cores each
+    When a gang of 4 tasks of 1 core is added
+    Then the plan starts 4 tasks under one run number
+    When the run of one member <ends>
+    Then the other members are stopped before the gang starts again
+
+    Examples:
+      | ends             |
+      | is withdrawn     |
+      | is marked lapsed |
+      | ends broken      |
+      | ends alone       |
--- a/tests/steps/jobs_scheduler.py
+++ b/tests/steps/jobs_scheduler.py
@@ -550,3 +550,24 @@
 @when("the other running tasks are done")
 def step_others_done(context):
     context.jobs.end_all()
+
+
+@when("the run of one member is withdrawn")
+def step_member_withdrawn(context):
+    world = context.jobs
+    start = world.running.pop(0)
+    world.scheduler.withdraw(start.executor, start.task, start.run)
+
+
+@when("the run of one member is marked lapsed")
+def step_member_lapsed(context):
+    world = context.jobs
+    start = world.running.pop(0)
+    world.scheduler.end(
+        start.executor, start.task, start.run, Outcome.LAPSED, "", 0, confirmed=False
+    )
+
+
+@when("the run of one member ends {outcome}")
+def step_member_ends(context, outcome):
+    context.jobs.end(context.jobs.running[0], Outcome(outcome))
