Acknowledge an append only by a record of its own

What callers saw: submissions and cancellations that were answered as done and then were unknown to every node, often several at once from one node.

Cause: a node ended its append in flight when any key of it was read from the topic, and answered all callers of that append as done. But the record read may be another node's, which got a repeated call, or the deletion of a key. The append itself was dropped; if the store had not carried it out, the other jobs of it were lost.

Evidence: on the code before, with two nodes on the emulated platform, an append of two jobs by node 1 that the store ignores, and the first job repeated at node 2, the second job was answered 200 although it is not stored ("another node's record of one job does not acknowledge the other jobs of a lost append"):

Fix: the last record of each append, append/NODE, holds the node's incarnation and the append's number. The store carries out an append as a whole or not at all, so reading this record shows that all of the append is stored; nothing else completes it but the store's own answer. A caller's record that is read answers the callers of its key only, as it is stored, by whichever node; the append in flight goes on for the others. Deletions and malformed records answer nobody. A repeated job/ID record is decoded also when the job is known, so that a malformed one counts as malformed.

The counter append_acks tells whether appends were acknowledged by answer or by read. The emulated store can ignore appends.

--- a/src/cardamomgrade/emulator/server.py
+++ b/src/cardamomgrade/emulator/server.py
@@ -23,10 +23,15 @@
 
 @attrs.define(eq=False)
 class StoreFaults:
-    """Injected faults of the store, and the targets of the requests it received."""
+    """Injected faults of the store, and the targets of the requests it received.
+
+    ``ignore_appends`` is how many of the next appends without a producer are neither
+    carried out nor answered.
+    """
 
     down: bool = False
     lose_answers: int = 0
+    ignore_appends: int = 0
     requests: list = attrs.field(factory=list)
 
 
@@ -88,6 +93,9 @@
             exchange.respond(HttpResponse(404))
 
     def _append(self, exchange, options):
+        if self.faults.ignore_appends > 0 and "producer" not in options:
+            self.faults.ignore_appends -= 1
+            return
         at = options.get("at")
         reply = self.log.append(
             options["topic"],
--- a/src/cardamomgrade/jobs/entry.py
+++ b/src/cardamomgrade/jobs/entry.py
@@ -6,9 +6,18 @@
 
 import time
 
+import attrs
+
 from ..journal import event, log_event
 from .calls import Answer, AnswerKind, CallKind
-from .records import CancelRecord, encode, PREFIX_CANCEL, PREFIX_JOB
+from .records import (
+    AppendRecord,
+    CancelRecord,
+    encode,
+    PREFIX_APPEND,
+    PREFIX_CANCEL,
+    PREFIX_JOB,
+)
 from .spec import JobSpec
 from .store import Appended, AppendFate
 
@@ -35,56 +44,93 @@
     detail: str
 
 
+@attrs.define(eq=False)
+class _Pending:
+    """A record to store, and the ``on_done`` callbacks that wait for it."""
+
+    value: bytes
+    callbacks: list
+
+
 class AppendBatcher:
     """Stores records by one append at a time; records that wait share the next one.
 
-    All records of an append are stored together. So once one of them is read from the
-    topic the append is complete, even without the store's answer.
+    An append is stored as a whole or not at all, and its last record is an AppendRecord
+    of its own. So reading that record acknowledges the append as well as the store's
+    answer does. A caller's record that is read acknowledges that record alone, since
+    another node may have stored it.
     """
 
-    def __init__(self, loop, client, metrics):
+    def __init__(self, loop, client, metrics, node, incarnation):
         self._loop = loop
         self._client = client
         self._metrics = metrics
-        self._waiting = []
-        self._batch = []
+        self._node = node
+        self._incarnation = incarnation
+        self._waiting = {}
+        self._sent = {}
+        self._in_flight = None
+        self._number = 0
         self._sent_at = 0.0
 
     def store(self, key, value, on_done):
         """Store one record; ``on_done(Appended | AppendFailed)`` follows."""
-        self._waiting.append((key, value, on_done))
+        pending = self._waiting.setdefault(key, _Pending(value, []))
+        pending.value = value
+        pending.callbacks.append(on_done)
         self._flush()
 
     def on_key_read(self, key):
-        """Complete the append under way if it holds a key that was read."""
-        if any(key == item[0] for item in self._batch):
+        """Answer the callers of a key of which a record was read.
+
+        The append in flight goes on, also without callers: it may still be carried out,
+        and it holds the other callers' records.
+        """
+        for records in (self._sent, self._waiting):
+            pending = records.pop(key, None)
+            if pending is not None:
+                _answer(pending, Appended(0))
+
+    def on_append_read(self, node, record):
+        """Complete the append in flight if the AppendRecord read is the one in it."""
+        if node == self._node and record == self._in_flight:
             self._client.cancel_append()
-            self._finish(Appended(0))
+            self._finish(Appended(0), "read")
 
-    def _finish(self, result):
-        batch, self._batch = self._batch, []
+    def _finish(self, result, how):
+        self._in_flight = None
+        sent, self._sent = self._sent, {}
         fate = "done" if isinstance(result, Appended) else result.fate.value
         self._metrics.count("appends", by="entry", fate=fate)
+        if isinstance(result, Appended):
+            self._metrics.count("append_acks", by="entry", how=how)
         self._metrics.time("entry_append", self._loop.now() - self._sent_at)
-        for _, _, on_done in batch:
-            on_done(result)
+        for pending in sent.values():
+            _answer(pending, result)
         self._flush()
 
     def _flush(self):
-        if self._batch or not self._waiting:
+        if self._in_flight is not None or not self._waiting:
             return
-        batch = self._batch = self._waiting
-        self._waiting = []
+        self._number += 1
+        record = self._in_flight = AppendRecord(self._incarnation, self._number)
+        self._sent, self._waiting = self._waiting, {}
         self._sent_at = self._loop.now()
-        items = list({key: value for key, value, _ in batch}.items())
+        items = [(key, pending.value) for key, pending in self._sent.items()]
+        items.append((PREFIX_APPEND + self._node, encode(record)))
 
         def done(result):
-            if self._batch is batch:
-                self._finish(result)
+            if self._in_flight is record:
+                self._finish(result, "answer")
 
         self._client.append(items, done, APPEND_TIMEOUT_S)
 
 
+def _answer(pending, result):
+    for on_done in pending.callbacks:
+        on_done(result)
+
+
 class JobEntry:
     """Serves checked calls; ``on_done(Answer)`` is called once for each.
 
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -118,8 +118,11 @@
         self._append_topic = self._platform.jobs_topic()
         self._sync_topic = self._platform.jobs_topic()
         self._candidacy_topic = self._platform.jobs_topic()
-        batcher = AppendBatcher(loop, self._append_topic, self._metrics)
+        batcher = AppendBatcher(
+            loop, self._append_topic, self._metrics, cfg.node, self._incarnation
+        )
         self._view.on_stored = batcher.on_key_read
+        self._view.on_append = batcher.on_append_read
         self._entry = JobEntry(
             loop, self._view, self._follower, batcher, self._sync, self._metrics
         )
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -7,6 +7,7 @@
 | ``progress/ID`` | ProgressRecord | the scheduler |
 | ``upkeep/VM`` | UpkeepRecord | the scheduler |
 | ``order/VM`` | VmOrderRecord | the scheduler; deleted when the order's lease is over |
+| ``append/NODE`` | AppendRecord | the entry of that node, last in each of its appends |
 | ``learned`` | LearnedRecord | the scheduler |
 | ``term`` | TermRecord | the scheduler and its candidates |
 
@@ -29,6 +30,7 @@
 PREFIX_PROGRESS = "progress/"
 PREFIX_UPKEEP = "upkeep/"
 PREFIX_ORDER = "order/"
+PREFIX_APPEND = "append/"
 
 
 @unique
@@ -86,6 +88,17 @@
     at_ms: int
 
 
+@attrs.frozen
+class AppendRecord:
+    """Identifies one append of a node's entry.
+
+    ``number`` grows with every append of an ``incarnation``.
+    """
+
+    incarnation: str
+    number: int
+
+
 @attrs.frozen
 class UpkeepRecord:
     """An upkeep of a VM, stored before it is ordered.
@@ -168,6 +181,11 @@
     return _load(TermRecord, data)
 
 
+def decode_append(data):
+    """Return the AppendRecord of an ``append/`` key; raise RecordError."""
+    return _load(AppendRecord, data)
+
+
 def decode_upkeep(data):
     """Return the UpkeepRecord of an ``upkeep/`` key; raise RecordError."""
     return _load(UpkeepRecord, data)
--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -5,6 +5,7 @@
 from ..errors import RecordError
 from ..journal import event, log_event
 from .records import (
+    decode_append,
     decode_job,
     decode_learned,
     decode_order,
@@ -14,6 +15,7 @@
     JobState,
     KEY_LEARNED,
     KEY_TERM,
+    PREFIX_APPEND,
     PREFIX_CANCEL,
     PREFIX_JOB,
     PREFIX_ORDER,
@@ -56,8 +58,9 @@
     """The newest records by key: jobs, upkeeps, VM orders, durations and the term.
 
     Optional callbacks: ``on_job(spec)``, ``on_cancel(job)``,
-    ``on_term(record, offset)``, and ``on_stored(key)`` for every ``job/`` and
-    ``cancel/`` key that is read.
+    ``on_term(record, offset)``, ``on_stored(key)`` for every record of a ``job/`` or
+    ``cancel/`` key that is read, but not for its deletion, and
+    ``on_append(node, record)`` for every AppendRecord.
     """
 
     def __init__(self):
@@ -70,12 +73,14 @@
         self.on_cancel = None
         self.on_term = None
         self.on_stored = None
+        self.on_append = None
         self._handlers = (
             (PREFIX_JOB, self._fold_job),
             (PREFIX_CANCEL, self._fold_cancel),
             (PREFIX_PROGRESS, self._fold_progress),
             (PREFIX_UPKEEP, self._fold_upkeep),
             (PREFIX_ORDER, self._fold_order),
+            (PREFIX_APPEND, self._fold_append),
         )
 
     def find(self, name):
@@ -106,7 +111,8 @@
                 if entry.key.startswith(prefix):
                     fold(entry.key[len(prefix) :], entry.value)
                     break
-            if self.on_stored is not None and entry.key.startswith(CALLER_PREFIXES):
+            stored = entry.value and entry.key.startswith(CALLER_PREFIXES)
+            if stored and self.on_stored is not None:
                 self.on_stored(entry.key)
         except RecordError as exc:
             log_event(RecordSkipped(entry.key, entry.offset, str(exc)))
@@ -125,9 +131,10 @@
         if not value:
             self.rows.pop(name, None)
             return
+        spec = decode_job(value)
         row = self._row(name)
         if row.spec is None:
-            row.spec = decode_job(value)
+            row.spec = spec
             if self.on_job is not None:
                 self.on_job(row.spec)
 
@@ -153,3 +160,7 @@
             self.orders[name] = decode_order(value)
         else:
             self.orders.pop(name, None)
+
+    def _fold_append(self, name, value):
+        if value and self.on_append is not None:
+            self.on_append(name, decode_append(value))
--- a/src/cardamomgrade/jobs/writer.py
+++ b/src/cardamomgrade/jobs/writer.py
@@ -126,11 +126,12 @@
         """Acknowledge the append in flight if its term record was read in the topic."""
         if self._batch is not None and self._batch.sequence == sequence:
             self._client.cancel_append()
-            self._acknowledged()
+            self._acknowledged("read")
 
-    def _acknowledged(self):
+    def _acknowledged(self, how):
         batch, self._batch = self._batch, None
         self._metrics.count("appends", by="scheduler", fate="done")
+        self._metrics.count("append_acks", by="scheduler", how=how)
         self._metrics.time("scheduler_append", self._loop.now() - batch.sent_at)
         for callback in batch.callbacks:
             callback()
@@ -140,7 +141,7 @@
         if self._closed or self._batch is None:
             return
         if isinstance(result, Appended):
-            self._acknowledged()
+            self._acknowledged("answer")
             return
         if result.fate in (AppendFate.FENCED, AppendFate.OUT_OF_SEQUENCE):
             self._on_deposed(result.fate.value)
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -40,6 +40,13 @@
     When the store loses the next 3 answers to appends while a job runs
     Then each of its 2 tasks ended done once
 
+  Scenario: another node's record of one job does not acknowledge the other jobs of a lost append
+    Given 2 nodes on an emulated platform with 2 executors
+    When the store neither carries out nor answers an append of two jobs by node 1
+    And the first of these jobs is repeated at node 2
+    Then node 1 answers the first job with 200
+    And node 1 answers the second job with 504, as it is not stored
+
   Scenario: while the store is down submissions get 503 with Retry-After
     Given 1 nodes on an emulated platform with 1 executors
     When the store is down
@@ -83,6 +90,8 @@
       | keyed.op      | wave/9                 | []                    |
       | keyed.jobs    | job/00000000000000bb   | not CBOR              |
       | keyed.jobs    | progress/00000000000000bb | not CBOR           |
+      | keyed.jobs    | append/n0              | not CBOR              |
+      | keyed.jobs    | unknown/n0             | not CBOR              |
     Then a job submitted now is completed
 
   Scenario: after its records expired a topic is read from the newest of each key
@@ -144,6 +153,7 @@
     Then node 2 shows the job as completed
     And the scheduling node's metrics count the runs and the first start
     And the metrics of the node that accepted the job count its answer
+    And the metrics count every completed append as answered or read
     And another path of the metrics address has no page
 
   Scenario: a node without access to the store closes its callers' connections
--- a/tests/steps/jobs_node.py
+++ b/tests/steps/jobs_node.py
@@ -136,6 +136,16 @@
         self.rig.run_until(lambda: answers)
         return answers[0]
 
+    def begin_submit(self, job, node=0):
+        """Send a submission on a connection of its own; return the list of answers."""
+        caller = Requester(self.rig.loop, self.rig.net, self.cfgs[node].front)
+        headers = ((b"host", b"jobs.example"), (b"x-deadline-ms", b"3000"))
+        body = json.dumps({"spec": "text", "steps": [step_fields(1)]}).encode()
+        answers = []
+        req = HttpRequest("POST", f"/q/{job}", headers, body)
+        caller.request(req, answers.append, 5.0)
+        return answers
+
     def submit(self, steps, node=0, job=None, text="text"):
         body = json.dumps({"spec": text, "steps": steps}).encode()
         return self.call("POST", f"/q/{job or self.job}", body, node)
@@ -280,6 +290,39 @@
     world.platform.faults.lose_answers = count
 
 
+@when("the store neither carries out nor answers an append of two jobs by node 1")
+def step_ignored_append(context):
+    world = context.nodes
+    world.platform.faults.ignore_appends = 2
+    # The jobs that arrive while an append is in flight share the next one.
+    world.begin_submit("00000000000000b0")
+    world.rig.run_until(lambda: world.platform.faults.ignore_appends == 1)
+    world.first = world.begin_submit("00000000000000b1")
+    world.second = world.begin_submit("00000000000000b2")
+    world.rig.run_until(lambda: world.platform.faults.ignore_appends == 0)
+
+
+@when("the first of these jobs is repeated at node 2")
+def step_repeated_elsewhere(context):
+    world = context.nodes
+    assert world.submit([step_fields(1)], 1, "00000000000000b1").status == 200
+
+
+@then("node 1 answers the first job with 200")
+def step_first_answered(context):
+    world = context.nodes
+    world.rig.run_until(lambda: world.first)
+    assert world.first[0].status == 200, world.first
+
+
+@then("node 1 answers the second job with 504, as it is not stored")
+def step_second_unanswered(context):
+    world = context.nodes
+    world.rig.run_until(lambda: world.second)
+    assert b"job/00000000000000b2" not in world.platform.log.newest("keyed.jobs")
+    assert world.second[0].status == 504, world.second
+
+
 @when("the store is down")
 def step_down(context):
     context.nodes.platform.faults.down = True
@@ -591,6 +634,17 @@
     assert float(samples["cardamom_answer_submit_seconds_count"]) == 1
 
 
+@then("the metrics count every completed append as answered or read")
+def step_scrape_acks(context):
+    nodes = context.nodes
+    for by, number in (("entry", 0), ("scheduler", nodes.scheduler())):
+        _, samples = nodes.scrape(number)
+        done = f'cardamom_appends_total{{by="{by}",fate="done"}}'
+        start = f'cardamom_append_acks_total{{by="{by}",how='
+        acks = [float(samples[key]) for key in samples if key.startswith(start)]
+        assert sum(acks) == float(samples[done]) >= 1, samples
+
+
 @then("another path of the metrics address has no page")
 def step_scrape_other(context):
     assert context.nodes.scrape(0, "/other")[0] == 404
