Cancel a job that is read after its cancellation

What callers would see: tasks of a job start although its cancellation was acknowledged.

Cause: when records expire before a node has read them, it reads the newest record of each key in the order of the offsets. A repeated submission gives job/ID a higher offset than cancel/ID. A scheduling node that did not know the job was then told first of the cancellation, of a job it did not have, and then of the job, which it started.

Evidence: "a job whose record is read after that of its cancellation is not started" (view and scheduler) failed before:

and "a job that was cancelled is not started after its records expired" (a node on the emulated platform):

Fix: the view, which keeps the cancellation of a job that it has not read yet, reports it again after the job. The scheduler then holds the job as cancelled before it plans.

--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -60,7 +60,8 @@
     Optional callbacks: ``on_job(spec)``, ``on_cancel(job)``,
     ``on_term(record, offset)``, ``on_stored(key)`` for every record of a ``job/`` or
     ``cancel/`` key that is read, but not for its deletion, and
-    ``on_append(node, record)`` for every AppendRecord.
+    ``on_append(node, record)`` for every AppendRecord. ``on_cancel`` is also called
+    after ``on_job`` for a job whose cancellation was read before it.
     """
 
     def __init__(self):
@@ -137,6 +138,10 @@
             row.spec = spec
             if self.on_job is not None:
                 self.on_job(row.spec)
+            # A repeated submission has a higher offset than the cancellation, and after
+            # the records expired only the newest record of each key is read.
+            if row.cancelled and self.on_cancel is not None:
+                self.on_cancel(name)
 
     def _fold_cancel(self, name, value):
         if not value:
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -99,6 +99,12 @@
     When all records of the store expire
     Then a job submitted now is completed
 
+  Scenario: a job that was cancelled is not started after its records expired
+    Given 1 nodes on an emulated platform with 1 executors
+    When a job, its cancellation and the job again are stored and expire before a read
+    Then node 1 shows the job as cancelled
+    And the job has not started 1 s later
+
   Scenario: a wave reboots each VM once and is reported as completed
     Given 1 nodes on an emulated platform with 3 executors
     When an operator requests a wave of all VMs, at most 1 at once
--- a/tests/jobs/scheduler.feature
+++ b/tests/jobs/scheduler.feature
@@ -41,6 +41,12 @@
     Then 2 stops are ordered
     And the plan starts 0 tasks
 
+  Scenario: a job whose record is read after that of its cancellation is not started
+    Given a pool of 1 executors with 2 cores each
+    When the cancellation of a job is read, and then the job
+    Then the plan starts 0 tasks
+    And the job ends as cancelled
+
   Scenario: the runs of an executor that is gone start again with a higher number
     Given a pool of 2 executors with 4 cores each
     When a job with steps of 4 and 1 tasks of 1 core is added
--- a/tests/steps/jobs_node.py
+++ b/tests/steps/jobs_node.py
@@ -1,6 +1,7 @@
 """Steps that run nodes and the emulated platform on one loop."""
 
 import json
+import time
 from collections import Counter
 
 import attrs
@@ -11,12 +12,16 @@
 from cardamomgrade.errors import SettingsError
 from cardamomgrade.jobs.node import Node
 from cardamomgrade.jobs.records import (
+    CancelRecord,
     decode_term,
     encode,
     KEY_TERM,
+    PREFIX_CANCEL,
+    PREFIX_JOB,
     TermRecord,
 )
 from cardamomgrade.jobs.settings import NodeSettings
+from cardamomgrade.jobs.spec import JobSpec, Step
 from cardamomgrade.platform.adapter import Platform
 from cardamomgrade.wire import HttpRequest
 from harness import free_address, free_port, Rig
@@ -446,6 +451,29 @@
         platform.log.expire(topic)
 
 
+@when("a job, its cancellation and the job again are stored and expire before a read")
+def step_expire_cancelled(context):
+    world = context.nodes
+    world.platform.faults.down = True
+    world.rig.run_for(1.5)  # longer than a read waits in the store
+    step = Step(1, cores_m=1000, memory_mb=100)
+    spec = JobSpec(world.job, "r-q", "s", "text", int(time.time() * 1000), (step,))
+    job = (PREFIX_JOB.encode() + world.job.encode(), encode(spec))
+    cancel = (PREFIX_CANCEL.encode() + world.job.encode(), encode(CancelRecord(0)))
+    for pair in (job, cancel, job):
+        world.platform.log.append("keyed.jobs", [pair])
+    world.platform.log.expire("keyed.jobs")
+    world.platform.faults.down = False
+
+
+@then("the job has not started 1 s later")
+def step_not_started(context):
+    world = context.nodes
+    world.rig.run_for(1.0)
+    assert world.scheduler() == 0
+    assert world.platform.trace == [], world.platform.trace
+
+
 @when("an operator requests a wave of all VMs, at most {at_once:d} at once")
 def step_wave(context, at_once):
     platform = context.nodes.platform
--- a/tests/steps/jobs_scheduler.py
+++ b/tests/steps/jobs_scheduler.py
@@ -8,15 +8,20 @@
 from cardamomgrade.health import Health
 from cardamomgrade.jobs.queues import Queue, QueueConfig, Service
 from cardamomgrade.jobs.records import (
+    CancelRecord,
     decode_job,
     decode_progress,
     encode,
     JobState,
     Phase,
+    PREFIX_CANCEL,
+    PREFIX_JOB,
 )
 from cardamomgrade.jobs.reports import ExecutorEntry, Outcome
 from cardamomgrade.jobs.scheduler import QUARANTINE_MIN_MS, Scheduler
 from cardamomgrade.jobs.spec import JobSpec, Step
+from cardamomgrade.jobs.store import Entry
+from cardamomgrade.jobs.view import JobView
 
 WALL_MS = 1_700_000_000_000
 CONFIG = QueueConfig(
@@ -78,6 +83,18 @@
         return self.scheduler.state_of(self.job)
 
 
+@when("the cancellation of a job is read, and then the job")
+def step_cancel_first(context):
+    jobs = context.jobs
+    view = JobView()
+    view.on_job, view.on_cancel = jobs.scheduler.add_job, jobs.scheduler.cancel
+    jobs.job = "00000000000000a1"
+    spec = JobSpec(jobs.job, "q", "s", "text", jobs.wall_ms, (Step(1, cores_m=1000),))
+    cancel = encode(CancelRecord(int(jobs.wall_ms)))
+    view.fold(Entry(5, PREFIX_CANCEL + jobs.job, cancel))
+    view.fold(Entry(9, PREFIX_JOB + jobs.job, encode(spec)))
+
+
 @given("a pool of {executors:d} executors with {cores:d} cores each")
 def step_pool(context, executors, cores):
     context.jobs = SchedulerFixture(executors, cores)
