--- a/tests/steps/jobs_node.py
+++ b/tests/steps/jobs_node.py
@@ -1,6 +1,7 @@
 """Steps that run nodes and the emulated platform on one loop."""
 
 import json
+import time
 from collections import Counter
 
 import attrs
@@ -11,12 +12,16 @@
 from cardamomgrade.errors import SettingsError
 from cardamomgrade.jobs.node import Node
 from cardamomgrade.jobs.records import (
+    CancelRecord,
     decode_term,
     encode,
     KEY_TERM,
+    PREFIX_CANCEL,
+    PREFIX_JOB,
     TermRecord,
 )
 from cardamomgrade.jobs.settings import NodeSettings
+from cardamomgrade.jobs.spec import JobSpec, Step
 from cardamomgrade.platform.adapter import Platform
 from cardamomgrade.wire import HttpRequest
 from harness import free_address, free_port, Rig
@@ -136,6 +141,16 @@
         self.rig.run_until(lambda: answers)
         return answers[0]
 
+    def begin_submit(self, job, node=0):
+        """Send a submission on a connection of its own; return the list of answers."""
+        caller = Requester(self.rig.loop, self.rig.net, self.cfgs[node].front)
+        headers = ((b"host", b"jobs.example"), (b"x-deadline-ms", b"3000"))
+        body = json.dumps({"spec": "text", "steps": [step_fields(1)]}).encode()
+        answers = []
+        req = HttpRequest("POST", f"/q/{job}", headers, body)
+        caller.request(req, answers.append, 5.0)
+        return answers
+
     def submit(self, steps, node=0, job=None, text="text"):
         body = json.dumps({"spec": text, "steps": steps}).encode()
         return self.call("POST", f"/q/{job or self.job}", body, node)
@@ -280,6 +295,39 @@
     world.platform.faults.lose_answers = count
 
 
+@when("the store neither carries out nor answers an append of two jobs by node 1")
+def step_ignored_append(context):
+    world = context.nodes
+    world.platform.faults.ignore_appends = 2
+    # The jobs that arrive while an append is in flight share the next one.
+    world.begin_submit("00000000000000b0")
+    world.rig.run_until(lambda: world.platform.faults.ignore_appends == 1)
+    world.first = world.begin_submit("00000000000000b1")
+    world.second = world.begin_submit("00000000000000b2")
+    world.rig.run_until(lambda: world.platform.faults.ignore_appends == 0)
+
+
+@when("the first of these jobs is repeated at node 2")
+def step_repeated_elsewhere(context):
+    world = context.nodes
+    assert world.submit([step_fields(1)], 1, "00000000000000b1").status == 200
+
+
+@then("node 1 answers the first job with 200")
+def step_first_answered(context):
+    world = context.nodes
+    world.rig.run_until(lambda: world.first)
+    assert world.first[0].status == 200, world.first
+
+
+@then("node 1 answers the second job with 504, as it is not stored")
+def step_second_unanswered(context):
+    world = context.nodes
+    world.rig.run_until(lambda: world.second)
+    assert b"job/00000000000000b2" not in world.platform.log.newest("keyed.jobs")
+    assert world.second[0].status == 504, world.second
+
+
 @when("the store is down")
 def step_down(context):
     context.nodes.platform.faults.down = True
@@ -403,6 +451,29 @@
         platform.log.expire(topic)
 
 
+@when("a job, its cancellation and the job again are stored and expire before a read")
+def step_expire_cancelled(context):
+    world = context.nodes
+    world.platform.faults.down = True
+    world.rig.run_for(1.5)  # longer than a read waits in the store
+    step = Step(1, cores_m=1000, memory_mb=100)
+    spec = JobSpec(world.job, "r-q", "s", "text", int(time.time() * 1000), (step,))
+    job = (PREFIX_JOB.encode() + world.job.encode(), encode(spec))
+    cancel = (PREFIX_CANCEL.encode() + world.job.encode(), encode(CancelRecord(0)))
+    for pair in (job, cancel, job):
+        world.platform.log.append("keyed.jobs", [pair])
+    world.platform.log.expire("keyed.jobs")
+    world.platform.faults.down = False
+
+
+@then("the job has not started 1 s later")
+def step_not_started(context):
+    world = context.nodes
+    world.rig.run_for(1.0)
+    assert world.scheduler() == 0
+    assert world.platform.trace == [], world.platform.trace
+
+
 @when("an operator requests a wave of all VMs, at most {at_once:d} at once")
 def step_wave(context, at_once):
     platform = context.nodes.platform
@@ -591,6 +662,17 @@
     assert float(samples["cardamom_answer_submit_seconds_count"]) == 1
 
 
+@then("the metrics count every completed append as answered or read")
+def step_scrape_acks(context):
+    nodes = context.nodes
+    for by, number in (("entry", 0), ("scheduler", nodes.scheduler())):
+        _, samples = nodes.scrape(number)
+        done = f'cardamom_appends_total{{by="{by}",fate="done"}}'
+        start = f'cardamom_append_acks_total{{by="{by}",how='
+        acks = [float(samples[key]) for key in samples if key.startswith(start)]
+        assert sum(acks) == float(samples[done]) >= 1, samples
+
+
 @then("another path of the metrics address has no page")
 def step_scrape_other(context):
     assert context.nodes.scrape(0, "/other")[0] == 404
