Stop runs of a cancelled job also if their executor registers late

Cause: a stop is ordered once, when the job ends. Driver._send drops it if the executor is not registered at that moment, as after a change of scheduler while its entry has lapsed. When the executor registers again, its runs are taken over, its lease is renewed, and the report agrees with what is placed there. Nothing stops them any more.

Change: every report of an executor is compared with the states of the jobs; a run of a job in a final state is stopped.

--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -358,11 +358,16 @@
     def on_running(self, name, running):
         """Update availability and pace from the RunningTasks of an executor's report.
 
-        Returns whether the next report is wanted sooner: a lasting task is starting,
-        or fill tasks run beside serving ones.
+        Runs of jobs in a final state are stopped; an earlier order may not have been
+        sent because the executor was not registered. Returns whether the next report
+        is wanted sooner: a lasting task is starting, or fill tasks run beside serving
+        ones.
         """
         serving, fills, starting = [], [], False
+        agent = self._agents.get(name)
         for item in running:
+            if agent is not None and self._scheduler.is_job_final(item.task):
+                agent.stop(item.task, item.run)
             state = self._step_state_of(item.task)
             if state is None:
                 continue
@@ -374,7 +379,6 @@
                 fills.append((item.task, item.run))
             elif step.target_ms:
                 serving.append((item.load, step.target_ms))
-        agent = self._agents.get(name)
         if agent is None or not fills:
             return starting
         for order in self._pacer.decide(name, serving, fills, self._loop.now()):
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -344,6 +344,12 @@
         known = start.executor in self.executors
         return known and task is not None and not job.state.final
 
+    def is_job_final(self, task_name):
+        """Return whether the job of a task is known and in a final state."""
+        task_id = parse_task(task_name)
+        job = self.jobs.get(task_id.job) if task_id is not None else None
+        return job is not None and job.state.final
+
     def withdraw(self, name, task_name, run):
         """Cancel the placement of a run that the executor can no longer begin."""
         executor = self.executors.get(name)
--- /dev/null
+++ b/tests/jobs/driver.feature
@@ -0,0 +1,12 @@
+Feature: decisions of the scheduler reach the executors
+
+  Scenario: a cancel reaches an executor that registers after the change of scheduler
+    Given 2 nodes on an emulated platform with 1 executors
+    When a caller submits a long-running job with 2 tasks
+    Then its 2 tasks run
+    When the entry of the only executor lapses
+    And the scheduling node is killed
+    And the caller cancels the job at the other node
+    And the other node has scheduled for 0.1 s
+    And the executor registers again
+    Then it has no runs within 1.5 s
--- /dev/null
+++ b/tests/steps/jobs_driver.py
@@ -0,0 +1,57 @@
+"""Steps for decisions of the scheduler that must reach executors."""
+
+import json
+
+from behave import then, when
+
+EXECUTOR = "i-0"
+
+
+def entry_of(platform, name):
+    """Return the fields of an executor's registration."""
+    value, _ = platform.log.newest("keyed.servers")[name.encode()]
+    return json.loads(value)
+
+
+@when("the entry of the only executor lapses")
+def step_entry_lapses(context):
+    world = context.nodes
+    world.entry = entry_of(world.platform, EXECUTOR)
+    world.platform.put("keyed.servers", EXECUTOR, None)
+    world.rig.run_for(0.2)
+
+
+@when("the executor registers again")
+def step_entry_back(context):
+    context.nodes.platform.put("keyed.servers", EXECUTOR, context.nodes.entry)
+
+
+@when("the scheduling node is killed")
+def step_scheduler_killed(context):
+    world = context.nodes
+    gone = world.scheduler()
+    world.survivor = 1 - gone
+    world.nodes[gone].close()
+    world.nodes[gone] = None
+
+
+@when("the caller cancels the job at the other node")
+def step_cancel_other(context):
+    world = context.nodes
+    answer = world.call("DELETE", f"/q/{world.job}", node=world.survivor)
+    assert answer.status == 200, answer
+
+
+@when("the other node has scheduled for {seconds:g} s")
+def step_other_scheduled(context, seconds):
+    world = context.nodes
+    world.rig.run_until(lambda: world.scheduler() == world.survivor)
+    world.rig.run_for(seconds)
+
+
+@then("it has no runs within {seconds:g} s")
+def step_no_runs(context, seconds):
+    world = context.nodes
+    world.rig.run_for(seconds)
+    runs = world.platform.instances[EXECUTOR].executor.runs
+    assert not runs, runs
