Drop an executor and its agent together

Cause: the scheduler dropped the Executor of an idle incarnation when the platform stopped listing it, the driver kept its agent. Listed again, the incarnation got a new Executor, but start orders went through the old agent, which looks at the allocations of the old one: it saw no runs, so it renewed no lease and read no ends. Besides, an executor was dropped only in the moment of being unlisted: one with runs was kept for the rest of the term, and if it had been silent then, its probes ended with its lease and it was never used again.

Fix: the driver alone drops executors, record and agent together, and it creates the agent when the executor registers. An unlisted executor is dropped once its agent has no runs and no ends left to acknowledge; listed again before, it keeps both and is probed at once. Ends that were noted twice change nothing: the scheduler applies an end only to the current run of a task. The agent's runs are inherited exactly if the executor had some when it registered, so newly_used_executors is not needed any more.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -86,7 +86,7 @@
     ``on_lease_lapsed``, ``on_run_withdrawn``, ``on_run_missing``,
     ``on_start_refused``, ``on_reachable`` and ``on_fenced``, and ``on_running``, which
     returns whether to request reports more often. ``inherited`` is whether an earlier
-    scheduler may have started runs here.
+    scheduler placed the runs that are on the executor now.
 
     Ends of runs are numbered. They are acknowledged to the executor once stored:
     ``_received_end`` >= ``_stored_end`` >= ``_acknowledged_end``.
@@ -145,6 +145,19 @@
         unacknowledged = self._acknowledged_end < self._received_end
         return bool(executor.allocations) or unacknowledged or is_probe
 
+    @property
+    def finished(self):
+        """Whether the executor has no runs and no ends that can be acknowledged.
+
+        An executor that has not answered for the length of a lease does not count as
+        one whose ends can be.
+        """
+        executor = self._executor
+        if executor.allocations:
+            return False
+        is_lost = executor.unreachable and self._lease.has_lapsed(self._loop.now())
+        return is_lost or self._acknowledged_end >= self._received_end
+
     def acknowledge_ends(self, number):
         """Acknowledge ends up to ``number``, which are stored, at the next renewal."""
         self._stored_end = max(self._stored_end, number)
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -188,10 +188,13 @@
         except RecordError as exc:
             log_event(EntryUnreadable(name, str(exc)))
             return
-        known = name in self._scheduler.executors
+        known = self._scheduler.executors.get(name)
+        was_listed = known is not None and known.listed
         self._scheduler.put_executor(decoded)
-        if not known and self._scheduler.executors[name].allocations:
-            self._agent(name)
+        if known is None:
+            self._add_agent(name)
+        if not was_listed:
+            self._agents[name].renew_if_needed()
         self.request_plan()
 
     def _on_executors_read(self):
@@ -233,13 +236,13 @@
                 agent.acknowledge_ends(number)
         for order in starts:
             if self._scheduler.is_valid_start(order):
-                self._agent(order.executor).start(order)
+                self._agents[order.executor].start(order)
             else:
                 self._scheduler.withdraw(order.executor, order.task, order.run)
                 self.request_plan()
         for order in stops:
-            if order.executor in self._scheduler.executors and self._may_stop(order):
-                self._agent(order.executor).stop(order.task, order.run)
+            if order.executor in self._agents and self._may_stop(order):
+                self._agents[order.executor].stop(order.task, order.run)
 
     def _may_stop(self, order):
         task_id = parse_task(order.task)
@@ -250,24 +253,26 @@
             or self._availability.may_send_stop(order.task, order.run, self._loop.now())
         )
 
-    def _agent(self, name):
-        agent = self._agents.get(name)
-        if agent is None:
-            executor = self._scheduler.executors[name]
-            inherited = bool(executor.allocations) and not self._all_placed_this_term(
-                executor
-            )
-            client = self._platform.executor(executor.entry, self._epoch)
-            agent = ExecutorAgent(
-                self._loop, client, executor, self, inherited, self._lease_ms
-            )
-            self._agents[name] = agent
-            agent.renew_if_needed()
-        return agent
+    # Each executor that the scheduler knows has one agent, from its registration on
+
+    def _add_agent(self, name):
+        executor = self._scheduler.executors[name]
+        inherited = bool(executor.allocations)
+        client = self._platform.executor(executor.entry, self._epoch)
+        self._agents[name] = ExecutorAgent(
+            self._loop, client, executor, self, inherited, self._lease_ms
+        )
+
+    def _forget_executor(self, name):
+        self._scheduler.forget_executor(name)
+        agent = self._agents.pop(name, None)
+        if agent is not None:
+            agent.close()
 
-    def _all_placed_this_term(self, executor):
-        """Return whether every run on an executor was placed in this term."""
-        return executor.name in self._scheduler.newly_used_executors
+    def _forget_unlisted(self):
+        for name, executor in list(self._scheduler.executors.items()):
+            if not executor.listed and self._agents[name].finished:
+                self._forget_executor(name)
 
     def _tick(self):
         if self._closed:
@@ -278,6 +283,7 @@
         if now - self._started_at > lapse_bound_s(self._lease_ms):
             for name in self._scheduler.unregistered_executors():
                 self._scheduler.mark_runs_lapsed(name, now * MS)
+        self._forget_unlisted()
         self._forget_jobs(now)
         if now - self._durations_saved_at > DURATIONS_SAVE_INTERVAL_S:
             self._durations_saved_at = now
@@ -344,10 +350,7 @@
     def on_executor_gone(self, name):
         """Mark the runs of an incarnation that no longer exists as lapsed; drop it."""
         self._scheduler.mark_runs_lapsed(name, self._loop.now() * MS)
-        self._scheduler.forget_executor(name)
-        agent = self._agents.pop(name, None)
-        if agent is not None:
-            agent.close()
+        self._forget_executor(name)
         self.request_plan()
 
     def on_fenced(self, name):
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -59,11 +59,7 @@
 
 
 class Scheduler:
-    """Jobs, known executors, and the assignment of tasks to executors.
-
-    ``newly_used_executors`` holds the names of executors that had no runs when this
-    term placed one on them, so that no earlier scheduler has runs there.
-    """
+    """Jobs, known executors, and the assignment of tasks to executors."""
 
     def __init__(self, cfg):
         self.cfg = cfg
@@ -77,7 +73,6 @@
         self._services_to_plan = set()
         self._paused_until_ms = {}
         self._start_delays_ms = []
-        self.newly_used_executors = set()
         self.durations = Durations()
         self._pool_needs = PoolNeeds()
         self._health = Health(
@@ -237,8 +232,6 @@
             return
         executor.listed = False
         log_event(ExecutorSeen(name, executor.entry.service, "unlisted"))
-        if not executor.allocations:
-            self.forget_executor(name)
 
     def forget_executor(self, name):
         """Remove an executor that is known to run nothing."""
@@ -498,8 +491,6 @@
     def _start(self, job, task, run, executor, now_ms):
         name = task.name
         task.placed_ms = now_ms
-        if not executor.allocations:
-            self.newly_used_executors.add(executor.name)
         executor.allocate(name, run, job.spec.steps[task.id.step])
         free = executor.entry.cores_m - executor.cores_m
         log_event(
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -71,6 +71,29 @@
     When another incarnation takes over one executor's address
     Then node 1 shows the job as completed
 
+  Scenario: a job on an executor that was unlisted and listed again does not run on forever
+    Given 1 nodes on an emulated platform with 1 executors
+    When the only executor has run a job, and is unlisted and listed again
+    Then a job submitted now is completed
+
+  Scenario: an incarnation listed at the address of an unlisted one is watched
+    Given 1 nodes on an emulated platform with 1 executors
+    When the only executor has run a job, and another incarnation is listed in its place
+    Then a job submitted now is completed
+    And the scheduler knows 1 executors
+
+  Scenario: an executor that is unlisted during its last runs is not kept after them
+    Given 1 nodes on an emulated platform with 1 executors
+    When the only executor is unlisted while it runs a job, which is then completed
+    Then all ends of runs are acknowledged to the executor
+    And the scheduler knows 0 executors
+
+  Scenario: an executor that was silent when it was unlisted is not closed to runs forever
+    Given 1 nodes on an emulated platform with 1 executors
+    When the only executor is silent and unlisted until its lease has lapsed
+    And it is listed again
+    Then a job submitted now is completed
+
   Scenario: malformed records of other writers are ignored
     Given 1 nodes on an emulated platform with 1 executors
     When these records are written
