--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -63,11 +63,7 @@
 
 
 class Scheduler:
-    """Jobs, known executors, and the assignment of tasks to executors.
-
-    ``newly_used_executors`` holds the names of executors that had no runs when this
-    term placed one on them, so that no earlier scheduler has runs there.
-    """
+    """Jobs, known executors, and the assignment of tasks to executors."""
 
     def __init__(self, cfg):
         self.cfg = cfg
@@ -81,7 +77,6 @@
         self._services_to_plan = set()
         self._paused_until_ms = {}
         self._start_delays_ms = []
-        self.newly_used_executors = set()
         self.durations = Durations()
         self._pool_needs = PoolNeeds()
         self._stalls = StallWatch()
@@ -250,8 +245,6 @@
             return
         executor.listed = False
         log_event(ExecutorSeen(name, executor.entry.service, "unlisted"))
-        if not executor.allocations:
-            self.forget_executor(name)
 
     def forget_executor(self, name):
         """Remove an executor that is known to run nothing."""
@@ -356,6 +349,12 @@
         known = start.executor in self.executors
         return known and task is not None and not job.state.final
 
+    def is_job_final(self, task_name):
+        """Return whether the job of a task is known and in a final state."""
+        task_id = parse_task(task_name)
+        job = self.jobs.get(task_id.job) if task_id is not None else None
+        return job is not None and job.state.final
+
     def withdraw(self, name, task_name, run):
         """Cancel the placement of a run that the executor can no longer begin."""
         executor = self.executors.get(name)
@@ -578,8 +577,6 @@
     def _start(self, job, task, run, executor, now_ms):
         name = task.name
         task.placed_ms = now_ms
-        if not executor.allocations:
-            self.newly_used_executors.add(executor.name)
         executor.allocate(name, run, job.spec.steps[task.id.step])
         free = executor.entry.cores_m - executor.cores_m
         log_event(
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -40,6 +40,13 @@
     When the store loses the next 3 answers to appends while a job runs
     Then each of its 2 tasks ended done once
 
+  Scenario: another node's record of one job does not acknowledge the other jobs of a lost append
+    Given 2 nodes on an emulated platform with 2 executors
+    When the store neither carries out nor answers an append of two jobs by node 1
+    And the first of these jobs is repeated at node 2
+    Then node 1 answers the first job with 200
+    And node 1 answers the second job with 504, as it is not stored
+
   Scenario: while the store is down submissions get 503 with Retry-After
     Given 1 nodes on an emulated platform with 1 executors
     When the store is down
@@ -71,6 +78,29 @@
     When another incarnation takes over one executor's address
     Then node 1 shows the job as completed
 
+  Scenario: a job on an executor that was unlisted and listed again does not run on forever
+    Given 1 nodes on an emulated platform with 1 executors
+    When the only executor has run a job, and is unlisted and listed again
+    Then a job submitted now is completed
+
+  Scenario: an incarnation listed at the address of an unlisted one is watched
+    Given 1 nodes on an emulated platform with 1 executors
+    When the only executor has run a job, and another incarnation is listed in its place
+    Then a job submitted now is completed
+    And the scheduler knows 1 executors
+
+  Scenario: an executor that is unlisted during its last runs is not kept after them
+    Given 1 nodes on an emulated platform with 1 executors
+    When the only executor is unlisted while it runs a job, which is then completed
+    Then all ends of runs are acknowledged to the executor
+    And the scheduler knows 0 executors
+
+  Scenario: an executor that was silent when it was unlisted is not closed to runs forever
+    Given 1 nodes on an emulated platform with 1 executors
+    When the only executor is silent and unlisted until its lease has lapsed
+    And it is listed again
+    Then a job submitted now is completed
+
   Scenario: malformed records of other writers are ignored
     Given 1 nodes on an emulated platform with 1 executors
     When these records are written
@@ -83,6 +113,8 @@
       | keyed.op      | wave/9                 | []                    |
       | keyed.jobs    | job/00000000000000bb   | not CBOR              |
       | keyed.jobs    | progress/00000000000000bb | not CBOR           |
+      | keyed.jobs    | append/n0              | not CBOR              |
+      | keyed.jobs    | unknown/n0             | not CBOR              |
     Then a job submitted now is completed
 
   Scenario: after its records expired a topic is read from the newest of each key
@@ -90,6 +122,12 @@
     When all records of the store expire
     Then a job submitted now is completed
 
+  Scenario: a job that was cancelled is not started after its records expired
+    Given 1 nodes on an emulated platform with 1 executors
+    When a job, its cancellation and the job again are stored and expire before a read
+    Then node 1 shows the job as cancelled
+    And the job has not started 1 s later
+
   Scenario: a wave reboots each VM once and is reported as completed
     Given 1 nodes on an emulated platform with 3 executors
     When an operator requests a wave of all VMs, at most 1 at once
@@ -144,6 +182,7 @@
     Then node 2 shows the job as completed
     And the scheduling node's metrics count the runs and the first start
     And the metrics of the node that accepted the job count its answer
+    And the metrics count every completed append as answered or read
     And another path of the metrics address has no page
 
   Scenario: a node without access to the store closes its callers' connections
