Send nothing and report nothing after a client is closed

What happened: a scheduler that was deposed while it connected to an executor or to the VM interface still sent that order, up to a second later. Requests in flight reported "timed out" to their owner after the close, although TopicClient.close says that they do not. Orders carry the epoch, so that a newer one refuses them; no broken rule is known to have had this cause. It was found by reading, in a search for results that reach the wrong owner.

Cause: Requester.close forgot the current request without marking it as done, so that the connection that opened later sent it, and its timer and those of queued requests went on.

Evidence, failed before:

Scenario: a request whose connection opens only after the client was closed is not sent Then the server receives no request and has no open connection ... failed ASSERT FAILED: {'/a': <cardamomgrade.server.Exchange object ...>}

Scenario: a closed client reports no results And no answer arrives ... failed ASSERT FAILED: [('/a', Failure(sent=True, detail='timed out')), ('/b', Failure(...))]

Fix: close drops the current and the queued requests with their timers, and aborts a connection that opens afterwards. The scenario "a late answer to an earlier request does not complete the next one" passed before as well.

--- a/src/cardamomgrade/client.py
+++ b/src/cardamomgrade/client.py
@@ -131,9 +131,17 @@
         self._conn = None
         self._queue = deque()
         self._current = None
+        self._closed = False
 
     def close(self):
-        """Close the connection and drop the queued requests."""
+        """Close the connection and drop all requests, without reporting results.
+
+        A request whose connection is still being opened is not sent.
+        """
+        self._closed = True
+        for call in (*self._queue, self._current):
+            if call is not None:
+                call.drop()
         self._queue.clear()
         self._current = None
         if self._conn is not None:
@@ -143,8 +151,7 @@
         """Drop the request in flight and its connection, without reporting a result."""
         call, self._current = self._current, None
         if call is not None:
-            call.done = True
-            call.timer.cancel()
+            call.drop()
             if self._conn is not None:
                 self._conn.abort()
         self._next()
@@ -173,6 +180,9 @@
 
     def _dial(self, call):
         def opened(conn):
+            if self._closed:
+                conn.abort()
+                return
             self._conn = ClientConn(conn, self._limit)
             if call.done:
                 return
@@ -196,8 +206,7 @@
         if self._current is call:
             self._current = None
         if not call.done:
-            call.done = True
-            call.timer.cancel()
+            call.drop()
             call.on_done(result)
         self._next()
 
@@ -211,3 +220,8 @@
     timer: object = None
     sent: bool = False
     done: bool = False
+
+    def drop(self):
+        """Report no result from now on."""
+        self.done = True
+        self.timer.cancel()
--- /dev/null
+++ b/tests/client.feature
@@ -0,0 +1,28 @@
+Feature: requests to one server over one connection
+
+  Scenario Outline: a late answer to an earlier request does not complete the next one
+    Given a server that answers when the test says so
+    When a request for /a is sent and then <ended>
+    And a request for /b is sent
+    And the server answers /a
+    Then no answer arrives
+    When the server answers /b
+    Then the request for /b gets its own answer
+
+    Examples:
+      | ended     |
+      | cancelled |
+      | timed out |
+
+  Scenario: a request whose connection opens only after the client was closed is not sent
+    Given a server that answers when the test says so
+    When a request for /a is made and the client is closed while it connects
+    Then the server receives no request and has no open connection
+    And no answer arrives
+
+  Scenario: a closed client reports no results
+    Given a server that answers when the test says so
+    When a request for /a is sent and a request for /b waits
+    And the client is closed
+    Then the server receives only /a
+    And no answer arrives
