Close a connection that opens for a request given up meanwhile

What happened: a request that was cancelled or timed out while it connected left its connection open, without an owner, once the next request had dialed its own. If it opened as the later of the two, it took the place of the connection in use, and a cancel or a time-out then closed the wrong one. Connections of a node to a slow store or executor could add up.

Cause: Requester kept every connection that opened as its only one.

Evidence, failed before: "a request that is cancelled while it connects leaves no connection open beside the next"

Fix: a connection of a request that was given up is kept only if no other request is current and no usable connection is there; otherwise it is closed.

--- a/src/cardamomgrade/client.py
+++ b/src/cardamomgrade/client.py
@@ -167,26 +167,31 @@
         self._queue.append(call)
         self._next()
 
+    def _has_conn(self):
+        return self._conn is not None and self._conn.usable
+
     def _next(self):
         while self._current is None and self._queue:
             call = self._queue.popleft()
             if call.done:
                 continue
             self._current = call
-            if self._conn is not None and self._conn.usable:
+            if self._has_conn():
                 self._send(call)
             else:
                 self._dial(call)
 
     def _dial(self, call):
         def opened(conn):
-            if self._closed:
+            # A request that was given up meanwhile may have a successor, which dialed
+            # a connection of its own.
+            superseded = call.done and (self._current is not None or self._has_conn())
+            if self._closed or superseded:
                 conn.abort()
                 return
             self._conn = ClientConn(conn, self._limit)
-            if call.done:
-                return
-            self._send(call)
+            if not call.done:
+                self._send(call)
 
         def failed(exc):
             self._finish(call, Failure(False, str(exc)))
--- a/tests/client.feature
+++ b/tests/client.feature
@@ -26,3 +26,11 @@
     And the client is closed
     Then the server receives only /a
     And no answer arrives
+
+  Scenario: a request that is cancelled while it connects leaves no connection open beside the next
+    Given a server that answers when the test says so
+    When a request for /a is cancelled while it connects
+    And a request for /b is sent
+    And the server answers /b
+    Then the request for /b gets its own answer
+    And the server has 1 open connections
