Bind the time limit of a candidacy to that candidacy

What callers see: no task starts for about 2 s more after a change of scheduler while jobs arrive.

Cause: a node whose candidacy conflicts with another record, such as a job's, stands again at once under the same epoch. The time limit of the earlier candidacy stayed and compared only epochs, so 2 s after the first conflict it ended whichever candidacy was under way. If that one's record was stored, the node ignored it when it read it; nobody scheduled under its epoch, and all nodes waited for the next election.

That an election on the users' machines was lost this way is not shown: the event to look for is TermChanged with "its term record was not read back in time" less than 2 s after the candidacy.

Fix: the node keeps the record of the candidacy under way, and answers and time limits apply only to the candidacy that they were made for. An own record of the same epoch still elects the node, whichever of its candidacies stored it.

--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -98,7 +98,7 @@
         self._queue_cfg = None
         self._waves = {}
         self._driver = None
-        self._candidate_epoch = None
+        self._candidacy = None
         self._stopping = False
         self._open_requests = 0
         self._view = JobView()
@@ -309,21 +309,20 @@
 
     def _on_term(self, record, offset):
         self._term.on_term_record(record, self._loop.now())
-        if self._driver is None and self._candidate_epoch is None:
+        if self._driver is None and self._candidacy is None:
             self._follower.pause_s = FOLLOWER_PAUSE_S
         if self._term.term_ended:
             self._loop.call_later(RESIGNED_JITTER_S, self._on_read)
         own = record.incarnation == self._incarnation
-        if own and record.epoch == self._candidate_epoch and not record.resigned:
-            self._candidate_epoch = None
+        stood = self._candidacy
+        if own and stood and record.epoch == stood.epoch and not record.resigned:
+            self._candidacy = None
             if self._term.transition("elected", "read its own term record back"):
                 self._start_driver(record)
         elif own:
             if self._driver is not None:
                 self._driver.on_term_read(record)
-        elif (
-            self._candidate_epoch is not None and record.epoch >= self._candidate_epoch
-        ):
+        elif stood and record.epoch >= stood.epoch:
             self._on_rejected(
                 f"{record.node} won the election for epoch {record.epoch}"
             )
@@ -363,22 +362,23 @@
         self._term.transition(
             "stood", f"no live scheduler at offset {self._follower.next_offset}"
         )
-        self._candidate_epoch = record.epoch
+        self._candidacy = record
         self._follower.pause_s = SCHEDULER_PAUSE_S
         position = WriterPosition(WRITER_NAME, record.epoch, record.beat)
 
         def done(result):
             failed = not isinstance(result, Appended)
-            if not failed or self._candidate_epoch != record.epoch:
+            if not failed or self._candidacy is not record:
                 return
             if result.fate is AppendFate.MOVED_ON:
-                self._candidate_epoch = None
+                self._candidacy = None
                 self._term.on_conflict("another record was appended first")
             elif result.fate is not AppendFate.UNKNOWN:
                 self._on_rejected(result.detail)
 
         def expire():
-            if self._candidate_epoch == record.epoch:
+            # After a conflict the node may stand again under the same epoch.
+            if self._candidacy is record:
                 self._on_rejected("its term record was not read back in time")
 
         self._candidacy_topic.append(
@@ -392,6 +392,6 @@
         self._loop.call_later(2 * CANDIDACY_TIMEOUT_S, expire)
 
     def _on_rejected(self, why):
-        self._candidate_epoch = None
+        self._candidacy = None
         self._follower.pause_s = FOLLOWER_PAUSE_S
         self._term.on_rejected(self._loop.now(), why)
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -67,6 +67,12 @@
     When another node begins a term with a higher epoch
     Then the old scheduler becomes a follower after its next append
 
+  Scenario: the time limit of an earlier candidacy does not end a later one of the same epoch
+    Given 1 nodes on an emulated platform with 1 executors
+    When the node is restarted and its candidacies conflict with other records for 1.5 s
+    And the record of its next candidacy is stored but cannot be read for 0.8 s
+    Then the node is elected by reading that record
+
   Scenario: tasks of an unresponsive executor restart once its lease has lapsed
     Given 1 nodes on an emulated platform with 2 executors
     When one executor stops responding while it runs tasks of a job
--- a/tests/steps/jobs_node.py
+++ b/tests/steps/jobs_node.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from cardamomgrade.client import Failure, Requester
+from cardamomgrade.emulator.log import Reply
 from cardamomgrade.emulator.server import EmulatedPlatform, HOST
 from cardamomgrade.errors import SettingsError
 from cardamomgrade.jobs.node import Node
@@ -409,6 +410,47 @@
     world.rig.run_until(lambda: not world.nodes[world.old].scheduling)
 
 
+@when(
+    "the node is restarted and its candidacies conflict with other records for"
+    " {seconds:g} s"
+)
+def step_conflicts(context, seconds):
+    world = context.nodes
+    log, times = world.platform.log, []
+    append = log.append
+    world.nodes[0].close()
+
+    def append_after_conflicts(topic, pairs, at=None, *writer):
+        if at is None:
+            return append(topic, pairs, at, *writer)
+        times.append(world.rig.loop.now())
+        if times[-1] - times[0] < seconds:
+            return Reply(412, {"end": at + 1})
+        world.platform.faults.down = True
+        log.append = append
+        return append(topic, pairs, at, *writer)
+
+    log.append = append_after_conflicts
+    world.nodes[0] = world.start(world.cfgs[0])
+
+
+@when("the record of its next candidacy is stored but cannot be read for {seconds:g} s")
+def step_unreadable(context, seconds):
+    world = context.nodes
+    world.rig.run_until(lambda: world.platform.faults.down)
+    world.stored = decode_term(world.platform.log.newest("keyed.jobs")[b"term"][0])
+    world.rig.run_for(seconds)
+    world.platform.faults.down = False
+
+
+@then("the node is elected by reading that record")
+def step_elected(context):
+    world = context.nodes
+    world.rig.run_until(lambda: world.scheduler() == 0)
+    newest = decode_term(world.platform.log.newest("keyed.jobs")[b"term"][0])
+    assert newest.epoch == world.stored.epoch, (newest, world.stored)
+
+
 @when("one executor stops responding while it runs tasks of a job")
 def step_unresponsive(context):
     world = context.nodes
