Do not count ended tasks against a step's limit per executor

Callers saw a job with nothing running while one of its tasks could run (LOST), in the users' record after seven of eight tasks of a step had ended on seven executors and the lease of the eighth had lapsed on the last one.

Cause: PlacementLimits counted tasks that are done. With a limit of one, a task that has to start again could only use an executor that none of its siblings had run on, here the one that did not answer.

That the job of the users' record had such a limit is not known.

Failed before, 'a limit per executor does not count tasks that are done': Then the plan starts 1 tasks, on 1 executors ... failed ASSERT FAILED: []

A test of the stall log told a limit that done tasks reach from one that running tasks reach; the first no longer exists, so it now requires that nothing stands still there, and that the second is logged.

--- a/src/cardamomgrade/jobs/placing.py
+++ b/src/cardamomgrade/jobs/placing.py
@@ -10,6 +10,8 @@
 class PlacementLimits:
     """Limits the tasks of one step and occurrence per executor.
 
+    Only placed tasks count: those that are done, or whose lease has lapsed, do not run.
+
     With enough ``executors``, no executor gets more tasks than the step's availability
     budget allows to be unavailable at once, so that upkeep can take down its VM.
     """
@@ -23,7 +25,7 @@
         self._counts = {}
         if self._limit:
             for task in step_state.tasks:
-                if task.executor and task.phase.name in ("PLACED", "DONE"):
+                if task.phase.name == "PLACED":
                     self.add(task.executor)
 
     def add(self, name):
--- a/src/cardamomgrade/jobs/stalls.py
+++ b/src/cardamomgrade/jobs/stalls.py
@@ -117,14 +117,10 @@
     """Return a Counter of why executors may not run one more task of a step.
 
     Each executor counts once, under the first reason: ``other-label``, ``no-room``,
-    ``limit`` (per executor), ``limit-by-done`` (the same, but tasks that are not done
-    would leave room), ``unlisted``, ``draining``, ``unreachable``, ``cordoned``, the
-    text that ``reason_aside(name)`` returns, or ``open`` if there is none. So an
-    executor under a reason that is not about its room would have room.
+    ``limit`` (per executor), ``unlisted``, ``draining``, ``unreachable``,
+    ``cordoned``, the text that ``reason_aside(name)`` returns, or ``open`` if there is
+    none. So an executor under a reason that is not about its room would have room.
     """
-    placed = Counter(
-        task.executor for task in step_state.tasks if task.phase is Phase.PLACED
-    )
     step = step_state.step
     counts = Counter()
     for item in executors:
@@ -134,8 +130,7 @@
         elif not item.fits(step):
             reason = "no-room"
         elif not limits.allows(item.name):
-            by_done = placed[item.name] < step.per_executor
-            reason = "limit-by-done" if by_done else "limit"
+            reason = "limit"
         elif not item.listed:
             reason = "unlisted"
         elif entry.draining:
--- a/tests/steps/jobs_stalls.py
+++ b/tests/steps/jobs_stalls.py
@@ -53,6 +53,13 @@
     context.jobs.add(Step(tasks, cores_m=1000, per_executor=limit))
 
 
+@when(
+    "a lasting step of {tasks:d} tasks with at most {limit:d} on each executor is added"
+)
+def step_limited_lasting(context, tasks, limit):
+    context.jobs.add(Step(tasks, cores_m=1000, per_executor=limit, lasting=True))
+
+
 @when("its tasks are done")
 def step_done(context):
     context.jobs.plan()
