Replace an agent that does not ask about the runs it should watch

What callers saw: a job stayed `running` for ever once the agent of one of its executors looked at another record, or had a renewal that never reported its result.

Cause: nothing checked that an executor with runs is asked about them.

Fix: each tick, the driver looks for executors that have had runs, and were not asked for a report by the agent of exactly that record, for longer than a lease with its margins. The agent is replaced (event 619) and the new one asks at once. Ends that are not acknowledged are listed again. A start order of the old agent may still take effect within a lease, so a run that is not reported is marked as lapsed only after it; stops are repeated. A pause of the process does not count: the agents could not ask meanwhile, and a new agent would count the lease of a silent executor from the start.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -6,7 +6,7 @@
 import attrs
 
 from ..journal import event, log_event
-from .lease import Lease
+from .lease import lapse_bound_s, Lease
 from .reports import LeaseReport, OrderResult
 
 RENEW_WAIT_MS = 1000  # a quarter of the lease, so that three renewals may fail
@@ -68,7 +68,8 @@
 class _PendingStart:
     """A start order until the run ends.
 
-    ``accepted_at`` is when the executor confirmed it (monotonic seconds), or None;
+    ``accepted_at`` is when the executor confirmed it (monotonic seconds), or None, or
+    by when it has taken effect if at all; ``order`` is None for one of another agent;
     ``deadline_ms`` is the lease deadline sent with it, or 0 to take a new one;
     ``maybe_received`` is set when an attempt had no answer and may have arrived.
     """
@@ -98,6 +99,7 @@
         self._executor = executor
         self._driver = driver
         self._lease = Lease(loop.now(), executor.entry.clock_ms, lease_ms)
+        self._lease_ms = lease_ms
         placed = executor.allocations.items() if inherited else ()
         self._inherited = {(task, item.run) for task, item in placed}
         self._starts = {}
@@ -111,6 +113,19 @@
         self._wait_ms = RENEW_WAIT_MS
         self._closed = False
 
+    def replace(self, other):
+        """Watch the runs of a closed agent of the same scheduler and executor.
+
+        Its start orders may still take effect until their lease deadlines.
+        """
+        started_by = self._loop.now() + lapse_bound_s(self._lease_ms)
+        for task, item in self._executor.allocations.items():
+            self._starts[task, item.run] = _PendingStart(None, started_by)
+        self._inherited.clear()
+        for task, run in other._stopping:
+            self.stop(task, run)
+        self.renew_if_needed()
+
     @property
     def name(self):
         """The id of the executor's incarnation."""
@@ -145,6 +160,10 @@
         unacknowledged = self._acknowledged_end < self._received_end
         return bool(executor.allocations) or unacknowledged or is_probe
 
+    def asked_at(self, executor):
+        """Return when an Executor was last asked for a report, or -inf if never."""
+        return self._renewed_at if executor is self._executor else float("-inf")
+
     @property
     def finished(self):
         """Whether the executor has no runs and no ends that can be acknowledged.
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -26,6 +26,7 @@
 
 PLAN_DELAY_S = 0.02  # decisions made within this time share one append
 TICK_S = 0.15  # interval of checks for due occurrences and for ended backoffs
+PAUSE_S = 1.0  # a longer time between two ticks is a pause of this process
 DURATIONS_SAVE_INTERVAL_S = 2.0  # a new scheduler lacks at most the runs of this time
 REFUSAL_BACKOFF_MS = 1000  # an executor that refused a start is retried after this
 JOB_RETENTION_MARGIN_S = 30.0  # beyond status_ms, in which callers may query a job
@@ -54,6 +55,17 @@
     percent: int
 
 
+@event(619)
+class RunsUnwatched:
+    """An executor with runs was not asked about them for longer than a lease.
+
+    It gets a new agent, which asks it.
+    """
+
+    executor: str
+    runs: int
+
+
 @attrs.frozen
 class VmDependencies:
     """Objects of a term that the driver and its VmManager share."""
@@ -82,6 +94,8 @@
         self._durations_saved_at = loop.now()
         self._started_at = loop.now()
         self._agents = {}
+        self._idle_at = {}
+        self._ticked_at = loop.now()
         self._end_numbers = {}
         self._plan_timer = None
         self._closed = False
@@ -269,6 +283,24 @@
         if agent is not None:
             agent.close()
 
+    def _replace_unwatching_agents(self, now):
+        """Let no job wait on a run that no agent asks about."""
+        executors = self._scheduler.executors
+        known_idle_at = {} if now - self._ticked_at > PAUSE_S else self._idle_at
+        self._ticked_at = now
+        self._idle_at = {
+            name: known_idle_at.get(name, now) if item.allocations else now
+            for name, item in executors.items()
+        }
+        for name, executor in list(executors.items()):
+            agent = self._agents[name]
+            asked_at = max(self._idle_at[name], agent.asked_at(executor))
+            if now - asked_at > lapse_bound_s(self._lease_ms):
+                log_event(RunsUnwatched(name, len(executor.allocations)))
+                agent.close()
+                self._add_agent(name)
+                self._agents[name].replace(agent)
+
     def _forget_unlisted(self):
         for name, executor in list(self._scheduler.executors.items()):
             if not executor.listed and self._agents[name].finished:
@@ -284,6 +316,7 @@
             for name in self._scheduler.unregistered_executors():
                 self._scheduler.mark_runs_lapsed(name, now * MS)
         self._forget_unlisted()
+        self._replace_unwatching_agents(now)
         self._forget_jobs(now)
         if now - self._durations_saved_at > DURATIONS_SAVE_INTERVAL_S:
             self._durations_saved_at = now
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -94,6 +94,21 @@
     And it is listed again
     Then a job submitted now is completed
 
+  Scenario Outline: a job does not wait on a run that nobody watches
+    Given 1 nodes on an emulated platform with 1 executors
+    When <fault> before the only executor runs a job
+    Then each of its 2 tasks ended done once
+
+    Examples:
+      | fault                                     |
+      | a renewal never reports its result        |
+      | the agent is left with another record     |
+
+  Scenario: an agent is not replaced because the scheduler was paused
+    Given 1 nodes on an emulated platform with 1 executors
+    When the scheduler is paused for 5 s and the only executor is silent in a job
+    Then the executor keeps its agent
+
   Scenario: malformed records of other writers are ignored
     Given 1 nodes on an emulated platform with 1 executors
     When these records are written
--- a/tests/steps/jobs_life.py
+++ b/tests/steps/jobs_life.py
@@ -1,8 +1,12 @@
 """Steps for executors that the platform stops listing, and lists again."""
 
 import json
+import time
 
 from behave import then, when
+from jobs_node import step_fields, TASK_MS
+
+from cardamomgrade.jobs.executors import Executor
 
 SERVERS = "keyed.servers"
 NOTICE_S = 0.3  # the scheduler has read a record of the store by then
@@ -24,8 +28,7 @@
 
 def run_job(world):
     """Run a job of one task to its end, so that the scheduler has used an executor."""
-    steps = [{"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 50}]
-    assert world.submit(steps, job=OTHER_JOB).status == 200
+    assert world.submit([step_fields(1)], job=OTHER_JOB).status == 200
     world.wait_state("completed", job=OTHER_JOB)
     world.rig.run_for(NOTICE_S)
 
@@ -68,8 +71,7 @@
 def step_unlisted_busy(context):
     world = context.nodes
     world.task_ms = 1000
-    steps = [{"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 50}]
-    assert world.submit(steps).status == 200
+    assert world.submit([step_fields(2)]).status == 200
     world.rig.run_until(lambda: len(world.platform.trace) == 2)
     unlist(world, "i-0")
     world.wait_state("completed")
@@ -86,8 +88,7 @@
 def step_silent(context):
     world = context.nodes
     world.task_ms = 60_000
-    steps = [{"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 50}]
-    assert world.submit(steps, job=OTHER_JOB).status == 200
+    assert world.submit([step_fields(1)], job=OTHER_JOB).status == 200
     world.rig.run_until(lambda: world.platform.trace)
     instance = world.platform.instances["i-0"]
     instance.silent = True
@@ -98,5 +99,57 @@
 
 @when("it is listed again")
 def step_listed(context):
-    context.nodes.task_ms = 60
+    context.nodes.task_ms = TASK_MS
     context.nodes.platform.put(SERVERS, "i-0", context.fields)
+
+
+def lose_result(agent):
+    """Let the agent's next renewal end without a callback."""
+    client = agent._client
+    renew = client.renew
+
+    def lose(*_):
+        client.renew = renew
+
+    client.renew = lose
+
+
+def part_record(agent):
+    agent._executor = Executor(agent._executor.entry)
+
+
+PARTINGS = {
+    "a renewal never reports its result": lose_result,
+    "the agent is left with another record": part_record,
+}
+
+
+@when("{fault} before the only executor runs a job")
+def step_parted(context, fault):
+    world = context.nodes
+    agents = world.nodes[0]._driver._agents
+    world.rig.run_until(lambda: "i-0" in agents)
+    PARTINGS[fault](agents["i-0"])
+    assert world.submit([step_fields(2)]).status == 200
+
+
+@when(
+    "the scheduler is paused for {seconds:d} s and the only executor is silent in a job"
+)
+def step_paused(context, seconds):
+    world = context.nodes
+    world.task_ms = 6000
+    assert world.submit([step_fields(2)]).status == 200
+    instance = world.platform.instances["i-0"]
+    world.rig.run_until(lambda: len(instance.executor.runs) == 2)
+    world.rig.run_for(NOTICE_S)
+    context.agent = world.nodes[0]._driver._agents["i-0"]
+    instance.silent = True
+    time.sleep(seconds)
+
+
+@then("the executor keeps its agent")
+def step_same_agent(context):
+    world = context.nodes
+    world.rig.run_for(0.5)
+    assert world.nodes[0]._driver._agents["i-0"] is context.agent
