Draw no conclusion from a report that may leave out ends

Cause: an executor lists at most 500 ends in a report, the others once these are acknowledged. The agent took a run that was neither running nor among the ends of the first report as one that had never begun (an inherited run) or that was lost (an accepted start), although its end could follow.

Fix: the platform's client, which knows how many ends a report can have, tells with LeaseReport.more_ends whether there may be more. The agent then leaves runs that are not reported alone, and keeps the inherited ones, until a report with all ends. Ends are acknowledged as before, as soon as they are stored, so the next ones are asked for at once.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -217,7 +217,8 @@
                 self._driver.on_reachable(self.name)
             self._process_ends(report)
             self._reconcile(report, sent_at)
-            self._inherited.clear()
+            if not report.more_ends:
+                self._inherited.clear()
             self.renew_if_needed()
             return
         if report.result is OrderResult.FENCED:
@@ -264,7 +265,9 @@
             if allocation is None or allocation.run != run:
                 log_event(StrayRun(self.name, task, run))
                 self.stop(task, run)
-        for task, allocation in list(placed.items()):
+        # With more ends to come, the end of an absent run may be among them.
+        doubtful = () if report.more_ends else list(placed.items())
+        for task, allocation in doubtful:
             if (task, allocation.run) in reported:
                 continue
             pending = self._starts.get((task, allocation.run))
--- a/src/cardamomgrade/jobs/reports.py
+++ b/src/cardamomgrade/jobs/reports.py
@@ -85,11 +85,16 @@
 
 @attrs.frozen
 class LeaseReport:
-    """An executor's answer to a renewal: its clock, RunningTasks and EndedTasks."""
+    """An executor's answer to a renewal: its clock, RunningTasks and EndedTasks.
+
+    ``running`` is complete. With ``more_ends``, ``ended`` may lack ends, which are
+    listed once these are acknowledged.
+    """
 
     clock_ms: int
     running: tuple
     ended: tuple
+    more_ends: bool = False
 
 
 @attrs.frozen
--- a/src/cardamomgrade/platform/executor.py
+++ b/src/cardamomgrade/platform/executor.py
@@ -16,6 +16,7 @@
 ORDER_TIMEOUT_S = 0.5  # a healthy executor answers within a few ms
 ANSWER_SLACK_S = 0.7  # beyond the wait that a renewal requests
 ANSWER_LIMIT_BYTES = 4 * 1024 * 1024  # well above a report of 500 ends and all runs
+ENDS_PER_REPORT = 500  # a report with as many may leave out later ones
 MS = 1000
 _CONFLICTS = {
     "fence": OrderResult.FENCED,
@@ -77,7 +78,8 @@
         ended = tuple(_ended_task(row) for row in fields["finished"])
     except (ValueError, TypeError, KeyError, IndexError):
         return OrderAnswer(OrderResult.REJECTED, answer.clock_ms)
-    return LeaseReport(answer.clock_ms, running, ended)
+    more_ends = len(ended) >= ENDS_PER_REPORT
+    return LeaseReport(answer.clock_ms, running, ended, more_ends)
 
 
 class ExecutorClient:
--- /dev/null
+++ b/tests/jobs/agent_reports.feature
@@ -0,0 +1,32 @@
+Feature: conclusions that an executor's agent draws from its reports
+
+  Scenario: an inherited run whose end is not on the first page of ends is not withdrawn
+    Given an agent that inherits run 1 of a task
+    When the executor reports ends 1 to 500 of other runs, and that there are more
+    Then the agent has not given run 1 up
+    When ends up to 500 are stored
+    Then the next renewal is sent at once and acknowledges end 500
+    When the executor reports that end 501 is that of run 1, which is done
+    Then run 1 ended as done
+
+  Scenario: an inherited run that is in no page of ends is withdrawn after the last one
+    Given an agent that inherits run 1 of a task
+    When the executor reports ends 1 to 500 of other runs, and that there are more
+    And ends up to 500 are stored
+    And the executor reports neither runs nor ends
+    Then the agent gave run 1 up as withdrawn
+
+  Scenario: an accepted run whose end is not on the first page of ends is not missing
+    Given an agent that has started run 1 of a task
+    When the executor reports ends 1 to 500 of other runs, and that there are more
+    Then the agent has not given run 1 up
+    When ends up to 500 are stored
+    And the executor reports that end 501 is that of run 1, which is done
+    Then run 1 ended as done
+
+  Scenario: an accepted run that is in no page of ends is missing after the last one
+    Given an agent that has started run 1 of a task
+    When the executor reports ends 1 to 500 of other runs, and that there are more
+    And ends up to 500 are stored
+    And the executor reports neither runs nor ends
+    Then the agent gave run 1 up as missing
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -55,6 +55,12 @@
     And each of its 4 tasks ended done once
     And the executors have received a higher fencing token
 
+  Scenario: a run whose end is not among the first 500 that its executor lists is not repeated
+    Given 2 nodes on an emulated platform with 2 executors
+    When the scheduling node is killed while executors that list 500 older ends run a job
+    Then the other node shows the job as completed
+    And each of its 4 tasks ended done once
+
   Scenario: a scheduler that was replaced can neither store records nor start runs
     Given 2 nodes on an emulated platform with 2 executors
     When another node begins a term with a higher epoch
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -61,6 +61,7 @@
   Scenario: an executor's report is decoded into runs and ends
     Then a report of two runs and one end is decoded
     And a report with an unknown outcome is rejected
+    And only a report of 500 ends tells that there may be more
 
   Scenario: all fields of a submitted step are decoded
     Then a step with every field set is decoded
--- /dev/null
+++ b/tests/steps/jobs_agent_reports.py
@@ -0,0 +1,150 @@
+"""Steps for the reports that an executor's agent gets, with a simulated executor."""
+
+import attrs
+from behave import given, then, when
+from jobs_scheduler import executor_entry
+from jobs_vms import SimulatedTimers
+
+from cardamomgrade.jobs.agent import ExecutorAgent
+from cardamomgrade.jobs.executors import Executor
+from cardamomgrade.jobs.lease import LEASE_MS
+from cardamomgrade.jobs.reports import (
+    EndedTask,
+    LeaseReport,
+    OrderAnswer,
+    OrderResult,
+    Outcome,
+)
+from cardamomgrade.jobs.scheduler import Start
+from cardamomgrade.jobs.spec import Step
+
+TASK = "00000000000000a1.0.0.0"
+OTHER_JOB = "00000000000000d1"
+
+
+@attrs.define(eq=False)
+class SimulatedClient:
+    """Records calls; ``renewals`` has (stored_end, on_done) of those not answered."""
+
+    renewals: list = attrs.field(factory=list)
+    orders: list = attrs.field(factory=list)
+
+    def renew(self, deadline_ms, stored_end, wait_ms, on_done):
+        self.renewals.append((stored_end, on_done))
+
+    def start(self, order, deadline_ms, on_done):
+        self.orders.append(("start", order.task, order.run))
+        on_done(OrderAnswer(OrderResult.TAKEN, 1000))
+
+    def stop(self, order, on_done):
+        self.orders.append(("stop", order.task, order.run))
+        on_done(OrderAnswer(OrderResult.TAKEN, 1000))
+
+    def close(self):
+        pass
+
+
+@attrs.define(eq=False)
+class RecordingDriver:
+    """Releases runs that are over, and records what the agent said about them."""
+
+    executor: object
+    said: list = attrs.field(factory=list)
+
+    def on_runs_ended(self, name, ends):
+        for item in ends:
+            self._over(item.outcome.value, item.task, item.run)
+
+    def on_run_withdrawn(self, name, task, run):
+        self._over("withdrawn", task, run)
+
+    def on_run_missing(self, name, task, run):
+        self._over("missing", task, run)
+
+    def _over(self, what, task, run):
+        allocation = self.executor.allocations.get(task)
+        if allocation is not None and allocation.run == run:
+            self.executor.release(task)
+            self.said.append((what, task, run))
+
+    def on_running(self, name, running):
+        return False
+
+
+class AgentFixture:
+    """An agent, its simulated executor, and the driver that it reports to."""
+
+    def __init__(self, inherits):
+        self.timers = SimulatedTimers()
+        self.client = SimulatedClient()
+        self.executor = Executor(executor_entry("e1", 4))
+        self.executor.allocate(TASK, 1, Step(1, cores_m=1000))
+        self.driver = RecordingDriver(self.executor)
+        self.agent = ExecutorAgent(
+            self.timers, self.client, self.executor, self.driver, inherits, LEASE_MS
+        )
+
+    def report(self, running=(), ended=(), **fields):
+        """Answer the renewal in flight."""
+        self.timers.advance(0.05)
+        (_, on_done) = self.client.renewals.pop()
+        assert not self.client.renewals
+        on_done(LeaseReport(1000, tuple(running), tuple(ended), **fields))
+
+
+@given("an agent that inherits run 1 of a task")
+def step_inheriting(context):
+    context.agent = AgentFixture(inherits=True)
+    context.agent.agent.renew_if_needed()
+
+
+@given("an agent that has started run 1 of a task")
+def step_started(context):
+    world = context.agent = AgentFixture(inherits=False)
+    world.agent.start(Start("e1", TASK, 1, "text", ""))
+    world.report()
+    assert world.driver.said == []
+
+
+@when("the executor reports ends 1 to 500 of other runs, and that there are more")
+def step_first_page(context):
+    ends = [
+        EndedTask(number, f"{OTHER_JOB}.0.0.{number}", 1, Outcome.DONE, "")
+        for number in range(1, 501)
+    ]
+    context.agent.report(ended=ends, more_ends=True)
+
+
+@then("the agent has not given run 1 up")
+def step_kept(context):
+    assert context.agent.driver.said == [], context.agent.driver.said
+
+
+@when("ends up to 500 are stored")
+def step_stored(context):
+    context.agent.agent.acknowledge_ends(500)
+
+
+@then("the next renewal is sent at once and acknowledges end 500")
+def step_next_renewal(context):
+    assert [stored for stored, _ in context.agent.client.renewals] == [500]
+
+
+@when("the executor reports that end 501 is that of run 1, which is done")
+def step_last_end(context):
+    context.agent.report(ended=[EndedTask(501, TASK, 1, Outcome.DONE, "")])
+
+
+@when("the executor reports neither runs nor ends")
+def step_empty_report(context):
+    context.agent.report()
+
+
+@then("run 1 ended as done")
+def step_done(context):
+    assert context.agent.driver.said == [("done", TASK, 1)], context.agent.driver.said
+
+
+@then("the agent gave run 1 up as {what}")
+def step_over(context, what):
+    assert context.agent.driver.said == [(what, TASK, 1)], context.agent.driver.said
--- a/tests/steps/jobs_life.py
+++ b/tests/steps/jobs_life.py
@@ -153,3 +153,26 @@
     world = context.nodes
     world.rig.run_for(0.5)
     assert world.nodes[0]._driver._agents["i-0"] is context.agent
+
+
+@when(
+    "the scheduling node is killed while executors that list {count:d} older ends "
+    "run a job"
+)
+def step_killed_with_ends(context, count):
+    world = context.nodes
+    killed = world.scheduler()
+    world.survivor = 1 - killed
+    world.task_ms = 300
+    assert world.submit([step_fields(4)], world.survivor).status == 200
+    world.rig.run_until(lambda: len(world.platform.trace) == 4)
+    world.nodes[killed].close()
+    world.nodes[killed] = None
+    for instance in world.platform.instances.values():
+        executor = instance.executor
+        assert executor.next_end == 1
+        executor.ends = [
+            [number, f"{OTHER_JOB}.0.0.{number}", 1, "done", ""]
+            for number in range(1, count + 1)
+        ]
+        executor.next_end = count + 1
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -1,5 +1,7 @@
 """Steps for the platform adapter; the expected bytes and texts are literals."""
 
+import json
+
 import attrs
 import yaml
 from behave import given, then, when
@@ -155,6 +157,15 @@
     assert found.result is OrderResult.REJECTED
 
 
+@then("only a report of 500 ends tells that there may be more")
+def step_more_ends(context):
+    for count, more in ((0, False), (499, False), (500, True)):
+        ends = [[number, "j.0.0.9", 1, "done", ""] for number in range(1, count + 1)]
+        body = json.dumps({"clockMs": 7, "running": [], "finished": ends})
+        report = executor._lease_report(result(200, body))
+        assert (len(report.ended), report.more_ends) == (count, more)
+
+
 @then("a step with every field set is decoded")
 def step_step(context):
     body = (
