Let a silent executor's lease run on across a change of scheduler

What callers saw: a job had nothing running while a task could run (LOST). In the users' record a lease ends at 52.1 s and its lapse is noted at 60.4 s.

Cause: a new scheduler created its Lease as granted at its own start, and its first renewal granted it once more, answered or not. So an executor that had been silent for long was given up only lapse_bound_s (4.23 s) and a failed renewal after the change. Runs on unregistered executors were counted from the start of the term as well.

Evidence: on the code before, with the new scenario "a new scheduler does not wait a whole lease again for an executor that was silent before": ASSERT FAILED: 5.13 s after the end of the lease The executor fell silent right after a renewal and the scheduling node was killed 2.9 s later. "... for an executor that vanished before" failed with 5.20 s. The two scenarios on safety failed for want of a record ("timed out waiting for the condition"). On scratch copies of the new code both fail when the lease is granted without a deletion, and the second when it is granted before the deletion is acknowledged; copies with one guard of the agent removed each fail in silence.feature.

Why it works: after two failed renewals in a row the scheduler stores silent/EXECUTOR with the age of the last grant. From then on no renewal and no start grants the lease until the deletion of the record is acknowledged, which a deposed scheduler cannot get, as the store fences its appends. Every node notes when it read the record. A last grant is at most that time less the age; steady clocks that stop while a machine is suspended only make the wait longer. A new scheduler starts the lease there, and the record binds it too. Records of executors without runs are deleted at the next tick, so that none is left behind. One lost answer stores nothing, and a record that was not sent yet is dropped and delays no grant.

Cost: if the store is down for the rest of the lease when the executor answers again, its runs lapse. A record and its deletion take 48 bytes for an id of ten characters, usually in an append each, which takes the place of a beat.

Weighed instead: a bound for the whole term from its last term record needs schedulers that grant only after recent contact with the store, so a longer outage of the store would end all runs. The last grant of each executor, stored with the progress, is the same promise not to grant, needs a write each time that it is broken, and says nothing of executors whose jobs do not change. The record is written only for the few executors that it helps.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -86,18 +86,25 @@
     ``on_lease_lapsed``, ``on_run_withdrawn``, ``on_run_missing``,
     ``on_start_refused``, ``on_reachable`` and ``on_fenced``, and ``on_running``, which
     returns whether to request reports more often. ``inherited`` is whether an earlier
-    scheduler may have started runs here.
+    scheduler may have started runs here. While ``silences`` (SilentExecutors) may have
+    a record of the executor, no request grants the lease.
 
     Ends of runs are numbered. They are acknowledged to the executor once stored:
     ``_received_end`` >= ``_stored_end`` >= ``_acknowledged_end``.
     """
 
-    def __init__(self, loop, client, executor, driver, inherited, lease_ms):
+    def __init__(self, loop, client, executor, driver, silences, inherited, lease_ms):
         self._loop = loop
         self._client = client
         self._executor = executor
         self._driver = driver
-        self._lease = Lease(loop.now(), executor.entry.clock_ms, lease_ms)
+        self._silences = silences
+        self._lease = Lease(
+            loop.now(),
+            executor.entry.clock_ms,
+            lease_ms,
+            silences.granted_at(executor.name),
+        )
         placed = executor.allocations.items() if inherited else ()
         self._inherited = {(task, item.run) for task, item in placed}
         self._starts = {}
@@ -109,7 +116,10 @@
         self._renewed_at = loop.now()
         self._retry = None
         self._wait_ms = RENEW_WAIT_MS
+        self._answered = False
         self._closed = False
+        if not self._may_grant():
+            self._mark_unreachable("it was silent before")
 
     @property
     def name(self):
@@ -162,9 +172,8 @@
             and not self._inherited
         )
         wait_ms = self._wait_ms if may_wait else 0
-        deadline = None if self._executor.unreachable else self._lease.grant(now)
-        if not self._executor.allocations:
-            deadline = None
+        to_grant = self._executor.allocations and not self._executor.unreachable
+        deadline = self._lease.grant(now) if to_grant and self._may_grant() else None
 
         def done(report):
             self._renewing = False
@@ -179,28 +188,50 @@
         now = self._loop.now()
         if isinstance(report, LeaseReport):
             self._lease.update_clock(now, report.clock_ms)
-            if self._executor.unreachable:
-                self._executor.unreachable = False
-                log_event(ExecutorReachable(self.name, True, ""))
-                self._driver.on_reachable(self.name)
+            self._answered = True
+            if self._executor.unreachable or not self._may_grant():
+                self._silences.clear(self.name, self._on_silence_cleared)
             self._process_ends(report)
             self._reconcile(report, sent_at)
             self._inherited.clear()
-            self.renew_if_needed()
+            if self._may_grant():
+                self.renew_if_needed()
+            else:
+                self._loop.call_later(RENEW_RETRY_S, self.renew_if_needed)
             return
+        self._answered = False
         if report.result is OrderResult.FENCED:
             self._driver.on_fenced(self.name)
             return
         if report.result is OrderResult.WRONG_LIFE:
             self._report_gone("another incarnation answers at its address")
             return
-        if not self._executor.unreachable:
-            self._executor.unreachable = True
-            log_event(ExecutorReachable(self.name, False, report.result.value))
-        if self._lease.has_lapsed(now) and self._executor.allocations:
-            self._report_lapsed()
+        was_unreachable = self._executor.unreachable
+        if not was_unreachable:
+            self._mark_unreachable(report.result.value)
+        if self._executor.allocations:
+            if self._lease.has_lapsed(now):
+                self._report_lapsed()
+            elif was_unreachable:
+                # One lost answer is not worth a record.
+                self._silences.note(self.name, self._lease.granted_at)
         self._loop.call_later(RENEW_RETRY_S, self.renew_if_needed)
 
+    def _may_grant(self):
+        return self._silences.granted_at(self.name) is None
+
+    def _mark_unreachable(self, why):
+        self._executor.unreachable = True
+        log_event(ExecutorReachable(self.name, False, why))
+
+    def _on_silence_cleared(self):
+        """Grant the lease again, unless the executor fell silent in the meantime."""
+        if self._answered and self._executor.unreachable and not self._closed:
+            self._executor.unreachable = False
+            log_event(ExecutorReachable(self.name, True, ""))
+            self._driver.on_reachable(self.name)
+            self._loop.call_later(0, self.renew_if_needed)
+
     def _report_lapsed(self):
         log_event(
             ExecutorOver(self.name, len(self._executor.allocations), "its lease lapsed")
@@ -252,7 +283,13 @@
     # Orders
 
     def start(self, order):
-        """Send a Start order, which must be stored already."""
+        """Send a Start order, which must be stored already.
+
+        It is withdrawn if the lease may not be granted.
+        """
+        if not self._may_grant():
+            self._driver.on_run_withdrawn(self.name, order.task, order.run)
+            return
         pending = _PendingStart(order)
         self._starts[order.task, order.run] = pending
         self._send_start(pending)
@@ -263,6 +300,9 @@
         if self._closed or self._starts.get((order.task, order.run)) is not pending:
             return
         if not pending.deadline_ms:
+            if not self._may_grant():
+                self._loop.call_later(START_RETRY_S, lambda: self._send_start(pending))
+                return
             pending.deadline_ms = self._lease.grant(self._loop.now())
 
         def done(answer):
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -20,6 +20,7 @@
 )
 from .reports import OrderResult, Outcome
 from .scheduler import Scheduler
+from .silence import SilentExecutors
 from .spec import parse_task
 from .vms import VmManager
 from .writer import Writer
@@ -90,6 +91,7 @@
         self._scheduler = Scheduler(queue_cfg)
         self._jobs_topic = platform.jobs_topic()
         self._writer = Writer(loop, self._jobs_topic, term, self.depose, metrics)
+        self._silences = SilentExecutors(loop, self._writer, view.silent)
         settled_at = loop.now() + cfg.stop_ms / MS + EPOCH_SPREAD_S
         self._availability = Availability(self._step_state_of, settled_at)
         deps = VmDependencies(self._scheduler, self._writer, self._availability)
@@ -259,7 +261,13 @@
             )
             client = self._platform.executor(executor.entry, self._epoch)
             agent = ExecutorAgent(
-                self._loop, client, executor, self, inherited, self._lease_ms
+                self._loop,
+                client,
+                executor,
+                self,
+                self._silences,
+                inherited,
+                self._lease_ms,
             )
             self._agents[name] = agent
             agent.renew_if_needed()
@@ -275,9 +283,12 @@
         self._timers = [self._loop.call_later(TICK_S, self._tick)]
         now = self._loop.now()
         self._scheduler.next_due_ms(time.time() * MS)
-        if now - self._started_at > lapse_bound_s(self._lease_ms):
-            for name in self._scheduler.unregistered_executors():
+        for name in self._scheduler.unregistered_executors():
+            if now - self._last_grant_at(name) > lapse_bound_s(self._lease_ms):
                 self._scheduler.mark_runs_lapsed(name, now * MS)
+        for name in self._silences.names():
+            if not self._scheduler.has_runs(name):
+                self._silences.clear(name)
         self._forget_jobs(now)
         if now - self._durations_saved_at > DURATIONS_SAVE_INTERVAL_S:
             self._durations_saved_at = now
@@ -287,6 +298,14 @@
         if self._executors.loaded:
             self._vms.refresh()
 
+    def _last_grant_at(self, name):
+        """Return by when the lease of an unregistered executor was last granted."""
+        granted_at = self._silences.granted_at(name)
+        # Before the executors are read, it may be one that answers.
+        if granted_at is None or not self._executors.loaded:
+            return self._started_at
+        return granted_at
+
     def _forget_jobs(self, now):
         for name in self._scheduler.finished():
             due = self._forget_at.setdefault(
--- a/src/cardamomgrade/jobs/lease.py
+++ b/src/cardamomgrade/jobs/lease.py
@@ -21,17 +21,18 @@
 
 
 class Lease:
-    """Lease of one executor; assumed to be granted at ``now`` by an earlier scheduler.
+    """Lease of one executor, which an earlier scheduler may have granted.
 
-    ``now`` is in seconds of the local monotonic clock; ``clock_ms`` and deadlines are
-    in ms of the executor's clock.
+    ``now`` and ``granted_at``, by when it was granted for the last time, are in seconds
+    of the local monotonic clock; ``granted_at`` is ``now`` if nothing better is known.
+    ``clock_ms`` and deadlines are in ms of the executor's clock.
     """
 
-    def __init__(self, now, clock_ms, lease_ms=LEASE_MS):
+    def __init__(self, now, clock_ms, lease_ms=LEASE_MS, granted_at=None):
         self._lease_ms = lease_ms
         self._clock_read_at = now
         self._clock_ms = clock_ms
-        self._granted_at = now
+        self.granted_at = now if granted_at is None else granted_at
 
     def update_clock(self, now, clock_ms):
         """Set the executor's clock from an answer just received; 0 is no value."""
@@ -45,9 +46,9 @@
 
     def grant(self, now):
         """Grant the lease again; return its deadline in ms of the executor's clock."""
-        self._granted_at = now
+        self.granted_at = now
         return int(self.min_clock_ms(now) + self._lease_ms)
 
     def has_lapsed(self, now):
         """Return whether every lease granted so far has certainly lapsed."""
-        return now - self._granted_at > lapse_bound_s(self._lease_ms)
+        return now - self.granted_at > lapse_bound_s(self._lease_ms)
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -101,7 +101,7 @@
         self._candidate_epoch = None
         self._stopping = False
         self._open_requests = 0
-        self._view = JobView()
+        self._view = JobView(loop.now)
         self._view.on_term = self._on_term
         self._follower = TopicFollower(
             loop,
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -7,6 +7,7 @@
 | ``progress/ID`` | ProgressRecord | the scheduler |
 | ``upkeep/VM`` | UpkeepRecord | the scheduler |
 | ``order/VM`` | VmOrderRecord | the scheduler; deleted when the order's lease is over |
+| ``silent/EXECUTOR`` | SilentRecord | the scheduler; deleted before its next grant |
 | ``learned`` | LearnedRecord | the scheduler |
 | ``term`` | TermRecord | the scheduler and its candidates |
 
@@ -29,6 +30,7 @@
 PREFIX_PROGRESS = "progress/"
 PREFIX_UPKEEP = "upkeep/"
 PREFIX_ORDER = "order/"
+PREFIX_SILENT = "silent/"
 
 
 @unique
@@ -107,6 +109,16 @@
     epoch: int
 
 
+@attrs.frozen
+class SilentRecord:
+    """No scheduler grants the executor's lease again while this record is stored.
+
+    ``age_ms`` is the time from the last grant until this record was made, or less.
+    """
+
+    age_ms: int
+
+
 @attrs.frozen
 class LearnedRecord:
     """Run times learned per queue, as (queue, mean_ms, estimate_error, mean_error).
@@ -178,6 +190,14 @@
     return _load(VmOrderRecord, data)
 
 
+def decode_silent(data):
+    """Return the SilentRecord of a ``silent/`` key; raise RecordError."""
+    record = _load(SilentRecord, data)
+    if not isinstance(record.age_ms, int) or record.age_ms < 0:
+        raise RecordError(f"SilentRecord: {record.age_ms!r} is no age in ms")
+    return record
+
+
 def decode_learned(data):
     """Return the LearnedRecord of the ``learned`` key; raise RecordError."""
     record = _load(LearnedRecord, data)
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -254,6 +254,12 @@
         """Return the names of unregistered executors that runs are assigned to."""
         return list(self._orphaned_runs)
 
+    def has_runs(self, name):
+        """Return whether runs are assigned to an executor, registered or not."""
+        executor = self.executors.get(name)
+        allocations = executor.allocations if executor is not None else ()
+        return bool(allocations) or name in self._orphaned_runs
+
     # Ends of runs
 
     def mark_runs_lapsed(self, name, now_ms):
--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -1,5 +1,7 @@
 """A node's copy of all jobs, built from the records of the jobs topic."""
 
+import time
+
 import attrs
 
 from ..errors import RecordError
@@ -9,6 +11,7 @@
     decode_learned,
     decode_order,
     decode_progress,
+    decode_silent,
     decode_term,
     decode_upkeep,
     JobState,
@@ -18,10 +21,12 @@
     PREFIX_JOB,
     PREFIX_ORDER,
     PREFIX_PROGRESS,
+    PREFIX_SILENT,
     PREFIX_UPKEEP,
 )
 
 CALLER_PREFIXES = (PREFIX_JOB, PREFIX_CANCEL)
+MS = 1000
 
 
 @event(622)
@@ -55,15 +60,20 @@
 class JobView:
     """The newest records by key: jobs, upkeeps, VM orders, durations and the term.
 
+    ``silent`` maps an executor with a SilentRecord to a time of ``now`` by which its
+    lease was granted for the last time.
+
     Optional callbacks: ``on_job(spec)``, ``on_cancel(job)``,
     ``on_term(record, offset)``, and ``on_stored(key)`` for every ``job/`` and
     ``cancel/`` key that is read.
     """
 
-    def __init__(self):
+    def __init__(self, now=time.monotonic):
+        self._now = now
         self.rows = {}
         self.upkeeps = {}
         self.orders = {}
+        self.silent = {}
         self.learned = None
         self.term = None
         self.on_job = None
@@ -76,6 +86,7 @@
             (PREFIX_PROGRESS, self._fold_progress),
             (PREFIX_UPKEEP, self._fold_upkeep),
             (PREFIX_ORDER, self._fold_order),
+            (PREFIX_SILENT, self._fold_silent),
         )
 
     def find(self, name):
@@ -153,3 +164,10 @@
             self.orders[name] = decode_order(value)
         else:
             self.orders.pop(name, None)
+
+    def _fold_silent(self, name, value):
+        if value:
+            # It was made earlier than it is read, so the last grant was earlier too.
+            self.silent[name] = self._now() - decode_silent(value).age_ms / MS
+        else:
+            self.silent.pop(name, None)
--- a/src/cardamomgrade/jobs/writer.py
+++ b/src/cardamomgrade/jobs/writer.py
@@ -76,6 +76,10 @@
             self._callbacks.append(on_stored)
         self._flush()
 
+    def drop_unsent(self, key):
+        """Drop a record that was not sent yet; return whether there was one."""
+        return self._items.pop(key, None) is not None
+
     def _beat(self):
         if self._closed:
             return
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -112,6 +112,36 @@
     And an operator requests a wave of all VMs, at most 1 at once
     Then no VM is taken down for 3 s
 
+  Scenario: a new scheduler does not wait a whole lease again for an executor that was silent before
+    Given 2 nodes on an emulated platform with 2 executors
+    When an executor with runs falls silent right after a renewal of its lease
+    And the scheduling node is killed 2.9 s later
+    Then its tasks start elsewhere after its lease ends, but within 3 s
+    And no executor is recorded as silent
+
+  Scenario: a new scheduler does not wait a whole lease again for an executor that vanished before
+    Given 2 nodes on an emulated platform with 2 executors
+    When an executor with runs falls silent right after a renewal of its lease
+    And it is no longer registered
+    And the scheduling node is killed 2.9 s later
+    Then its tasks start elsewhere after its lease ends, but within 3 s
+    And no executor is recorded as silent
+
+  Scenario: a new scheduler waits for the lease that an executor got after its silence
+    Given 2 nodes on an emulated platform with 2 executors
+    When an executor with runs falls silent right after a renewal of its lease
+    And it answers again once the store has a record of its silence
+    And it falls silent and the scheduling node is killed right after the next renewal
+    Then its tasks start elsewhere only after its lease ends
+
+  Scenario: an executor gets no lease while a stored record says that it gets none
+    Given 2 nodes on an emulated platform with 2 executors
+    When an executor with runs falls silent right after a renewal of its lease
+    And it answers again while the store is down but has a record of its silence
+    Then its lease is not renewed for 0.8 s
+    When the store is up again
+    Then its lease is renewed before it ends
+
   Scenario: a pool without enough capacity gets VMs from the standby pool
     Given 1 nodes on an emulated platform with 1 executors
     And 2 VMs in the standby pool
--- /dev/null
+++ b/tests/jobs/silence.feature
@@ -0,0 +1,65 @@
+Feature: records of silent executors
+
+  Scenario: a record is stored once two renewals in a row fail, and keeps the last grant
+    Given an agent of an executor with a run
+    When 1 renewal fails
+    Then no record is stored
+    When 1 renewal fails
+    Then the record says that the lease was granted 1.9 s ago
+    And no renewal grants the lease
+
+  Scenario: the lease is granted again only when the deletion of the record is stored
+    Given an agent of an executor with a run
+    When 2 renewals fail
+    And the store takes the record
+    And the executor answers 3 renewals
+    Then the executor counts as unreachable
+    And no renewal grants the lease
+    When the store takes the deletion
+    Then the next renewal grants the lease
+    And the executor does not count as unreachable
+
+  Scenario: an executor that falls silent again before the deletion is stored gets no lease
+    Given an agent of an executor with a run
+    When 2 renewals fail
+    And the store takes the record
+    And the executor answers 1 renewals
+    And 1 renewal fails
+    And the store takes the deletion
+    Then the executor counts as unreachable
+
+  Scenario: a record that was never sent does not delay the next grant
+    Given an agent of an executor with a run
+    And an append in flight
+    When 2 renewals fail
+    And the executor answers 1 renewals
+    Then the next renewal grants the lease
+    And no record is stored
+
+  Scenario: a start order for an executor with a record is withdrawn and not sent
+    Given an agent of an executor with a run
+    When 2 renewals fail
+    And a start order arrives
+    Then the start was withdrawn and not sent
+
+  Scenario: a start that came too late gets no new deadline while there is a record
+    Given an agent of an executor with a run
+    When a start order arrives
+    And 2 renewals fail
+    And the executor answers that the start came too late
+    Then the start is not sent again for 1 s
+
+  Scenario: an agent that takes over an executor with a record grants it no lease
+    Given a record that was read 3 s ago and was 1 s old when it was made
+    When an agent takes the executor over
+    Then no renewal grants the lease
+    And its runs count as lapsed after 0.4 s, but not after 0.2 s
+
+  Scenario: a node forgets a record that is deleted, and ignores a malformed one
+    Given a record that was read 3 s ago and was 1 s old when it was made
+    When these values of the record are read
+      | value  | silent |
+      |        | no     |
+      | 8120   | no     |
+      | 811864 | yes    |
+      |        | no     |
