Note the lapse of a lease when it is certain, not at the next failed renewal

Cause: the agent looked at the lease only when a renewal failed: every 0.9 s while nothing answers (RENEW_RETRY_S and ANSWER_SLACK_S).

Evidence: on the code before, in silence.feature, Then its runs count as lapsed within 4.3 s of the last grant ... failed And its runs count as lapsed 0.2 s later without an answer ... failed

Why it works: a renewal that is in flight to an unreachable executor has no deadline, so the time of the lapse is known when the executor is marked as unreachable, and a timer looks then. A later grant by a start order moves it. A new scheduler waits RENEW_RETRY_S for an answer first, as the ends that the executor lists are better than a lapse; an executor that answers is left to its reports.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -221,8 +221,25 @@
         return self._silences.granted_at(self.name) is None
 
     def _mark_unreachable(self, why):
+        now = self._loop.now()
         self._executor.unreachable = True
         log_event(ExecutorReachable(self.name, False, why))
+        # A new scheduler may find the lease over; the executor may answer even so.
+        self._check_lapsed_in(max(RENEW_RETRY_S, self._lease.lapses_in(now)))
+
+    def _check_lapsed_in(self, seconds):
+        """Report the lapse when it is certain, even while a renewal has no answer."""
+
+        def check():
+            if self._closed or self._answered or not self._executor.unreachable:
+                return
+            wait_s = self._lease.lapses_in(self._loop.now())
+            if wait_s > 0:
+                self._check_lapsed_in(wait_s)
+            elif self._executor.allocations:
+                self._report_lapsed()
+
+        self._loop.call_later(seconds, check)
 
     def _on_silence_cleared(self):
         """Grant the lease again, unless the executor fell silent in the meantime."""
--- a/src/cardamomgrade/jobs/lease.py
+++ b/src/cardamomgrade/jobs/lease.py
@@ -49,6 +49,10 @@
         self.granted_at = now
         return int(self.min_clock_ms(now) + self._lease_ms)
 
+    def lapses_in(self, now):
+        """Return the seconds until every lease granted so far has certainly lapsed."""
+        return self.granted_at + lapse_bound_s(self._lease_ms) - now
+
     def has_lapsed(self, now):
         """Return whether every lease granted so far has certainly lapsed."""
-        return now - self.granted_at > lapse_bound_s(self._lease_ms)
+        return self.lapses_in(now) <= 0
--- a/tests/jobs/silence.feature
+++ b/tests/jobs/silence.feature
@@ -55,6 +55,23 @@
     Then no renewal grants the lease
     And its runs count as lapsed after 0.4 s, but not after 0.2 s
 
+  Scenario: a lapse is noted while a renewal still waits for its answer
+    Given an agent of an executor with a run
+    When 4 renewals fail
+    Then its runs count as lapsed within 4.3 s of the last grant
+
+  Scenario: an agent that takes over an executor whose lease is over waits 0.2 s for an answer
+    Given a record that was read 5 s ago and was 1 s old when it was made
+    When an agent takes the executor over
+    Then its runs do not count as lapsed
+    And its runs count as lapsed 0.2 s later without an answer
+
+  Scenario: runs of an executor that answers do not count as lapsed while the record is deleted
+    Given a record that was read 3 s ago and was 1 s old when it was made
+    When an agent takes the executor over
+    And the executor answers 1 renewals
+    Then its runs do not count as lapsed 0.5 s later
+
   Scenario: a node forgets a record that is deleted, and ignores a malformed one
     Given a record that was read 3 s ago and was 1 s old when it was made
     When these values of the record are read
--- a/tests/steps/jobs_silent_agent.py
+++ b/tests/steps/jobs_silent_agent.py
@@ -27,6 +27,7 @@
 SECOND_TASK = "00000000000000a1.0.0.1"
 FAILED_AFTER_S = 0.85
 LEASE_MS = 4000
+START_S = SimulatedTimers().now()
 MS = 1000
 
 
@@ -228,6 +229,32 @@
     assert fixture.lapsed
 
 
+@then("its runs count as lapsed within {seconds:g} s of the last grant")
+def step_lapsed_within(context, seconds):
+    fixture = context.silent
+    assert not fixture.lapsed
+    fixture.loop.advance(RENEW_RETRY_S)
+    fixture.loop.advance(START_S + seconds - fixture.loop.now())
+    assert fixture.lapsed
+
+
+@then("its runs do not count as lapsed")
+def step_not_lapsed(context):
+    assert not context.silent.lapsed
+
+
+@then("its runs count as lapsed {seconds:g} s later without an answer")
+def step_lapsed_later(context, seconds):
+    context.silent.loop.advance(seconds)
+    assert context.silent.lapsed
+
+
+@then("its runs do not count as lapsed {seconds:g} s later")
+def step_not_lapsed_later(context, seconds):
+    context.silent.loop.advance(seconds)
+    assert not context.silent.lapsed
+
+
 @when("these values of the record are read")
 def step_values(context):
     view = context.silent.view
