--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -1,5 +1,7 @@
 """A node's copy of all jobs, built from the records of the jobs topic."""
 
+import time
+
 import attrs
 
 from ..errors import RecordError
@@ -10,6 +12,7 @@
     decode_learned,
     decode_order,
     decode_progress,
+    decode_silent,
     decode_term,
     decode_upkeep,
     JobState,
@@ -20,10 +23,12 @@
     PREFIX_JOB,
     PREFIX_ORDER,
     PREFIX_PROGRESS,
+    PREFIX_SILENT,
     PREFIX_UPKEEP,
 )
 
 CALLER_PREFIXES = (PREFIX_JOB, PREFIX_CANCEL)
+MS = 1000
 
 
 @event(622)
@@ -57,6 +62,9 @@
 class JobView:
     """The newest records by key: jobs, upkeeps, VM orders, durations and the term.
 
+    ``silent`` maps an executor with a SilentRecord to a time of ``now`` by which its
+    lease was granted for the last time.
+
     Optional callbacks: ``on_job(spec)``, ``on_cancel(job)``,
     ``on_term(record, offset)``, ``on_stored(key)`` for every record of a ``job/`` or
     ``cancel/`` key that is read, but not for its deletion, and
@@ -64,10 +72,12 @@
     after ``on_job`` for a job whose cancellation was read before it.
     """
 
-    def __init__(self):
+    def __init__(self, now=time.monotonic):
+        self._now = now
         self.rows = {}
         self.upkeeps = {}
         self.orders = {}
+        self.silent = {}
         self.learned = None
         self.term = None
         self.on_job = None
@@ -82,6 +92,7 @@
             (PREFIX_UPKEEP, self._fold_upkeep),
             (PREFIX_ORDER, self._fold_order),
             (PREFIX_APPEND, self._fold_append),
+            (PREFIX_SILENT, self._fold_silent),
         )
 
     def find(self, name):
@@ -169,3 +180,10 @@
     def _fold_append(self, name, value):
         if value and self.on_append is not None:
             self.on_append(name, decode_append(value))
+
+    def _fold_silent(self, name, value):
+        if value:
+            # It was made earlier than it is read, so the last grant was earlier too.
+            self.silent[name] = self._now() - decode_silent(value).age_ms / MS
+        else:
+            self.silent.pop(name, None)
--- a/tests/steps/jobs_agent_reports.py
+++ b/tests/steps/jobs_agent_reports.py
@@ -16,6 +16,7 @@
     Outcome,
 )
 from cardamomgrade.jobs.scheduler import Start
+from cardamomgrade.jobs.silence import SilentExecutors
 from cardamomgrade.jobs.spec import Step
 
 TASK = "00000000000000a1.0.0.0"
@@ -62,9 +63,7 @@
         self._over("missing", task, run)
 
     def _over(self, what, task, run):
-        allocation = self.executor.allocations.get(task)
-        if allocation is not None and allocation.run == run:
-            self.executor.release(task)
+        if self.executor.release(task, run):
             self.said.append((what, task, run))
 
     def on_running(self, name, running):
@@ -80,8 +79,15 @@
         self.executor = Executor(executor_entry("e1", 4))
         self.executor.allocate(TASK, 1, Step(1, cores_m=1000))
         self.driver = RecordingDriver(self.executor)
+        silences = SilentExecutors(self.timers, None, {})
         self.agent = ExecutorAgent(
-            self.timers, self.client, self.executor, self.driver, inherits, LEASE_MS
+            self.timers,
+            self.client,
+            self.executor,
+            self.driver,
+            silences,
+            inherits,
+            LEASE_MS,
         )
 
     def report(self, running=(), ended=(), **fields):
