Forget a probe that its executor refused; look at room first

A withdrawn probe stayed in the list of probes until the executor was forgotten. Executors without room for a step are now skipped before its limit per executor is counted, and a task that is ideal as a probe ends the search.

--- a/src/cardamomgrade/jobs/probes.py
+++ b/src/cardamomgrade/jobs/probes.py
@@ -73,8 +73,9 @@
     best, best_rank = None, None
     for job, state in waiting:
         step = state.step
-        limits = PlacementLimits(state)
-        if step.gang or choose_executor([executor], step, limits) is None:
+        if step.gang or not executor.fits(step):
+            continue
+        if choose_executor([executor], step, PlacementLimits(state)) is None:
             continue
         runs_elsewhere = bool(job.placed())
         for task in state.tasks:
@@ -82,6 +83,8 @@
                 continue
             is_last_attempt = not step.lasting and task.failures + 1 >= job.max_attempts
             rank = (executor.name in task.failed_on, is_last_attempt, runs_elsewhere)
+            if not any(rank):
+                return job, task
             if best is None or rank < best_rank:
                 best, best_rank = (job, task), rank
     return best
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -360,6 +360,7 @@
         executor = self.executors.get(name)
         if executor is not None and executor.release(task_name, run):
             self._services_to_plan.add(executor.entry.service)
+            self._probes.end(name, task_name, run)
         job, task = self._find_run(task_name, run)
         if task is not None and task.executor == name:
             job.withdraw(task)
--- a/tests/jobs/probes.feature
+++ b/tests/jobs/probes.feature
@@ -78,3 +78,13 @@
     Then the plan starts 9 tasks, on 3 executors
     When every task of the gang ends as done
     Then one quarantined executor is left
+
+  Scenario: a probe that its executor refuses leaves the executor to the next probe
+    Given hopeless jobs have quarantined both executors with label "a"
+    When a job of 6 tasks with label "a" is added
+    And 1000 ms have passed
+    Then the plan starts 2 tasks, on 2 executors
+    When the first executor refuses its probe
+    Then the plan starts 0 tasks
+    When 1000 ms have passed
+    Then the plan starts 1 tasks, on 1 executors
--- a/tests/steps/jobs_probes.py
+++ b/tests/steps/jobs_probes.py
@@ -119,3 +119,12 @@
 @then("one quarantined executor is left")
 def step_one_left_quarantined(context):
     assert len(quarantined(context)) == 1
+
+
+@when("the first executor refuses its probe")
+def step_probe_refused(context):
+    world = context.jobs
+    (start,) = [item for item in world.running if item.executor == "e1"]
+    world.running.remove(start)
+    world.scheduler.withdraw("e1", start.task, start.run)
+    world.scheduler.pause_executor("e1", world.now_ms + 1000)
