Keep an executor closed to new runs when it registers again

What callers saw: tasks that start on an executor whose VM is about to go down, and end with it.

Cause: whether an executor is closed for the upkeep or a move of its VM was kept in its Executor only. One that was dropped and registered again was open until the VMs were planned the next time, and tasks are placed 20 ms after a registration.

Fix: the scheduler keeps the names that were closed last and applies them to an executor that registers.

--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -76,6 +76,7 @@
         self._orphaned_runs = {}
         self._services_to_plan = set()
         self._paused_until_ms = {}
+        self._cordoned = frozenset()
         self._start_delays_ms = []
         self.durations = Durations()
         self._pool_needs = PoolNeeds()
@@ -220,6 +221,7 @@
         executor = self.executors.get(entry.executor)
         if executor is None:
             executor = self.executors[entry.executor] = Executor(entry)
+            executor.cordoned = entry.executor in self._cordoned
             for name, (run, step) in self._orphaned_runs.pop(
                 entry.executor, {}
             ).items():
@@ -389,6 +391,7 @@
 
     def cordon(self, names):
         """Close exactly the executors in ``names`` to new runs, and open the others."""
+        self._cordoned = frozenset(names)
         for name, executor in self.executors.items():
             if executor.cordoned != (name in names):
                 executor.cordoned = name in names
