Watch an inherited run after its first report

What callers saw: nothing that a run showed; found in the search for runs that nobody watches. A job would stay `running` for ever.

Cause: an agent takes an accepted start that is reported neither as running nor as ended as lost. For the runs of an earlier scheduler it concluded so from the first report only: one that was running then and is in no later report was waited for without end.

Fix: an inherited run that is reported as running counts as an accepted start from then on.

Failed before, tests/jobs/agent_reports.feature, an inherited run that is first reported as running, then not at all, is missing: Then the agent gave run 1 up as missing ASSERT FAILED: [] The two scenarios on replaced agents passed before; they cover ExecutorAgent.replace.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -316,10 +316,14 @@
         # With more ends to come, the end of an absent run may be among them.
         doubtful = () if report.more_ends else list(placed.items())
         for task, allocation in doubtful:
+            is_inherited = (task, allocation.run) in self._inherited
             if (task, allocation.run) in reported:
+                if is_inherited:
+                    accepted = _PendingStart(None, sent_at)
+                    self._starts[task, allocation.run] = accepted
                 continue
             pending = self._starts.get((task, allocation.run))
-            if (task, allocation.run) in self._inherited:
+            if is_inherited:
                 self._driver.on_run_withdrawn(self.name, task, allocation.run)
             elif (
                 pending is not None
--- a/tests/jobs/agent_reports.feature
+++ b/tests/jobs/agent_reports.feature
@@ -30,3 +30,23 @@
     And ends up to 500 are stored
     And the executor reports neither runs nor ends
     Then the agent gave run 1 up as missing
+
+  Scenario: an inherited run that is first reported as running, then not at all, is missing
+    Given an agent that inherits run 1 of a task
+    When the executor reports that run 1 is running
+    And the executor reports neither runs nor ends
+    Then the agent gave run 1 up as missing
+
+  Scenario: a run of a replaced agent may still start within a lease
+    Given an agent that has started run 1 of a task
+    When another agent replaces it
+    And the executor reports neither runs nor ends for 4 s
+    Then the agent has not given run 1 up
+    When the executor reports neither runs nor ends for 1 s
+    Then the agent gave run 1 up as missing
+
+  Scenario: an agent repeats the stops of the agent that it replaces
+    Given an agent that has started run 1 of a task
+    When run 1 is to be stopped
+    And another agent replaces it
+    Then the executor is told again to stop run 1
--- a/tests/steps/jobs_agent_reports.py
+++ b/tests/steps/jobs_agent_reports.py
@@ -14,6 +14,7 @@
     OrderAnswer,
     OrderResult,
     Outcome,
+    RunningTask,
 )
 from cardamomgrade.jobs.scheduler import Start
 from cardamomgrade.jobs.silence import SilentExecutors
@@ -79,13 +80,15 @@
         self.executor = Executor(executor_entry("e1", 4))
         self.executor.allocate(TASK, 1, Step(1, cores_m=1000))
         self.driver = RecordingDriver(self.executor)
-        silences = SilentExecutors(self.timers, None, {})
-        self.agent = ExecutorAgent(
+        self.agent = self.make_agent(inherits)
+
+    def make_agent(self, inherits):
+        return ExecutorAgent(
             self.timers,
             self.client,
             self.executor,
             self.driver,
-            silences,
+            SilentExecutors(self.timers, None, {}),
             inherits,
             LEASE_MS,
         )
@@ -154,3 +157,38 @@
 @then("the agent gave run 1 up as {what}")
 def step_over(context, what):
     assert context.agent.driver.said == [(what, TASK, 1)], context.agent.driver.said
+
+
+@when("the executor reports that run 1 is running")
+def step_run_reported(context):
+    context.agent.report(running=[RunningTask(TASK, 1, "", 50, 0)])
+    assert context.agent.driver.said == []
+
+
+@when("another agent replaces it")
+def step_replaced(context):
+    world = context.agent
+    old = world.agent
+    old.close()
+    world.client.orders.clear()
+    world.client.renewals.clear()
+    world.agent = world.make_agent(inherits=True)
+    world.agent.replace(old)
+
+
+@when("the executor reports neither runs nor ends for {seconds:d} s")
+def step_empty_reports(context, seconds):
+    world = context.agent
+    end = world.timers.now() + seconds
+    while world.timers.now() < end and world.client.renewals:
+        world.report()
+
+
+@when("run 1 is to be stopped")
+def step_to_stop(context):
+    context.agent.agent.stop(TASK, 1)
+
+
+@then("the executor is told again to stop run 1")
+def step_told_again(context):
+    assert context.agent.client.orders == [("stop", TASK, 1)]
