Keep the records of a job while a run of it may go on

A cancelled run could go on unknown after a change of scheduler, and a progress record without its job stayed in the store.

Cause: the scheduler kept a job in a final state while one of its runs had not ended, but the driver deleted the job's records all the same, and the end of the run stored its progress once more.

Fix: forget_job tells whether the job is removed. The records are deleted only then, and a change of the job that is not stored yet is dropped with it.

Failed before, tests/jobs/node.feature, the records of a cancelled job are kept while a run of it may go on: Then its records are kept after the time in which callers may query it ASSERT FAILED: {'term'}

--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -351,8 +351,7 @@
             due = self._forget_at.setdefault(
                 name, now + self._cfg.status_ms / MS + JOB_RETENTION_MARGIN_S
             )
-            if due < now:
-                self._scheduler.forget_job(name)
+            if due < now and self._scheduler.forget_job(name):
                 del self._forget_at[name]
                 keys = (PREFIX_JOB, PREFIX_CANCEL, PREFIX_PROGRESS)
                 self._writer.store([(prefix + name, b"") for prefix in keys])
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -599,10 +599,17 @@
         return [name for name, job in self.jobs.items() if job.state.final]
 
     def forget_job(self, name):
-        """Remove a job in a final state whose records were deleted."""
+        """Remove a job in a final state, unless a run of it may go on.
+
+        Returns whether it is removed; its records can be deleted then.
+        """
         job = self.jobs.get(name)
-        if job is not None and job.state.final and not job.placed():
-            del self.jobs[name]
+        if job is None or not job.state.final or job.placed():
+            return False
+        del self.jobs[name]
+        self._dirty.pop(name, None)
+        self._logged_states.pop(name, None)
+        return True
 
     def state_of(self, name):
         """Return the JobState of a job, or None for an unknown job."""
--- a/tests/jobs/node.feature
+++ b/tests/jobs/node.feature
@@ -128,6 +128,13 @@
     When the scheduler is paused for 5 s and the only executor is silent in a job
     Then the executor keeps its agent
 
+  Scenario: the records of a cancelled job are kept while a run of it may go on
+    Given 1 nodes on an emulated platform with 1 executors
+    When a caller cancels a long-running job whose executor is silent
+    Then its records are kept after the time in which callers may query it
+    When its executor answers again and ends the run
+    Then its records are deleted
+
   Scenario: malformed records of other writers are ignored
     Given 1 nodes on an emulated platform with 1 executors
     When these records are written
--- a/tests/steps/jobs_life.py
+++ b/tests/steps/jobs_life.py
@@ -4,7 +4,7 @@
 import time
 
 from behave import then, when
-from jobs_node import step_fields, TASK_MS
+from jobs_node import SETTINGS, step_fields, TASK_MS
 
 from cardamomgrade.jobs.executors import Executor
 
@@ -176,3 +176,52 @@
             for number in range(1, count + 1)
         ]
         executor.next_end = count + 1
+
+
+def forget_old_jobs(world):
+    """Let the scheduler forget jobs as if callers could not query them any more."""
+    driver = world.nodes[0]._driver
+    driver._forget_jobs(world.rig.loop.now())
+    driver._forget_jobs(world.rig.loop.now() + SETTINGS.status_ms)
+    world.rig.run_for(NOTICE_S)
+
+
+def stored_keys(world):
+    newest = world.platform.log.newest("keyed.jobs")
+    return {key.decode() for key, (value, _) in newest.items() if value}
+
+
+@when("a caller cancels a long-running job whose executor is silent")
+def step_cancel_silent(context):
+    world = context.nodes
+    world.lasting = True
+    assert world.submit([step_fields(1, longRunning=True)]).status == 200
+    instance = world.platform.instances["i-0"]
+    world.rig.run_until(lambda: instance.executor.runs)
+    instance.silent = True
+    assert world.call("DELETE", f"/q/{world.job}").status == 200
+    world.rig.run_for(NOTICE_S)
+
+
+@then("its records are kept after the time in which callers may query it")
+def step_records_kept(context):
+    world = context.nodes
+    forget_old_jobs(world)
+    assert f"job/{world.job}" in stored_keys(world), stored_keys(world)
+
+
+@when("its executor answers again and ends the run")
+def step_answers_again(context):
+    world = context.nodes
+    instance = world.platform.instances["i-0"]
+    instance.silent = False
+    executor = world.nodes[0]._driver._scheduler.executors["i-0"]
+    world.rig.run_until(lambda: not executor.allocations)
+
+
+@then("its records are deleted")
+def step_records_deleted(context):
+    world = context.nodes
+    forget_old_jobs(world)
+    left = [key for key in stored_keys(world) if key.endswith(world.job)]
+    assert left == [], left
