Let a new agent leave alone the starts that wait for their record

While the store is down for longer than a lease, runs that are placed on an idle executor and not sent would have been marked as lapsed and placed anew each time.

Cause: ExecutorAgent.replace took every run on the executor as one that may have started.

Fix: it takes over the runs that the replaced agent was told to start or inherited. The others are still to be sent by the driver.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -129,8 +129,8 @@
         Its start orders may still take effect until their lease deadlines.
         """
         started_by = self._loop.now() + lapse_bound_s(self._lease_ms)
-        for task, item in self._executor.allocations.items():
-            self._starts[task, item.run] = _PendingStart(None, started_by)
+        for run in other._inherited.union(other._starts):
+            self._starts[run] = _PendingStart(None, started_by)
         self._inherited.clear()
         for task, run in other._stopping:
             self.stop(task, run)
--- a/tests/jobs/agent_reports.feature
+++ b/tests/jobs/agent_reports.feature
@@ -50,3 +50,9 @@
     When run 1 is to be stopped
     And another agent replaces it
     Then the executor is told again to stop run 1
+
+  Scenario: a run whose start waits for its record is left alone by a new agent
+    Given an agent that has not been told to start run 1 of a task
+    When another agent replaces it
+    And the executor reports neither runs nor ends for 9 s
+    Then the agent has not given run 1 up
--- a/tests/steps/jobs_agent_reports.py
+++ b/tests/steps/jobs_agent_reports.py
@@ -115,6 +115,11 @@
     assert world.driver.said == []
 
 
+@given("an agent that has not been told to start run 1 of a task")
+def step_not_started(context):
+    context.agent = AgentFixture(inherits=False)
+
+
 @when("the executor reports ends 1 to 500 of other runs, and that there are more")
 def step_first_page(context):
     ends = [
