--- a/src/cardamomgrade/jobs/entry.py
+++ b/src/cardamomgrade/jobs/entry.py
@@ -1,6 +1,7 @@
 """Serves callers' requests: stores submissions and cancellations, returns job states.
 
-A submission or cancellation succeeds only after the store has acknowledged its record.
+A submission or cancellation succeeds only after the store has acknowledged its record,
+or after the record was read from the store.
 States and counts are returned only while the node's copy is at most STALE_S old.
 """
 
