Keep the record of a VM order while the lease of its repetition lasts

What the platform would see: two holders give orders for one machine within its lease (ONE), if the scheduler changes just after an order that was repeated for longer than the lease, 3 s.

Cause: each order stores the record of its VM and deletes it one lease later, also if a later order for the VM has stored it again meanwhile. A successor that finds no record does not wait for the rest of the lease.

Fix: only the newest order for a VM deletes the record.

--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -110,6 +110,7 @@
         self._listing = False
         self._upkeep_in_flight = {}
         self._ending_by_move = {}
+        self._newest_orders = {}
         self._announced = set()
         self._closed = False
 
@@ -229,6 +230,8 @@
     def _store_order(self, vm, items, send, on_result):
         """Store that this scheduler orders a VM; delete the record after the lease.
 
+        The record stays while the lease of a later order for the VM lasts.
+
         Calls ``send()`` then, or ``on_result(NOT_DONE)`` if that took so long that
         another node may have become the scheduler.
         """
@@ -246,9 +249,10 @@
                 send()
 
         def forget():
-            if not self._closed:
+            if not self._closed and self._newest_orders[vm] is stored:
                 self._writer.store([(key, b"")])
 
+        self._newest_orders[vm] = stored
         self._writer.store([*items, (key, record)], stored)
 
     def _plan_moves(self, now, wave_vms):
--- a/tests/jobs/vms.feature
+++ b/tests/jobs/vms.feature
@@ -88,3 +88,13 @@
     When that order is done, m0 is back, and the wave is read again before its record
     And VMs are planned
     Then the upkeep of m1 is ordered
+
+  Scenario: the record of an order is not deleted while the lease of its repetition lasts
+    Given 3 VMs in a pool that needs none
+    When VMs are planned until a move is ordered
+    Then the move of m0 is ordered
+    When that order gets no answer and its repetition is refused as busy
+    And its repetitions are refused as busy for 6 s
+    Then the move of m0 is not repeated
+    And no record of an order for m0 was deleted within its lease
+    And the store has no record of an order for m0
--- a/tests/steps/jobs_vms.py
+++ b/tests/steps/jobs_vms.py
@@ -8,7 +8,12 @@
 from cardamomgrade.jobs.availability import Availability
 from cardamomgrade.jobs.driver import TICK_S, VmDependencies
 from cardamomgrade.jobs.pools import IDLE_TIMEOUT_S
-from cardamomgrade.jobs.records import TermRecord, UpkeepRecord, VmOrderRecord
+from cardamomgrade.jobs.records import (
+    PREFIX_ORDER,
+    TermRecord,
+    UpkeepRecord,
+    VmOrderRecord,
+)
 from cardamomgrade.jobs.reports import ListedVm, RunningTask, VmOrderResult, WaveRequest
 from cardamomgrade.jobs.scheduler import Scheduler
 from cardamomgrade.jobs.spec import JobSpec, parse_task, Step
@@ -94,6 +99,7 @@
         self.gone = []
         self.store_holds = False
         self.held = []
+        self.stored = []
         self.budget = budget
         self.wave = WaveRequest(1, tuple(names), 20.0, at_once)
         self.manager = self.make_manager()
@@ -145,6 +151,7 @@
         self.scheduler.forget_executor(name)
 
     def store(self, items, on_stored=None):
+        self.stored.extend((self.loop.now(), *item) for item in items)
         if on_stored is not None:
             self.held.append(on_stored)
         if not self.store_holds:
@@ -328,6 +335,24 @@
     assert new_orders(context) == [], new_orders(context)
 
 
+@then("no record of an order for {vm} was deleted within its lease")
+def step_order_kept(context, vm):
+    world = context.vms
+    world.loop.advance(SETTINGS.machine_lease_ms / 1000 + VM_LEASE_MARGIN_S)
+    ordered_at = float("-inf")
+    for time_s, key, value in world.stored:
+        if key == PREFIX_ORDER + vm and value:
+            ordered_at = time_s
+        elif key == PREFIX_ORDER + vm:
+            assert time_s - ordered_at > SETTINGS.machine_lease_ms / 1000
+
+
+@then("the store has no record of an order for {vm}")
+def step_order_deleted(context, vm):
+    records = {key: value for _, key, value in context.vms.stored}
+    assert records[PREFIX_ORDER + vm] == b""
+
+
 def list_vm(context, vm, state, executor):
     context.vms.platform.listed[vm] = ListedVm(vm, "s", state, executor)
 
