Keep the upkeep record of a VM for each wave

Cause: a VM had one upkeep record, and that of a later wave replaced that of an earlier one. A successor took the earlier wave for undone and ordered it again. The platform answers 200 to an upkeep that is already done, and the scheduler concluded that the executor of now had ended with all its runs.

Fix: the key of the record contains the wave.

--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -5,7 +5,7 @@
 | ``job/ID`` | JobSpec | the entry (of any node) that accepted the job |
 | ``cancel/ID`` | CancelRecord | the entry that accepted the cancellation |
 | ``progress/ID`` | ProgressRecord | the scheduler |
-| ``upkeep/VM`` | UpkeepRecord | the scheduler |
+| ``upkeep/WAVE/VM`` | UpkeepRecord | the scheduler |
 | ``order/VM`` | VmOrderRecord | the scheduler; deleted when the order's lease is over |
 | ``append/NODE`` | AppendRecord | the entry of that node, last in each of its appends |
 | ``learned`` | LearnedRecord | the scheduler |
@@ -142,6 +142,15 @@
     resigned: bool
 
 
+def upkeep_name(wave, vm):
+    """Return the part of an UpkeepRecord's key after the prefix.
+
+    A VM has a record for each wave: one that is lost lets a later scheduler order an
+    upkeep again that is done.
+    """
+    return f"{wave}/{vm}"
+
+
 def encode(record):
     """Return the bytes of a record."""
     return cbor2.dumps(attrs.astuple(record))
--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -57,6 +57,8 @@
 class JobView:
     """The newest records by key: jobs, upkeeps, VM orders, durations and the term.
 
+    ``upkeeps`` maps an ``upkeep_name`` to its UpkeepRecord.
+
     Optional callbacks: ``on_job(spec)``, ``on_cancel(job)``,
     ``on_term(record, offset)``, ``on_stored(key)`` for every record of a ``job/`` or
     ``cancel/`` key that is read, but not for its deletion, and
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -6,6 +6,7 @@
     encode,
     PREFIX_ORDER,
     PREFIX_UPKEEP,
+    upkeep_name,
     UpkeepRecord,
     VmOrderRecord,
 )
@@ -124,8 +125,9 @@
         """Add an operator's WaveRequest, with the upkeeps already stored for it."""
         if not self._upkeep.add(request, self._loop.now()):
             return
-        for vm, record in self._view.upkeeps.items():
-            if record.wave == request.wave and vm in request.vms:
+        for vm in request.vms:
+            record = self._view.upkeeps.get(upkeep_name(request.wave, vm))
+            if record is not None:
                 order = OrderedUpkeep(record.executor, self._started_at)
                 self._upkeep.resume(request.wave, vm, order, record.begun)
 
@@ -200,7 +202,8 @@
     def _store_begun(self, wave, vm, executor):
         """Store that an upkeep began, so that no later scheduler orders it again."""
         record = UpkeepRecord(wave, executor, self._epoch, True)
-        self._writer.store([(PREFIX_UPKEEP + vm, encode(record))])
+        key = PREFIX_UPKEEP + upkeep_name(wave, vm)
+        self._writer.store([(key, encode(record))])
 
     def _announce(self, wave, state):
         completed = self._upkeep.is_complete(wave)
@@ -349,5 +352,5 @@
             else:
                 answered(VmOrderResult.NOT_DONE)
 
-        items = [(PREFIX_UPKEEP + vm, encode(record))]
+        items = [(PREFIX_UPKEEP + upkeep_name(wave, vm), encode(record))]
         self._store_order(vm, items, send, answered)
--- a/tests/jobs/vms.feature
+++ b/tests/jobs/vms.feature
@@ -89,6 +89,19 @@
     And VMs are planned
     Then the upkeep of m1 is ordered
 
+  Scenario: a wave that is done is not repeated after a later wave of its VMs and a change of scheduler
+    Given 1 VMs with a ready task each of a step that may miss 1, in a wave of 1 at once
+    When VMs are planned
+    Then the upkeep of m0 is ordered
+    When that order is done and m0 is back as i-m0-2
+    And a second wave of m0 is requested
+    And VMs are planned
+    Then the upkeep of m0 is ordered
+    When that order is done and m0 is back as i-m0-3
+    And another scheduler takes over, which finds all records stored
+    And VMs are planned
+    Then no further upkeep is ordered
+
   Scenario: the record of an order is not deleted while the lease of its repetition lasts
     Given 3 VMs in a pool that needs none
     When VMs are planned until a move is ordered
--- a/tests/steps/jobs_vms.py
+++ b/tests/steps/jobs_vms.py
@@ -11,12 +11,14 @@
 from cardamomgrade.jobs.records import (
     PREFIX_ORDER,
     TermRecord,
+    upkeep_name,
     UpkeepRecord,
     VmOrderRecord,
 )
 from cardamomgrade.jobs.reports import ListedVm, RunningTask, VmOrderResult, WaveRequest
 from cardamomgrade.jobs.scheduler import Scheduler
 from cardamomgrade.jobs.spec import JobSpec, parse_task, Step
+from cardamomgrade.jobs.store import Entry
 from cardamomgrade.jobs.view import JobView
 from cardamomgrade.jobs.vms import MOVE_RETRY_S, VM_LEASE_MARGIN_S, VmManager
 
@@ -109,7 +111,7 @@
     def make_manager(self, upkeeps=(), epoch=1):
         """Return a manager; ``upkeeps`` has pairs of a VM and its UpkeepRecord."""
         self.view = view = JobView()
-        view.upkeeps.update(upkeeps)
+        view.upkeeps.update((upkeep_name(item.wave, vm), item) for vm, item in upkeeps)
         view.orders.update((vm, VmOrderRecord(item.epoch)) for vm, item in upkeeps)
         cfg = attrs.evolve(SETTINGS, upkeep_ms=int(UPKEEP_S * 1000))
         term = TermRecord(epoch, "n1", "life-1", 1, False)
@@ -196,7 +198,8 @@
 @when("that order is done, {vm} is back, and the wave is read again before its record")
 def step_read_again(context, vm):
     world = context.vms
-    world.view.upkeeps[vm] = UpkeepRecord(world.wave.wave, f"i-{vm}", 1)
+    name = upkeep_name(world.wave.wave, vm)
+    world.view.upkeeps[name] = UpkeepRecord(world.wave.wave, f"i-{vm}", 1)
     world.platform.answer(vm, VmOrderResult.DONE)
     list_vm(context, vm, "up", f"i-{vm}-2")
     world.scheduler.put_executor(executor_entry(f"i-{vm}-2", 4))
@@ -335,6 +338,35 @@
     assert new_orders(context) == [], new_orders(context)
 
 
+@when("that order is done and {vm} is back as {executor}")
+def step_back(context, vm, executor):
+    world = context.vms
+    world.platform.answer(vm, VmOrderResult.DONE)
+    list_vm(context, vm, "up", executor)
+    world.scheduler.put_executor(executor_entry(executor, 4))
+    world.place()
+    world.loop.advance(UPKEEP_S)
+
+
+@when("a second wave of {vm} is requested")
+def step_second_wave(context, vm):
+    world = context.vms
+    world.second_wave = WaveRequest(2, (vm,), 20.0, 1)
+    world.manager.add_wave(world.second_wave)
+
+
+@when("another scheduler takes over, which finds all records stored")
+def step_takes_over_stored(context):
+    world = context.vms
+    world.loop.advance(SETTINGS.machine_lease_ms / 1000 + VM_LEASE_MARGIN_S)
+    world.manager.close()
+    world.manager = world.make_manager(epoch=2)
+    for offset, (_, key, value) in enumerate(world.stored):
+        world.view.fold(Entry(offset, key, value))
+    world.manager.add_wave(world.wave)
+    world.manager.add_wave(world.second_wave)
+
+
 @then("no record of an order for {vm} was deleted within its lease")
 def step_order_kept(context, vm):
     world = context.vms
