Send no VM order that was planned before the machine was suspended

Cause: an order is dropped if storing its record took as long as an election, but that time was read from the steady clock, which stands still while the machine is suspended. The store's answer may be received just after.

Fix: measure that time by the clock that counts suspensions.

An order that waits for its connection or behind a list of VMs when the machine is suspended is still sent.

--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -236,17 +236,18 @@
         The record stays while the lease of a later order for the VM lasts.
 
         Calls ``send()`` then, or ``on_result(NOT_DONE)`` if that took so long that
-        another node may have become the scheduler.
+        another node may have become the scheduler, also while this machine was
+        suspended.
         """
         key = PREFIX_ORDER + vm
         record = encode(VmOrderRecord(self._epoch))
-        planned_at = self._loop.now()
+        planned_at = self._loop.boot_now()
 
         def stored():
             if self._closed:
                 return
             self._loop.call_later(self._vm_lease_s, forget)
-            if self._loop.now() - planned_at > TERM_TIMEOUT_S:
+            if self._loop.boot_now() - planned_at > TERM_TIMEOUT_S:
                 on_result(VmOrderResult.NOT_DONE)
             else:
                 send()
--- a/src/cardamomgrade/loop.py
+++ b/src/cardamomgrade/loop.py
@@ -48,6 +48,11 @@
         """Return the monotonic time in seconds."""
         return time.monotonic()
 
+    @staticmethod
+    def boot_now():
+        """Return a monotonic time in seconds that counts suspensions of the machine."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def call_later(self, delay, callback):
         """Call ``callback`` after ``delay`` seconds and return its Timer."""
         timer = Timer(self.now() + delay, callback)
--- a/tests/jobs/vms.feature
+++ b/tests/jobs/vms.feature
@@ -81,6 +81,13 @@
     And the records are stored
     Then no further order is sent
 
+  Scenario: an order is not sent if its scheduler was suspended while it was stored
+    Given 3 VMs with a ready task each of a step that may miss 1, in a wave of 3 at once
+    When the store holds records back and VMs are planned
+    And the scheduler is suspended for 4 s, while its steady clock stands still
+    And the records are stored
+    Then no further order is sent
+
   Scenario: a wave that is read again does not repeat an upkeep that has begun
     Given 3 VMs with a ready task each of a step that may miss 1, in a wave of 3 at once
     When VMs are planned
--- a/tests/steps/jobs_vms.py
+++ b/tests/steps/jobs_vms.py
@@ -31,11 +31,15 @@
     """Stands in for the loop; ``advance`` runs the callbacks that are due."""
 
     time_s: float = 100.0
+    suspended_s: float = 0.0
     pending: list = attrs.field(factory=list)
 
     def now(self):
         return self.time_s
 
+    def boot_now(self):
+        return self.time_s + self.suspended_s
+
     def call_later(self, delay, callback):
         self.pending.append((self.time_s + delay, callback))
 
@@ -241,6 +245,13 @@
     context.vms.report_ready()
 
 
+@when(
+    "the scheduler is suspended for {seconds:g} s, while its steady clock stands still"
+)
+def step_suspended(context, seconds):
+    context.vms.loop.suspended_s += seconds
+
+
 @when("the store holds records back and VMs are planned")
 def step_store_holds(context):
     world = context.vms
