--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -76,6 +76,7 @@
         self._orphaned_runs = {}
         self._services_to_plan = set()
         self._paused_until_ms = {}
+        self._cordoned = frozenset()
         self._start_delays_ms = []
         self.durations = Durations()
         self._pool_needs = PoolNeeds()
@@ -220,6 +221,7 @@
         executor = self.executors.get(entry.executor)
         if executor is None:
             executor = self.executors[entry.executor] = Executor(entry)
+            executor.cordoned = entry.executor in self._cordoned
             for name, (run, step) in self._orphaned_runs.pop(
                 entry.executor, {}
             ).items():
@@ -260,6 +262,12 @@
         """Return the names of unregistered executors that runs are assigned to."""
         return list(self._orphaned_runs)
 
+    def has_runs(self, name):
+        """Return whether runs are assigned to an executor, registered or not."""
+        executor = self.executors.get(name)
+        allocations = executor.allocations if executor is not None else ()
+        return bool(allocations) or name in self._orphaned_runs
+
     # Ends of runs
 
     def mark_runs_lapsed(self, name, now_ms):
@@ -360,6 +368,7 @@
         executor = self.executors.get(name)
         if executor is not None and executor.release(task_name, run):
             self._services_to_plan.add(executor.entry.service)
+            self._probes.end(name, task_name, run)
         job, task = self._find_run(task_name, run)
         if task is not None and task.executor == name:
             job.withdraw(task)
@@ -382,6 +391,7 @@
 
     def cordon(self, names):
         """Close exactly the executors in ``names`` to new runs, and open the others."""
+        self._cordoned = frozenset(names)
         for name, executor in self.executors.items():
             if executor.cordoned != (name in names):
                 executor.cordoned = name in names
@@ -589,10 +599,17 @@
         return [name for name, job in self.jobs.items() if job.state.final]
 
     def forget_job(self, name):
-        """Remove a job in a final state whose records were deleted."""
+        """Remove a job in a final state, unless a run of it may go on.
+
+        Returns whether it is removed; its records can be deleted then.
+        """
         job = self.jobs.get(name)
-        if job is not None and job.state.final and not job.placed():
-            del self.jobs[name]
+        if job is None or not job.state.final or job.placed():
+            return False
+        del self.jobs[name]
+        self._dirty.pop(name, None)
+        self._logged_states.pop(name, None)
+        return True
 
     def state_of(self, name):
         """Return the JobState of a job, or None for an unknown job."""
