Do not repeat the start of a run that is to be stopped

What the users would see: a task of a cancelled job starts later than cancel_ms after the acknowledgement of its cancelling (UNASKED), if the first attempts to start it were lost and its executor answers again within its lease.

Cause: a start without an answer was repeated until it was answered, also after the run was ordered stopped. Start and stop were repeated side by side, and whichever arrived first counted.

Fix: once a stop is ordered only the stop is repeated. Its acceptance settles whether the run exists, as before.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -353,8 +353,11 @@
 
     def _send_start(self, pending):
         order = pending.order
-        if self._closed or self._starts.get((order.task, order.run)) is not pending:
+        run = (order.task, order.run)
+        if self._closed or self._starts.get(run) is not pending:
             return
+        if run in self._stopping:
+            return  # the stop settles whether it runs
         if not pending.deadline_ms:
             if not self._may_grant():
                 self._loop.call_later(START_RETRY_S, lambda: self._send_start(pending))
--- a/tests/jobs/agent_reports.feature
+++ b/tests/jobs/agent_reports.feature
@@ -56,3 +56,10 @@
     When another agent replaces it
     And the executor reports neither runs nor ends for 9 s
     Then the agent has not given run 1 up
+
+  Scenario: a start without an answer is not sent again once its run is to be stopped
+    Given an agent whose order to start run 1 of a task got no answer
+    When run 1 is to be stopped
+    And the executor reports neither runs nor ends for 1 s
+    Then the executor was told only once to start run 1
+    And the agent gave run 1 up as missing
--- a/tests/steps/jobs_agent_reports.py
+++ b/tests/steps/jobs_agent_reports.py
@@ -26,17 +26,21 @@
 
 @attrs.define(eq=False)
 class SimulatedClient:
-    """Records calls; ``renewals`` has (stored_end, on_done) of those not answered."""
+    """Records calls; ``renewals`` has (stored_end, on_done) of those not answered.
+
+    Starts are answered with ``start_result``, stops as taken.
+    """
 
     renewals: list = attrs.field(factory=list)
     orders: list = attrs.field(factory=list)
+    start_result: OrderResult = OrderResult.TAKEN
 
     def renew(self, deadline_ms, stored_end, wait_ms, on_done):
         self.renewals.append((stored_end, on_done))
 
     def start(self, order, deadline_ms, on_done):
         self.orders.append(("start", order.task, order.run))
-        on_done(OrderAnswer(OrderResult.TAKEN, 1000))
+        on_done(OrderAnswer(self.start_result, 1000))
 
     def stop(self, order, on_done):
         self.orders.append(("stop", order.task, order.run))
@@ -115,6 +119,19 @@
     assert world.driver.said == []
 
 
+@given("an agent whose order to start run 1 of a task got no answer")
+def step_unanswered(context):
+    world = context.agent = AgentFixture(inherits=False)
+    world.client.start_result = OrderResult.NO_ANSWER
+    world.agent.start(Start("e1", TASK, 1, "text", ""))
+
+
+@then("the executor was told only once to start run 1")
+def step_started_once(context):
+    orders = context.agent.client.orders
+    assert orders.count(("start", TASK, 1)) == 1, orders
+
+
 @given("an agent that has not been told to start run 1 of a task")
 def step_not_started(context):
     context.agent = AgentFixture(inherits=False)
