Treat the pace of a fill task as unknown where it is not known

What the users would see: a job of fill tasks beside serving ones never ends, or a lasting one earns nothing, after a change of scheduler or a pace order whose answer was lost.

Cause: Pacer took a task that it had not paced itself, and one whose last order failed, to run at full speed. An earlier scheduler may have halted the one, and an order without an answer the other. As no order is sent to a task at full speed, they stayed halted.

Fix: the pace of such a task is unknown, and it gets an order: to halt while a serving task is near its target, else to speed up in steps, or to full speed where nothing serves.

--- a/src/cardamomgrade/emulator/server.py
+++ b/src/cardamomgrade/emulator/server.py
@@ -51,8 +51,9 @@
 
     ``plan(task)`` returns (duration in ms or None, outcome) of a new run. ``trace`` has
     (start or outcome, executor, task, run) for every start and end of a run, where the
-    outcome of a run that an order for its VM ended is "gone", and ``orders``
-    the (call, fields) of every order for a VM.
+    outcome of a run that an order for its VM ended is "gone", ``paces`` the (task,
+    run, percent) of every order to pace a run, and ``orders`` the (call, fields) of
+    every order for a VM.
     """
 
     def __init__(self, loop, plan):
@@ -64,6 +65,7 @@
         self.machines = {}
         self.orders = []
         self.trace = []
+        self.paces = []
         self._plan = plan
         self._store = HttpServer(loop, self.net, self._on_store)
         self._vms = HttpServer(loop, self.net, self._on_vms)
@@ -209,6 +211,7 @@
                 fields["task"], fields["run"], token, now_ms
             )
         else:
+            self.paces.append((fields["task"], fields["run"], fields["percent"]))
             reason = ""
         self._respond(exchange, reason, {})
 
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -430,6 +430,8 @@
                 ready = self._availability.record_readiness(item, self._loop.now())
                 starting = starting or not ready
             if step.fills:
+                if self._scheduler.is_inherited(item.task, item.run):
+                    self._pacer.inherit(item.task, item.run)
                 fills.append((item.task, item.run))
             elif step.target_ms:
                 serving.append((item.load, step.target_ms))
--- a/src/cardamomgrade/jobs/pace.py
+++ b/src/cardamomgrade/jobs/pace.py
@@ -28,7 +28,11 @@
 
 
 class Pacer:
-    """Tracks the pace of each fill task, in percent, by (task, run)."""
+    """Tracks the pace of each fill task, in percent, by (task, run).
+
+    The pace is None where it is not known: after an order without an answer, and for a
+    run that an earlier scheduler may have paced.
+    """
 
     def __init__(self):
         self._percents = {}
@@ -42,7 +46,7 @@
         that the task has none.
         """
         worst_ratio = max(
-            (tail_ms / target for tail_ms, target in serving if target), default=0
+            (tail_ms / target for tail_ms, target in serving if target), default=None
         )
         orders = []
         for task, run in fills:
@@ -57,13 +61,21 @@
         return orders
 
     def _next_percent(self, percent, worst_ratio, now, changed_at):
-        if worst_ratio >= HALT_RATIO:
+        if worst_ratio is not None and worst_ratio >= HALT_RATIO:
             return HALTED_PERCENT
         may_step = changed_at is None or now - changed_at >= STEP_INTERVAL_S
-        if worst_ratio < RESUME_RATIO and may_step:
-            return min(FULL_PERCENT, percent + STEP_PERCENT)
+        if not may_step:
+            return percent
+        if percent is None and worst_ratio is None:
+            return FULL_PERCENT
+        if worst_ratio is None or worst_ratio < RESUME_RATIO:
+            return min(FULL_PERCENT, (percent or HALTED_PERCENT) + STEP_PERCENT)
         return percent
 
+    def inherit(self, task, run):
+        """Note that an earlier scheduler may have paced a run."""
+        self._percents.setdefault((task, run), None)
+
     def failed(self, order):
-        """Forget the pace of a Pace order that failed, so that it is decided again."""
-        self._percents.pop((order.task, order.run), None)
+        """Note that a Pace order failed, which may have been carried out even so."""
+        self._percents[order.task, order.run] = None
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -357,6 +357,11 @@
         known = start.executor in self.executors
         return known and task is not None and not job.state.final
 
+    def is_inherited(self, task_name, run):
+        """Return whether an earlier scheduler placed the current run of a task."""
+        _, task = self._find_run(task_name, run)
+        return task is not None and not task.placed_ms
+
     def is_job_final(self, task_name):
         """Return whether the job of a task is known and in a final state."""
         task_id = parse_task(task_name)
--- a/tests/jobs/driver.feature
+++ b/tests/jobs/driver.feature
@@ -10,3 +10,11 @@
     And the other node has scheduled for 0.1 s
     And the executor registers again
     Then it has no runs within 1.5 s
+
+  Scenario: a fill task that the previous scheduler may have halted is set to full speed
+    Given 2 nodes on an emulated platform with 1 executors
+    When a caller submits a long-running job with 2 fill tasks
+    Then its 2 tasks run
+    When they have run for 1.5 s
+    And the scheduling node is killed
+    Then both tasks are paced to 100 within 5 s
--- a/tests/jobs/urgency.feature
+++ b/tests/jobs/urgency.feature
@@ -33,3 +33,19 @@
     Then the fill task is paced to 25
     When the tail latency is 70 ms for 1.5 s
     Then the pace of the fill task is unchanged
+
+  Scenario: a fill task that an earlier scheduler may have halted does not stay halted
+    Given a fill task beside a serving task with a target of 100 ms
+    And an earlier scheduler started the fill task
+    When the tail latency is 70 ms
+    Then the pace of the fill task is unchanged
+    When the tail latency is 50 ms
+    Then the fill task is paced to 25
+
+  Scenario: a fill task whose pace order got no answer does not stay halted
+    Given a fill task beside a serving task with a target of 100 ms
+    When the tail latency is 90 ms
+    Then the fill task is paced to 0
+    When that pace order gets no answer
+    And the tail latency is 50 ms for 1.5 s
+    Then the fill task is paced to 25
--- a/tests/steps/jobs_driver.py
+++ b/tests/steps/jobs_driver.py
@@ -3,6 +3,7 @@
 import json
 
 from behave import then, when
+from jobs_node import step_fields
 
 EXECUTOR = "i-0"
 
@@ -26,6 +27,28 @@
     context.nodes.platform.put("keyed.servers", EXECUTOR, context.nodes.entry)
 
 
+@when("a caller submits a long-running job with {tasks:d} fill tasks")
+def step_fill_job(context, tasks):
+    world = context.nodes
+    world.lasting = True
+    steps = [step_fields(tasks, longRunning=True, fills=True)]
+    assert world.submit(steps).status == 200
+
+
+@when("they have run for {seconds:g} s")
+def step_have_run(context, seconds):
+    context.nodes.rig.run_for(seconds)
+
+
+@then("both tasks are paced to {percent:d} within {seconds:d} s")
+def step_both_paced(context, percent, seconds):
+    world = context.nodes
+    world.rig.run_for(seconds)
+    paced = {(task, value) for task, _, value in world.platform.paces}
+    names = [f"{world.job}.0.0.{index}" for index in (0, 1)]
+    assert paced == {(name, percent) for name in names}, paced
+
+
 @when("the scheduling node is killed")
 def step_scheduler_killed(context):
     world = context.nodes
--- a/tests/steps/jobs_urgency.py
+++ b/tests/steps/jobs_urgency.py
@@ -105,6 +105,17 @@
     context.orders = pace(context, tail_ms)
 
 
+@given("an earlier scheduler started the fill task")
+def step_inherited_fill(context):
+    context.pacer.inherit("f", 1)
+
+
+@when("that pace order gets no answer")
+def step_pace_lost(context):
+    (order,) = context.orders
+    context.pacer.failed(order)
+
+
 @then("the fill task is paced to {percent:d}")
 def step_paced(context, percent):
     assert [item.percent for item in context.orders] == [percent], context.orders
