--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -62,6 +62,7 @@
 class JobView:
     """The newest records by key: jobs, upkeeps, VM orders, durations and the term.
 
+    ``upkeeps`` maps an ``upkeep_name`` to its UpkeepRecord.
     ``silent`` maps an executor with a SilentRecord to a time of ``now`` by which its
     lease was granted for the last time.
 
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -6,6 +6,7 @@
     encode,
     PREFIX_ORDER,
     PREFIX_UPKEEP,
+    upkeep_name,
     UpkeepRecord,
     VmOrderRecord,
 )
@@ -110,6 +111,7 @@
         self._listing = False
         self._upkeep_in_flight = {}
         self._ending_by_move = {}
+        self._newest_orders = {}
         self._announced = set()
         self._closed = False
 
@@ -123,8 +125,9 @@
         """Add an operator's WaveRequest, with the upkeeps already stored for it."""
         if not self._upkeep.add(request, self._loop.now()):
             return
-        for vm, record in self._view.upkeeps.items():
-            if record.wave == request.wave and vm in request.vms:
+        for vm in request.vms:
+            record = self._view.upkeeps.get(upkeep_name(request.wave, vm))
+            if record is not None:
                 order = OrderedUpkeep(record.executor, self._started_at)
                 self._upkeep.resume(request.wave, vm, order, record.begun)
 
@@ -199,7 +202,8 @@
     def _store_begun(self, wave, vm, executor):
         """Store that an upkeep began, so that no later scheduler orders it again."""
         record = UpkeepRecord(wave, executor, self._epoch, True)
-        self._writer.store([(PREFIX_UPKEEP + vm, encode(record))])
+        key = PREFIX_UPKEEP + upkeep_name(wave, vm)
+        self._writer.store([(key, encode(record))])
 
     def _announce(self, wave, state):
         completed = self._upkeep.is_complete(wave)
@@ -229,26 +233,30 @@
     def _store_order(self, vm, items, send, on_result):
         """Store that this scheduler orders a VM; delete the record after the lease.
 
+        The record stays while the lease of a later order for the VM lasts.
+
         Calls ``send()`` then, or ``on_result(NOT_DONE)`` if that took so long that
-        another node may have become the scheduler.
+        another node may have become the scheduler, also while this machine was
+        suspended.
         """
         key = PREFIX_ORDER + vm
         record = encode(VmOrderRecord(self._epoch))
-        planned_at = self._loop.now()
+        planned_at = self._loop.boot_now()
 
         def stored():
             if self._closed:
                 return
             self._loop.call_later(self._vm_lease_s, forget)
-            if self._loop.now() - planned_at > TERM_TIMEOUT_S:
+            if self._loop.boot_now() - planned_at > TERM_TIMEOUT_S:
                 on_result(VmOrderResult.NOT_DONE)
             else:
                 send()
 
         def forget():
-            if not self._closed:
+            if not self._closed and self._newest_orders[vm] is stored:
                 self._writer.store([(key, b"")])
 
+        self._newest_orders[vm] = stored
         self._writer.store([*items, (key, record)], stored)
 
     def _plan_moves(self, now, wave_vms):
@@ -345,5 +353,5 @@
             else:
                 answered(VmOrderResult.NOT_DONE)
 
-        items = [(PREFIX_UPKEEP + vm, encode(record))]
+        items = [(PREFIX_UPKEEP + upkeep_name(wave, vm), encode(record))]
         self._store_order(vm, items, send, answered)
--- a/tests/jobs/vms.feature
+++ b/tests/jobs/vms.feature
@@ -81,6 +81,13 @@
     And the records are stored
     Then no further order is sent
 
+  Scenario: an order is not sent if its scheduler was suspended while it was stored
+    Given 3 VMs with a ready task each of a step that may miss 1, in a wave of 3 at once
+    When the store holds records back and VMs are planned
+    And the scheduler is suspended for 4 s, while its steady clock stands still
+    And the records are stored
+    Then no further order is sent
+
   Scenario: a wave that is read again does not repeat an upkeep that has begun
     Given 3 VMs with a ready task each of a step that may miss 1, in a wave of 3 at once
     When VMs are planned
@@ -88,3 +95,26 @@
     When that order is done, m0 is back, and the wave is read again before its record
     And VMs are planned
     Then the upkeep of m1 is ordered
+
+  Scenario: a wave that is done is not repeated after a later wave of its VMs and a change of scheduler
+    Given 1 VMs with a ready task each of a step that may miss 1, in a wave of 1 at once
+    When VMs are planned
+    Then the upkeep of m0 is ordered
+    When that order is done and m0 is back as i-m0-2
+    And a second wave of m0 is requested
+    And VMs are planned
+    Then the upkeep of m0 is ordered
+    When that order is done and m0 is back as i-m0-3
+    And another scheduler takes over, which finds all records stored
+    And VMs are planned
+    Then no further upkeep is ordered
+
+  Scenario: the record of an order is not deleted while the lease of its repetition lasts
+    Given 3 VMs in a pool that needs none
+    When VMs are planned until a move is ordered
+    Then the move of m0 is ordered
+    When that order gets no answer and its repetition is refused as busy
+    And its repetitions are refused as busy for 6 s
+    Then the move of m0 is not repeated
+    And no record of an order for m0 was deleted within its lease
+    And the store has no record of an order for m0
--- a/tests/steps/jobs_vms.py
+++ b/tests/steps/jobs_vms.py
@@ -8,10 +8,17 @@
 from cardamomgrade.jobs.availability import Availability
 from cardamomgrade.jobs.driver import TICK_S, VmDependencies
 from cardamomgrade.jobs.pools import IDLE_TIMEOUT_S
-from cardamomgrade.jobs.records import TermRecord, UpkeepRecord, VmOrderRecord
+from cardamomgrade.jobs.records import (
+    PREFIX_ORDER,
+    TermRecord,
+    upkeep_name,
+    UpkeepRecord,
+    VmOrderRecord,
+)
 from cardamomgrade.jobs.reports import ListedVm, RunningTask, VmOrderResult, WaveRequest
 from cardamomgrade.jobs.scheduler import Scheduler
 from cardamomgrade.jobs.spec import JobSpec, parse_task, Step
+from cardamomgrade.jobs.store import Entry
 from cardamomgrade.jobs.view import JobView
 from cardamomgrade.jobs.vms import MOVE_RETRY_S, VM_LEASE_MARGIN_S, VmManager
 
@@ -24,11 +31,15 @@
     """Stands in for the loop; ``advance`` runs the callbacks that are due."""
 
     time_s: float = 100.0
+    suspended_s: float = 0.0
     pending: list = attrs.field(factory=list)
 
     def now(self):
         return self.time_s
 
+    def boot_now(self):
+        return self.time_s + self.suspended_s
+
     def call_later(self, delay, callback):
         self.pending.append((self.time_s + delay, callback))
 
@@ -94,6 +105,7 @@
         self.gone = []
         self.store_holds = False
         self.held = []
+        self.stored = []
         self.budget = budget
         self.wave = WaveRequest(1, tuple(names), 20.0, at_once)
         self.manager = self.make_manager()
@@ -103,7 +115,7 @@
     def make_manager(self, upkeeps=(), epoch=1):
         """Return a manager; ``upkeeps`` has pairs of a VM and its UpkeepRecord."""
         self.view = view = JobView()
-        view.upkeeps.update(upkeeps)
+        view.upkeeps.update((upkeep_name(item.wave, vm), item) for vm, item in upkeeps)
         view.orders.update((vm, VmOrderRecord(item.epoch)) for vm, item in upkeeps)
         cfg = attrs.evolve(SETTINGS, upkeep_ms=int(UPKEEP_S * 1000))
         term = TermRecord(epoch, "n1", "life-1", 1, False)
@@ -145,6 +157,7 @@
         self.scheduler.forget_executor(name)
 
     def store(self, items, on_stored=None):
+        self.stored.extend((self.loop.now(), *item) for item in items)
         if on_stored is not None:
             self.held.append(on_stored)
         if not self.store_holds:
@@ -189,7 +202,8 @@
 @when("that order is done, {vm} is back, and the wave is read again before its record")
 def step_read_again(context, vm):
     world = context.vms
-    world.view.upkeeps[vm] = UpkeepRecord(world.wave.wave, f"i-{vm}", 1)
+    name = upkeep_name(world.wave.wave, vm)
+    world.view.upkeeps[name] = UpkeepRecord(world.wave.wave, f"i-{vm}", 1)
     world.platform.answer(vm, VmOrderResult.DONE)
     list_vm(context, vm, "up", f"i-{vm}-2")
     world.scheduler.put_executor(executor_entry(f"i-{vm}-2", 4))
@@ -231,6 +245,13 @@
     context.vms.report_ready()
 
 
+@when(
+    "the scheduler is suspended for {seconds:g} s, while its steady clock stands still"
+)
+def step_suspended(context, seconds):
+    context.vms.loop.suspended_s += seconds
+
+
 @when("the store holds records back and VMs are planned")
 def step_store_holds(context):
     world = context.vms
@@ -328,6 +349,53 @@
     assert new_orders(context) == [], new_orders(context)
 
 
+@when("that order is done and {vm} is back as {executor}")
+def step_back(context, vm, executor):
+    world = context.vms
+    world.platform.answer(vm, VmOrderResult.DONE)
+    list_vm(context, vm, "up", executor)
+    world.scheduler.put_executor(executor_entry(executor, 4))
+    world.place()
+    world.loop.advance(UPKEEP_S)
+
+
+@when("a second wave of {vm} is requested")
+def step_second_wave(context, vm):
+    world = context.vms
+    world.second_wave = WaveRequest(2, (vm,), 20.0, 1)
+    world.manager.add_wave(world.second_wave)
+
+
+@when("another scheduler takes over, which finds all records stored")
+def step_takes_over_stored(context):
+    world = context.vms
+    world.loop.advance(SETTINGS.machine_lease_ms / 1000 + VM_LEASE_MARGIN_S)
+    world.manager.close()
+    world.manager = world.make_manager(epoch=2)
+    for offset, (_, key, value) in enumerate(world.stored):
+        world.view.fold(Entry(offset, key, value))
+    world.manager.add_wave(world.wave)
+    world.manager.add_wave(world.second_wave)
+
+
+@then("no record of an order for {vm} was deleted within its lease")
+def step_order_kept(context, vm):
+    world = context.vms
+    world.loop.advance(SETTINGS.machine_lease_ms / 1000 + VM_LEASE_MARGIN_S)
+    ordered_at = float("-inf")
+    for time_s, key, value in world.stored:
+        if key == PREFIX_ORDER + vm and value:
+            ordered_at = time_s
+        elif key == PREFIX_ORDER + vm:
+            assert time_s - ordered_at > SETTINGS.machine_lease_ms / 1000
+
+
+@then("the store has no record of an order for {vm}")
+def step_order_deleted(context, vm):
+    records = {key: value for _, key, value in context.vms.stored}
+    assert records[PREFIX_ORDER + vm] == b""
+
+
 def list_vm(context, vm, state, executor):
     context.vms.platform.listed[vm] = ListedVm(vm, "s", state, executor)
 
