Read upkeep records of earlier versions

A scheduler of this version would not have found the upkeeps that one of an earlier version stored, under the VM's name alone, and ordered them again after an update in the middle of a wave.

Failed before, 'an upkeep that a scheduler of an earlier version stored is not ordered again': Then no further upkeep is ordered ... failed ASSERT FAILED: [('upkeep', 'm0')]

--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -25,6 +25,7 @@
     PREFIX_PROGRESS,
     PREFIX_SILENT,
     PREFIX_UPKEEP,
+    upkeep_name,
 )
 
 CALLER_PREFIXES = (PREFIX_JOB, PREFIX_CANCEL)
@@ -168,9 +169,10 @@
 
     def _fold_upkeep(self, name, value):
         if value:
-            self.upkeeps[name] = decode_upkeep(value)
-        else:
-            self.upkeeps.pop(name, None)
+            record = decode_upkeep(value)
+            # Earlier versions kept one record of a VM, under its name alone.
+            vm = name.removeprefix(upkeep_name(record.wave, ""))
+            self.upkeeps[upkeep_name(record.wave, vm)] = record
 
     def _fold_order(self, name, value):
         if value:
--- a/tests/jobs/vms.feature
+++ b/tests/jobs/vms.feature
@@ -109,6 +109,12 @@
     And VMs are planned
     Then no further upkeep is ordered
 
+  Scenario: an upkeep that a scheduler of an earlier version stored is not ordered again
+    Given 1 VMs with a ready task each of a step that may miss 1, in a wave of 1 at once
+    When another scheduler takes over, which finds the upkeep of m0 begun under its name alone
+    And VMs are planned
+    Then no further upkeep is ordered
+
   Scenario: the record of an order is not deleted while the lease of its repetition lasts
     Given 3 VMs in a pool that needs none
     When VMs are planned until a move is ordered
--- a/tests/steps/jobs_vms.py
+++ b/tests/steps/jobs_vms.py
@@ -9,7 +9,9 @@
 from cardamomgrade.jobs.driver import TICK_S, VmDependencies
 from cardamomgrade.jobs.pools import IDLE_TIMEOUT_S
 from cardamomgrade.jobs.records import (
+    encode,
     PREFIX_ORDER,
+    PREFIX_UPKEEP,
     TermRecord,
     upkeep_name,
     UpkeepRecord,
@@ -366,6 +368,19 @@
     world.manager.add_wave(world.second_wave)
 
 
+@when(
+    "another scheduler takes over, which finds the upkeep of {vm} begun under its name"
+    " alone"
+)
+def step_takes_over_earlier_version(context, vm):
+    world = context.vms
+    world.manager.close()
+    world.manager = world.make_manager(epoch=2)
+    record = UpkeepRecord(world.wave.wave, f"i-{vm}", 1, True)
+    world.view.fold(Entry(0, PREFIX_UPKEEP + vm, encode(record)))
+    world.manager.add_wave(world.wave)
+
+
 @when("another scheduler takes over, which finds all records stored")
 def step_takes_over_stored(context):
     world = context.vms
