Renew a first lease at once where the executor's clock is not known

What the users would see: the first runs on an executor end as lapsed within a second and start again, or are lost at a change of scheduler, because their lease was nearly over when it was granted.

Cause: a deadline is a time of the executor's clock. Until the first answer, the scheduler takes the clock of the registration, as if it had been written when it was read, and after an idle time it assumes that the clock was 2% slow all the while. The deadline is short by as much. The renewal that follows a start carries the same deadline and waits up to 1 s in the executor, so a lease that is more than 3 s short lapses before the next one.

Fix: a renewal waits in the executor only if an answer showed its clock in the last 10 s.

How old the clock of a registration is on the users' platform is not known.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -202,6 +202,7 @@
             self._executor.allocations
             and not self._executor.unreachable
             and not self._inherited
+            and self._lease.knows_clock(now)
         )
         wait_ms = self._wait_ms if may_wait else 0
         to_grant = self._executor.allocations and not self._executor.unreachable
--- a/src/cardamomgrade/jobs/lease.py
+++ b/src/cardamomgrade/jobs/lease.py
@@ -7,6 +7,7 @@
 
 LEASE_MS = 4000  # outlasts a change of scheduler: TERM_TIMEOUT_S and the reads after it
 MIN_CLOCK_RATE = 0.98  # slowest rate of an executor's clock that the platform allows
+CLOCK_KNOWN_S = 10.0  # a slow clock may have lost 0.2 s of the lease in this time
 TIMER_MARGIN_MS = 150  # the executor's timers fire slightly late
 MS = 1000
 
@@ -32,14 +33,23 @@
         self._lease_ms = lease_ms
         self._clock_read_at = now
         self._clock_ms = clock_ms
+        self._answered_at = float("-inf")
         self.granted_at = now if granted_at is None else granted_at
 
     def update_clock(self, now, clock_ms):
         """Set the executor's clock from an answer just received; 0 is no value."""
         if clock_ms:
-            self._clock_read_at = now
+            self._clock_read_at = self._answered_at = now
             self._clock_ms = clock_ms
 
+    def knows_clock(self, now):
+        """Return whether an answer showed the executor's clock lately.
+
+        Else it may be far ahead of the lowest possible value, as a registration may be
+        read long after it was written, and the granted lease is that much shorter.
+        """
+        return now - self._answered_at < CLOCK_KNOWN_S
+
     def min_clock_ms(self, now):
         """Return the lowest value that the executor's clock may show now."""
         return self._clock_ms + (now - self._clock_read_at) * MS * MIN_CLOCK_RATE
--- a/tests/jobs/driver.feature
+++ b/tests/jobs/driver.feature
@@ -18,3 +18,11 @@
     When they have run for 1.5 s
     And the scheduling node is killed
     Then both tasks are paced to 100 within 5 s
+
+  Scenario: the first run on an executor that registered 3.5 s before the scheduler read it keeps its lease
+    Given 1 nodes on an emulated platform with 1 executors
+    When the entry of the only executor lapses
+    And the executor's entry is read 3.5 s after it was written
+    And a job of 1 task that takes 1.5 s is submitted
+    Then node 1 shows the job as completed
+    And no run of it lapsed
--- a/tests/steps/jobs_driver.py
+++ b/tests/steps/jobs_driver.py
@@ -78,3 +78,26 @@
     world.rig.run_for(seconds)
     runs = world.platform.instances[EXECUTOR].executor.runs
     assert not runs, runs
+
+
+@when("the executor's entry is read {seconds:g} s after it was written")
+def step_old_entry(context, seconds):
+    world = context.nodes
+    clock_ms = int(world.platform.now_ms() - seconds * 1000)
+    entry = {**world.entry, "clockMs": clock_ms}
+    world.platform.put("keyed.servers", EXECUTOR, entry)
+    world.rig.run_for(0.2)
+
+
+@when("a job of 1 task that takes {seconds:g} s is submitted")
+def step_one_task(context, seconds):
+    world = context.nodes
+    world.task_ms = seconds * 1000
+    assert world.submit([step_fields(1)]).status == 200
+
+
+@then("no run of it lapsed")
+def step_no_lapse(context):
+    assert [item[0] for item in context.nodes.platform.trace] == ["start", "done"], (
+        context.nodes.platform.trace
+    )
