Give the lease that outlasts a change of scheduler a step of its own

The step that lets an entry lapse also lengthened the executor's lease, so that the test of a first run under a short lease could not fail.

--- a/tests/jobs/driver.feature
+++ b/tests/jobs/driver.feature
@@ -5,6 +5,7 @@
     When a caller submits a long-running job with 2 tasks
     Then its 2 tasks run
     When the entry of the only executor lapses
+    And its lease outlasts the change of scheduler
     And the scheduling node is killed
     And the caller cancels the job at the other node
     And the other node has scheduled for 0.1 s
--- a/tests/steps/jobs_driver.py
+++ b/tests/steps/jobs_driver.py
@@ -12,7 +12,11 @@
 def step_entry_lapses(context):
     world = context.nodes
     world.entry = unlist(world, EXECUTOR)
-    # The lease outlasts the change of scheduler, however long that takes here.
+
+
+@when("its lease outlasts the change of scheduler")
+def step_long_lease(context):
+    world = context.nodes
     executor = world.platform.instances[EXECUTOR].executor
     executor.deadline_ms = world.platform.now_ms() + CHANGE_LIMIT_MS
 
@@ -80,7 +84,7 @@
     world = context.nodes
     clock_ms = int(world.platform.now_ms() - seconds * 1000)
     entry = {**world.entry, "clockMs": clock_ms}
-    world.platform.put("keyed.servers", EXECUTOR, entry)
+    world.platform.put(SERVERS, EXECUTOR, entry)
     world.rig.run_for(0.2)
 
 
