--- a/tests/steps/jobs_life.py
+++ b/tests/steps/jobs_life.py
@@ -11,6 +11,7 @@
 SERVERS = "keyed.servers"
 NOTICE_S = 0.3  # the scheduler has read a record of the store by then
 OTHER_JOB = "00000000000000b1"
+ENDS_WITHOUT_SCHEDULER_MS = 1200  # after the kill, and before another node is elected
 
 
 def listed_fields(world, name):
@@ -163,7 +164,7 @@
     world = context.nodes
     killed = world.scheduler()
     world.survivor = 1 - killed
-    world.task_ms = 300
+    world.task_ms = ENDS_WITHOUT_SCHEDULER_MS
     assert world.submit([step_fields(4)], world.survivor).status == 200
     world.rig.run_until(lambda: len(world.platform.trace) == 4)
     world.nodes[killed].close()
