Do not close all VMs of a pool for upkeeps that its budgets forbid

Cause: a circular wait. The wave closed both VMs of a pool to new runs. A task that had been stopped so that fewer of its step run on one VM could start nowhere, and while it was away the budget forbade the upkeep of both VMs. Of the pool's size and need nothing was short, so no VM joined either, until demand for other work rose. Class: room that is left unused on purpose, like the quarantines and limits of this incident.

JobStalled: waiting 1, executors {cordoned: 2}, from 10.1 to 27.0 s.

Change: a VM whose upkeep the budgets forbid is closed only if another VM of its pool is open; of several the one that drains longest stays closed. A VM that was left open is drained anew before its upkeep.

Failed before, tests/jobs/upkeep.feature: Then 2 of the 3 VMs are closed to new runs ... failed ASSERT FAILED: frozenset({'i-m1', 'i-m0', 'i-m2'}) Then 0 of the 1 VMs are closed to new runs ... failed ASSERT FAILED: frozenset({'i-m0'})

--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -6,7 +6,8 @@
 exceeds the capacity of its pool. VMs are closed to new runs shortly before their
 upkeep: first in the pool with the fewest draining VMs, and there the VM with the fewest
 runs. A VM is taken down once no finite task runs on it, whose work would be lost, or
-after DRAIN_TIMEOUT_S.
+after DRAIN_TIMEOUT_S. While the budgets of its lasting tasks forbid its upkeep, it is
+closed only if another VM of its pool is open, so that these tasks can start there.
 """
 
 import attrs
@@ -182,7 +183,7 @@
         down = self._down(state, listed, now)
         self._pick_draining(state, listed, executors, now, down)
         free = state.request.at_once - len(down)
-        cordoned, orders = set(), []
+        cordoned, orders, forbidden = set(), [], []
         for vm, since in sorted(state.draining.items(), key=lambda pair: pair[1]):
             machine = listed.get(vm)
             if machine is None or machine.state != STATE_UP or vm in excluded:
@@ -190,14 +191,34 @@
             if machine.executor:
                 cordoned.add(machine.executor)
             repeated = vm in down  # an order without an answer; it has its place
-            if (repeated or free > 0) and self._may_take_down(
-                machine, executors, now - since, reserve
+            if not (repeated or free > 0) or not self._is_drained(
+                machine, executors, now - since
             ):
-                orders.append((vm, machine.executor))
-                if not repeated:
-                    free -= 1
+                continue
+            if machine.executor and not reserve(executors[machine.executor]):
+                forbidden.append(machine)
+                continue
+            orders.append((vm, machine.executor))
+            if not repeated:
+                free -= 1
+        for machine in reversed(forbidden):
+            # Tasks that wait for room would keep the budgets from allowing the upkeep.
+            if not self._has_open_vm(machine.pool, listed, executors, cordoned):
+                cordoned.discard(machine.executor)
+                state.draining[machine.vm] = now
         return _WavePlan(cordoned, orders)
 
+    def _has_open_vm(self, pool, listed, executors, cordoned):
+        """Return whether a VM of a pool takes new runs; ``cordoned`` ones do not."""
+        return any(
+            machine.pool == pool
+            and machine.state == STATE_UP
+            and machine.executor not in cordoned
+            and machine.executor in executors
+            and executors[machine.executor].open
+            for machine in listed.values()
+        )
+
     def _down(self, state, listed, now):
         """Return the VMs of a wave that are or may be down for their upkeep."""
         return {
@@ -220,12 +241,12 @@
             return False
         return now - order.ordered_at > self._upkeep_s + RETURN_MARGIN_S
 
-    def _may_take_down(self, machine, executors, waited_s, reserve):
+    def _is_drained(self, machine, executors, waited_s):
         executor = executors.get(machine.executor)
         if executor is None:
             return not machine.executor
         finite = [item for item in executor.allocations.values() if not item.lasting]
-        return (not finite or waited_s >= DRAIN_TIMEOUT_S) and reserve(executor)
+        return not finite or waited_s >= DRAIN_TIMEOUT_S
 
     def _pick_draining(self, state, listed, executors, now, down):
         """Start draining VMs, up to one more than may be down at once."""
--- a/tests/jobs/upkeep.feature
+++ b/tests/jobs/upkeep.feature
@@ -26,6 +26,31 @@
     And upkeeps are planned and ordered
     Then 0 VMs are ordered
 
+  Scenario: a pool whose VMs may not be taken down is not closed to new runs altogether
+    Given a wave of 3 VMs, 2 at once
+    When no budget allows a VM to be taken down
+    And upkeeps are planned and ordered
+    Then 2 of the 3 VMs are closed to new runs
+    When the budgets allow it
+    And upkeeps are planned and ordered
+    Then 2 VMs are ordered
+
+  Scenario: a VM that was left open is drained before its upkeep
+    Given a wave of 1 VMs, 1 at once
+    When no budget allows a VM to be taken down
+    And upkeeps are planned and ordered
+    Then 0 of the 1 VMs are closed to new runs
+    When 4 s go by
+    And upkeeps are planned and ordered
+    And a task runs on every VM
+    And the budgets allow it
+    And upkeeps are planned and ordered
+    Then 0 VMs are ordered
+    And the VM is closed to new runs
+    When 3.1 s go by
+    And upkeeps are planned and ordered
+    Then 1 VMs are ordered
+
   Scenario: a VM that is off needs no draining and counts as down only during its upkeep
     Given a wave of 2 VMs, 1 at once
     And all VMs are off
--- a/tests/steps/jobs_upkeep.py
+++ b/tests/steps/jobs_upkeep.py
@@ -79,6 +79,18 @@
     context.wave.allowed = False
 
 
+@when("the budgets allow it")
+def step_budget_allows(context):
+    context.wave.allowed = True
+
+
+@then("{closed:d} of the {vms:d} VMs are closed to new runs")
+def step_closed(context, closed, vms):
+    world = context.wave
+    assert len(world.listed) == vms
+    assert len(world.plan.cordoned) == closed, world.plan.cordoned
+
+
 @when("those VMs are up again with new incarnations")
 def step_restarted(context):
     context.wave.restart(context.wave.ordered)
