Keep a VM closed whose upkeep may still begin

An upkeep without an answer may begin seconds later. Only VMs without an order out are left open now.

Failed before, tests/jobs/upkeep.feature, 'a VM whose upkeep may still begin stays closed although the budgets forbid it now': Then the VM is closed to new runs ... failed

--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -196,7 +196,8 @@
             ):
                 continue
             if machine.executor and not reserve(executors[machine.executor]):
-                forbidden.append(machine)
+                if not repeated:
+                    forbidden.append(machine)
                 continue
             orders.append((vm, machine.executor))
             if not repeated:
--- a/tests/jobs/upkeep.feature
+++ b/tests/jobs/upkeep.feature
@@ -35,6 +35,13 @@
     And upkeeps are planned and ordered
     Then 2 VMs are ordered
 
+  Scenario: a VM whose upkeep may still begin stays closed although the budgets forbid it now
+    Given a wave of 1 VMs, 1 at once
+    When the upkeep of m0 was ordered and got no answer
+    And no budget allows a VM to be taken down
+    And upkeeps are planned and ordered
+    Then the VM is closed to new runs
+
   Scenario: a VM that was left open is drained before its upkeep
     Given a wave of 1 VMs, 1 at once
     When no budget allows a VM to be taken down
--- a/tests/steps/jobs_upkeep.py
+++ b/tests/steps/jobs_upkeep.py
@@ -79,6 +79,15 @@
     context.wave.allowed = False
 
 
+@when("the upkeep of {vm} was ordered and got no answer")
+def step_unanswered(context, vm):
+    world = context.wave
+    state = world.planner.waves[1]
+    state.draining[vm] = world.now
+    state.ordered[vm] = OrderedUpkeep(f"i-{vm}", world.now)
+    state.unconfirmed.add(vm)
+
+
 @when("the budgets allow it")
 def step_budget_allows(context):
     context.wave.allowed = True
