Do not give up a read of the store while its answer arrives

Cause: a read had 1.2 s for the whole answer, then 0.7 s. After a start of all nodes those with a narrow link have the configuration, the pages of the jobs and the records since to read at once, and need longer. They asked for the same again from the start, for ever. A retry that takes as much as what it repeats, and has less time, cannot succeed.

Change: while bytes of the answer arrive, the timeout starts anew, for 10 s at most. A store that is silent is given up as fast as before.

--- a/src/cardamomgrade/client.py
+++ b/src/cardamomgrade/client.py
@@ -27,6 +27,7 @@
     """A connection to one server.
 
     ``on_idle_close`` is called when it closes while no request is in flight.
+    ``received_bytes`` counts all bytes received.
     """
 
     def __init__(self, conn, body_limit=BODY_LIMIT_BYTES):
@@ -37,6 +38,7 @@
         self._head = None
         self._body = []
         self._size = 0
+        self.received_bytes = 0
         self.on_idle_close = None
         conn.on_data = self._on_data
         conn.on_close = self._on_close
@@ -68,6 +70,7 @@
             self.on_idle_close()
 
     def _on_data(self, data):
+        self.received_bytes += len(data)
         if self._on_done is None:
             self._conn.abort()
             if self.on_idle_close is not None:
@@ -156,13 +159,14 @@
                 self._conn.abort()
         self._next()
 
-    def request(self, req, on_done, timeout):
+    def request(self, req, on_done, timeout, limit=0.0):
         """Send a request; call ``on_done(HttpResponse | Failure)`` once.
 
         The ``timeout`` in seconds includes the wait in the queue; a Failure is
-        reported when it has passed.
+        reported when it has passed. If bytes of the answer arrived in that time it
+        starts anew, until ``limit`` seconds have passed since this call.
         """
-        call = _Call(req, on_done)
+        call = _Call(req, on_done, timeout, self._loop.now() + limit)
         call.timer = self._loop.call_later(timeout, lambda: self._expire(call))
         self._queue.append(call)
         self._next()
@@ -200,13 +204,27 @@
 
     def _send(self, call):
         call.sent = True
+        call.received_bytes = self._conn.received_bytes
         self._conn.send(call.req, lambda result: self._finish(call, result))
 
     def _expire(self, call):
+        if self._is_arriving(call):
+            call.received_bytes = self._conn.received_bytes
+            wait_s = min(call.timeout, call.limit_at - self._loop.now())
+            call.timer = self._loop.call_later(wait_s, lambda: self._expire(call))
+            return
         if call.sent and self._conn is not None:
             self._conn.abort()
         self._finish(call, Failure(call.sent, "timed out"))
 
+    def _is_arriving(self, call):
+        return (
+            call.sent
+            and self._conn is not None
+            and self._conn.received_bytes > call.received_bytes
+            and self._loop.now() < call.limit_at
+        )
+
     def _finish(self, call, result):
         if self._current is call:
             self._current = None
@@ -218,10 +236,16 @@
 
 @attrs.define(eq=False)
 class _Call:
-    """A request that is queued or in flight."""
+    """A request that is queued or in flight.
+
+    ``received_bytes`` are those of its connection when the timeout began.
+    """
 
     req: object
     on_done: object
+    timeout: float
+    limit_at: float
+    received_bytes: int = 0
     timer: object = None
     sent: bool = False
     done: bool = False
--- a/src/cardamomgrade/platform/store.py
+++ b/src/cardamomgrade/platform/store.py
@@ -26,6 +26,7 @@
 PARTITION = 0
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024  # well above the size of a page or a read
 READ_LIMIT_KB = 1024  # the store's default for one read
+READ_LIMIT_S = 10.0  # for an answer that is arriving; 1 MB at 1 Mbit/s takes 8 s
 _RECORD_LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
 
@@ -90,7 +91,11 @@
 
 
 class TopicClient:
-    """Calls for one topic; reads and appends have separate connections."""
+    """Calls for one topic; reads and appends have separate connections.
+
+    The timeout of a read starts anew while its answer arrives, which may be slow: a
+    node on a narrow link would otherwise ask for the same records for ever.
+    """
 
     def __init__(self, loop, net, address, topic):
         self._reads = Requester(loop, net, address, ANSWER_LIMIT_BYTES)
@@ -141,7 +146,8 @@
         def done(res):
             on_done(_read_result(res, start))
 
-        self._reads.request(HttpRequest("GET", target, self._host), done, timeout)
+        req = HttpRequest("GET", target, self._host)
+        self._reads.request(req, done, timeout, READ_LIMIT_S)
 
     def newest(self, after, on_done, timeout):
         """Read the newest record of each key after the key ``after``, one page.
@@ -154,7 +160,8 @@
         def done(res):
             on_done(_page_result(res))
 
-        self._reads.request(HttpRequest("GET", target, self._host), done, timeout)
+        req = HttpRequest("GET", target, self._host)
+        self._reads.request(req, done, timeout, READ_LIMIT_S)
 
 
 def _append_result(res):
--- a/tests/client.feature
+++ b/tests/client.feature
@@ -34,3 +34,19 @@
     And the server answers /b
     Then the request for /b gets its own answer
     And the server has 1 open connections
+
+  Scenario: an answer that arrives slowly is not given up and asked for again for ever
+    Given a server that sends an answer in 5 pieces, 0.2 s apart
+    When a request with a timeout of 0.3 s and a limit of 5 s is sent
+    Then its answer has 5 pieces
+
+  Scenario Outline: a request is given up <when>
+    Given a server that sends an answer in <pieces> pieces, 0.2 s apart
+    When a request with a timeout of 0.3 s and a limit of <limit> s is sent
+    Then it is given up after <after> s
+
+    Examples:
+      | when                              | pieces | limit | after |
+      | when its answer does not begin    | 0      | 5     | 0.3   |
+      | at its limit                      | 50     | 0.8   | 0.8   |
+      | at its timeout if it has no limit | 50     | 0     | 0.3   |
--- a/tests/steps/client.py
+++ b/tests/steps/client.py
@@ -10,6 +10,7 @@
 HOST = "127.0.0.1"
 TIMEOUT_S = 0.3
 SETTLE_S = 0.1  # for connections and answers on loopback
+PIECE = b"x" * 100
 
 
 class RequesterFixture:
@@ -121,3 +122,53 @@
     world = context.client
     world.rig.run_for(SETTLE_S)
     assert len(world.server.sessions) == count, world.server.sessions
+
+
+@given("a server that sends an answer in {pieces:d} pieces, {gap_s:g} s apart")
+def step_slow_server(context, pieces, gap_s):
+    """Answers one request with 200; with 0 pieces it sends nothing."""
+    context.rig = Rig()
+    context.pieces = pieces
+
+    def on_conn(conn):
+        def send(left):
+            if left and not conn.closed:
+                conn.write(PIECE)
+                context.rig.loop.call_later(gap_s, lambda: send(left - 1))
+
+        def answer(data):
+            conn.on_data = lambda data: None
+            if pieces:
+                length = pieces * len(PIECE)
+                head = f"HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n"
+                conn.write(head.encode())
+                send(pieces)
+
+        conn.on_data = answer
+        conn.on_close = lambda: None
+
+    context.port = context.rig.net.listen(HOST, 0, on_conn)
+
+
+@when("a request with a timeout of {timeout:g} s and a limit of {limit:g} s is sent")
+def step_limited_request(context, timeout, limit):
+    rig, context.results = context.rig, []
+    requester = Requester(rig.loop, rig.net, f"{HOST}:{context.port}")
+    req = HttpRequest("GET", "/a", ((b"host", b"a"),))
+    began = rig.loop.now()
+    requester.request(req, context.results.append, timeout, limit)
+    rig.run_until(lambda: context.results)
+    context.took_s = rig.loop.now() - began
+
+
+@then("its answer has {pieces:d} pieces")
+def step_pieces(context, pieces):
+    (result,) = context.results
+    assert result and result.body == PIECE * pieces, result
+
+
+@then("it is given up after {seconds:g} s")
+def step_given_up(context, seconds):
+    (result,) = context.results
+    assert not result and result.detail == "timed out", result
+    assert seconds <= context.took_s, context.took_s
