Keep waiting jobs in order, so that a round costs what it places

Change: jobs with tasks that wait are kept sorted by rank and are evaluated when they change, when their rank ends, and each second; steps too large for any executor are skipped by one comparison; the executors for a step are taken from a heap. Besides, the pools are logged once a second (PoolsSized).

--- a/src/cardamomgrade/jobs/executors.py
+++ b/src/cardamomgrade/jobs/executors.py
@@ -23,7 +23,7 @@
     because its VM is due for upkeep or a move, and ``unreachable`` if the last request
     to it was not answered. ``allocations`` maps the name of a task to its Allocation.
     ``cores_m`` (thousandths of a core), ``memory_mb`` and ``accelerators`` are the sums
-    of the allocations.
+    of the allocations; ``lasting_cores_m`` is the part of ``cores_m`` of lasting tasks.
     """
 
     def __init__(self, entry):
@@ -35,6 +35,7 @@
         self.cores_m = 0
         self.memory_mb = 0
         self.accelerators = 0
+        self.lasting_cores_m = 0
 
     @property
     def name(self):
@@ -88,3 +89,37 @@
         self.cores_m += sign * allocation.cores_m
         self.memory_mb += sign * allocation.memory_mb
         self.accelerators += sign * allocation.accelerators
+        if allocation.lasting:
+            self.lasting_cores_m += sign * allocation.cores_m
+
+
+@attrs.frozen
+class LargestRoom:
+    """The largest free capacity of each kind on any of some executors."""
+
+    cores_m: int
+    memory_mb: int
+    accelerators: int
+
+    @classmethod
+    def of(cls, executors):
+        """Return the LargestRoom on ``executors``."""
+        return cls(
+            max((item.entry.cores_m - item.cores_m for item in executors), default=-1),
+            max(
+                (item.entry.memory_mb - item.memory_mb for item in executors),
+                default=-1,
+            ),
+            max(
+                (item.entry.accelerators - item.accelerators for item in executors),
+                default=-1,
+            ),
+        )
+
+    def may_fit(self, step):
+        """Return False if no executor has room for one more task of a step."""
+        return (
+            step.reserved_cores_m <= self.cores_m
+            and step.memory_mb <= self.memory_mb
+            and step.accelerators <= self.accelerators
+        )
--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -42,12 +42,7 @@
         )
         waiting_cores_m = self._waiting_cores_m.get(service.name, 0)
         allocated_cores_m = sum(item.cores_m for item in pool)
-        lasting_cores_m = sum(
-            allocation.cores_m
-            for item in pool
-            for allocation in item.allocations.values()
-            if allocation.lasting
-        )
+        lasting_cores_m = sum(item.lasting_cores_m for item in pool)
         arriving_cores_m = self.demand.cores_m(service.name, now_ms)
         needed_cores_m = (
             max(allocated_cores_m + waiting_cores_m, arriving_cores_m) + lasting_cores_m
@@ -66,4 +61,6 @@
         if blocked:
             needed = max(needed, size + blocked)
         idle = tuple(item.name for item in pool if not item.allocations and item.open)
-        return PoolLoad(service.name, needed, idle, size, service.standby)
+        return PoolLoad(
+            service.name, needed, idle, size, service.standby, waiting_cores_m
+        )
--- a/src/cardamomgrade/jobs/placing.py
+++ b/src/cardamomgrade/jobs/placing.py
@@ -6,6 +6,8 @@
 moved to another pool. The rack that holds the step's data is preferred over both.
 """
 
+from heapq import heapify, heappop, heapreplace
+
 
 class PlacementLimits:
     """Limits the tasks of one step and occurrence per executor.
@@ -37,28 +39,74 @@
         return not self._limit or self._counts.get(name, 0) < self._limit
 
 
-def choose_executor(executors, step, limits, avoid=(), rack=""):
-    """Return the best executor for one more task of a step, or None if none fits.
+def may_run(executor, step, limits):
+    """Return whether an executor may run one more task of a step and has the room."""
+    return (
+        executor.fits(step)
+        and limits.allows(executor.name)
+        and (not step.label or step.label in executor.entry.labels)
+    )
+
+
+class StepPlacer:
+    """Chooses executors for the tasks of one step, one task after another.
 
-    Prefers executors on ``rack``, by default the rack of the step's data. Executors
-    whose names are in ``avoid`` are used only if no other fits.
+    ``spread`` are the PlacementLimits that keep the step within its availability
+    budget. They are exceeded only where the step could not start otherwise: two tasks
+    of a step on one VM delay its upkeep, but waiting is worse.
     """
-    best, best_rank = None, None
-    wanted = rack or step.rack
-    for executor in executors:
-        if not executor.fits(step) or not limits.allows(executor.name):
-            continue
-        if step.label and step.label not in executor.entry.labels:
-            continue
-        rank = (
+
+    def __init__(self, executors, step, limits, spread):
+        self._step = step
+        self._limits = limits
+        self._spread = spread
+        self._heap = [
+            (self._rank(item), number, item)
+            for number, item in enumerate(executors)
+            if may_run(item, step, limits)
+        ]
+        heapify(self._heap)
+
+    def _rank(self, executor, avoid=()):
+        rack = self._step.rack
+        return (
+            not self._spread.allows(executor.name),
             executor.name in avoid,
-            bool(wanted) and executor.entry.rack != wanted,
+            bool(rack) and executor.entry.rack != rack,
             not executor.allocations,
             -executor.free_fraction,
         )
-        if best is None or rank < best_rank:
-            best, best_rank = executor, rank
-    return best
+
+    def choose(self, avoid=()):
+        """Return the best executor for one more task, or None if none may run it.
+
+        Executors whose names are in ``avoid`` are used only if no other may. The caller
+        allocates the task on the executor before it calls this method again.
+        """
+        best = self._choose_avoiding(avoid) if avoid else self._choose_first()
+        if best is not None:
+            self._limits.add(best.name)
+            self._spread.add(best.name)
+        return best
+
+    def _choose_first(self):
+        # Only this step changes executors meanwhile, so that ranks only get worse.
+        while self._heap:
+            rank, number, executor = self._heap[0]
+            if not may_run(executor, self._step, self._limits):
+                heappop(self._heap)
+                continue
+            current = self._rank(executor)
+            if current <= rank:
+                return executor
+            heapreplace(self._heap, (current, number, executor))
+        return None
+
+    def _choose_avoiding(self, avoid):
+        allowed = [
+            item for _, _, item in self._heap if may_run(item, self._step, self._limits)
+        ]
+        return min(allowed, key=lambda item: self._rank(item, avoid), default=None)
 
 
 def choose_gang_executors(executors, step, limits):
--- a/src/cardamomgrade/jobs/pools.py
+++ b/src/cardamomgrade/jobs/pools.py
@@ -21,8 +21,9 @@
     """Size and need of a pool.
 
     ``needed_vms`` is the number of VMs that its work needs, ``size`` the number that it
-    has, and ``idle`` the names of its executors without runs. The VMs of a ``standby``
-    pool are switched off.
+    has, and ``idle`` the names of its executors without runs. ``waiting_cores_m`` is
+    what its waiting tasks need, in thousandths of a core. The VMs of a ``standby`` pool
+    are switched off.
     """
 
     service: str
@@ -30,6 +31,7 @@
     idle: tuple
     size: int
     standby: bool
+    waiting_cores_m: int = 0
 
     @property
     def short_vms(self):
--- a/src/cardamomgrade/jobs/probes.py
+++ b/src/cardamomgrade/jobs/probes.py
@@ -12,7 +12,7 @@
 ones, but as few as possible.
 """
 
-from .placing import choose_executor, PlacementLimits
+from .placing import may_run, PlacementLimits
 from .records import Phase
 
 PROBE_REST_MS = 1000  # between a failure and the next probe, so that failures are rare
@@ -73,9 +73,7 @@
     best, best_rank = None, None
     for job, state in waiting:
         step = state.step
-        if step.gang or not executor.fits(step):
-            continue
-        if choose_executor([executor], step, PlacementLimits(state)) is None:
+        if step.gang or not may_run(executor, step, PlacementLimits(state)):
             continue
         runs_elsewhere = bool(job.placed())
         for task in state.tasks:
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -71,6 +71,7 @@
         self._steps = {}
         self._occurrences = 0
         self._started = False
+        self._unfinished = 0
 
     @classmethod
     def restore(cls, spec, max_attempts, record):
@@ -102,7 +103,7 @@
     def _all_done(self):
         if self.spec.lasting or self._occurrences < max(1, self.spec.repeat):
             return False
-        return all(step.unfinished == 0 for step in self._steps.values())
+        return self._unfinished == 0
 
     def record(self):
         """Return the ProgressRecord to store."""
@@ -128,6 +129,7 @@
             self._steps[occurrence, number] = StepState(
                 occurrence, number, step, tasks, len(tasks), len(tasks)
             )
+            self._unfinished += len(tasks)
 
     def open_due_occurrences(self, wall_ms):
         """Open due occurrences; return the wall-clock ms of the next one, or 0."""
@@ -172,7 +174,9 @@
 
     def _set_phase(self, task, phase):
         step = self._steps[task.id.occurrence, task.id.step]
-        step.unfinished -= (phase is Phase.DONE) - (task.phase is Phase.DONE)
+        newly_done = (phase is Phase.DONE) - (task.phase is Phase.DONE)
+        step.unfinished -= newly_done
+        self._unfinished -= newly_done
         step.waiting += (phase is Phase.WAITING) - (task.phase is Phase.WAITING)
         task.phase = phase
 
--- a/src/cardamomgrade/jobs/queues.py
+++ b/src/cardamomgrade/jobs/queues.py
@@ -50,10 +50,15 @@
     queues: tuple = ()
     services: tuple = ()
     body_limit: int = 0
+    _queues_by_name: dict = attrs.field(init=False, eq=False, repr=False)
+
+    @_queues_by_name.default
+    def _index_queues(self):
+        return {item.name: item for item in reversed(self.queues)}
 
     def queue(self, name):
         """Return the queue named ``name``, or None."""
-        return next((item for item in self.queues if item.name == name), None)
+        return self._queues_by_name.get(name)
 
     def service(self, name):
         """Return the service named ``name``, or None."""
--- /dev/null
+++ b/src/cardamomgrade/jobs/ready.py
@@ -0,0 +1,90 @@
+"""Jobs with tasks that may start now, per service, in the order they get capacity.
+
+Load pattern: thousands of tasks wait while each placement round places a few. A job is
+ordered when it changes and when its rank ends, so that a round costs no look at the
+jobs that cannot be placed beyond one comparison each.
+"""
+
+from bisect import bisect_left, insort
+
+import attrs
+
+from .urgency import order_key, Rank, rank_ends_at_age_ms, rank_of
+
+REFRESH_MS = 1000.0  # expected run times are learned while jobs wait
+
+
+@attrs.frozen
+class ReadyJob:
+    """A job, its StepStates with waiting tasks, and its place in the order.
+
+    ``valid_until_ms`` is the wall-clock time at which its rank has to be evaluated
+    again. ``waiting_cores_m`` is the need of its waiting tasks if these count as need
+    for VMs, in thousandths of a core.
+    """
+
+    job: object
+    steps: list
+    forecast: object
+    key: tuple
+    valid_until_ms: float
+    waiting_cores_m: int
+
+
+def ready_job(job, steps, forecast, priority, wall_ms):
+    """Return the ReadyJob of a JobProgress with a Forecast made at ``wall_ms``."""
+    accepted_ms = job.spec.accepted_ms
+    key = order_key(forecast, priority, (accepted_ms, job.spec.job))
+    ends_ms = accepted_ms + rank_ends_at_age_ms(forecast)
+    waiting_cores_m = 0
+    if rank_of(forecast) <= Rank.LATE:
+        waiting_cores_m = sum(
+            state.waiting * state.step.reserved_cores_m for state in steps
+        )
+    return ReadyJob(
+        job,
+        steps,
+        forecast,
+        key,
+        min(max(ends_ms, wall_ms), wall_ms + REFRESH_MS),
+        waiting_cores_m,
+    )
+
+
+class ReadyJobs:
+    """The ReadyJobs of one service; ``waiting_cores_m`` is the sum of their needs."""
+
+    def __init__(self):
+        self._by_name = {}
+        self._order = []
+        self.waiting_cores_m = 0
+
+    def __iter__(self):
+        """Iterate over a copy of the ReadyJobs, the first to get capacity first."""
+        return iter([self._by_name[key[-1][1]] for key in self._order])
+
+    def __len__(self):
+        return len(self._order)
+
+    def put(self, item):
+        """Add a ReadyJob, or replace that of the same job."""
+        name = item.job.spec.job
+        self.discard(name)
+        self._by_name[name] = item
+        insort(self._order, item.key)
+        self.waiting_cores_m += item.waiting_cores_m
+
+    def discard(self, name):
+        """Remove a job, by name, if it is there."""
+        item = self._by_name.pop(name, None)
+        if item is not None:
+            del self._order[bisect_left(self._order, item.key)]
+            self.waiting_cores_m -= item.waiting_cores_m
+
+    def expired(self, wall_ms):
+        """Return the names of the jobs whose rank has to be evaluated again."""
+        return [
+            name
+            for name, item in self._by_name.items()
+            if item.valid_until_ms <= wall_ms
+        ]
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -16,11 +16,12 @@
 from ..health import Health
 from ..journal import log_event
 from .durations import Durations
-from .executors import Executor
+from .executors import Executor, LargestRoom
 from .needs import PoolNeeds
-from .placing import choose_executor, choose_gang_executors, PlacementLimits
+from .placing import choose_gang_executors, PlacementLimits, StepPlacer
 from .probes import choose_probe, Probes
 from .progress import JobProgress
+from .ready import ready_job, ReadyJobs
 from .records import encode, Phase, PREFIX_PROGRESS
 from .reports import Outcome
 from .scheduler_events import (
@@ -32,7 +33,7 @@
 )
 from .spec import parse_task
 from .stalls import count_executor_states, SERVICE_LINES_MAX, stall_event, StallWatch
-from .urgency import Forecast, order_key, Rank, rank_of
+from .urgency import Forecast
 
 FAILURE_STREAK_JOBS = 2  # a healthy executor rarely fails two jobs' tasks in a row
 QUARANTINE_MIN_MS = 4000  # each retry of a faulty executor costs one task
@@ -70,6 +71,8 @@
         self.jobs = {}
         self.executors = {}
         self._pools = {}
+        self._ready = {}
+        self._changed = {}
         self._dirty = {}
         self._logged_states = {}
         self._pending_stops = {}
@@ -93,6 +96,10 @@
         """Apply a new version of the configuration and replan all services."""
         self.cfg = cfg
         self._services_to_plan.update(service.name for service in cfg.services)
+        self._ready.clear()
+        self._changed = {
+            name: job for name, job in self.jobs.items() if not job.state.final
+        }
 
     def service_of(self, spec):
         """Return the service that currently runs a job, by its queue if that exists."""
@@ -115,7 +122,7 @@
             job.open_due_occurrences(spec.accepted_ms)
         else:
             job = JobProgress.restore(spec, attempts, record)
-        self.jobs[spec.job] = job
+        self.jobs[spec.job] = self._changed[spec.job] = job
         for task in job.placed():
             self._allocate(job, task)
         self._services_to_plan.add(self.service_of(spec))
@@ -153,7 +160,7 @@
         self._stop_all(job)
 
     def _mark_dirty(self, job):
-        self._dirty[job.spec.job] = job
+        self._dirty[job.spec.job] = self._changed[job.spec.job] = job
         state = job.state
         if state is not self._logged_states.get(job.spec.job):
             self._logged_states[job.spec.job] = state
@@ -211,6 +218,7 @@
                 if due:
                     times.append(due)
                 if job.ready_steps():
+                    self._changed[job.spec.job] = job
                     self._services_to_plan.add(self.service_of(job.spec))
         return min(times, default=0)
 
@@ -417,22 +425,33 @@
             self.replan_executor(name)
         for name in (*self._health.due(now_ms), *self._probes.rested(now_ms)):
             self.replan_executor(name)
+        changed, self._changed = self._changed, {}
+        for job in changed.values():
+            self._evaluate(job, wall_ms)
         starts = []
         services, self._services_to_plan = self._services_to_plan, set()
         for service in services:
             starts.extend(self._plan_service(service, now_ms, wall_ms))
         return starts
 
+    def _evaluate(self, job, wall_ms):
+        """Put a job in its place among those with tasks that may start, if any."""
+        self._changed.pop(job.spec.job, None)
+        job.open_due_occurrences(wall_ms)
+        ready = self._ready.setdefault(self.service_of(job.spec), ReadyJobs())
+        steps = job.ready_steps()
+        if not steps or job.state.final:
+            ready.discard(job.spec.job)
+            return
+        queue = self.cfg.queue(job.spec.queue)
+        priority = queue.priority if queue is not None else 0
+        forecast = self._forecast(job, wall_ms)
+        ready.put(ready_job(job, steps, forecast, priority, wall_ms))
+
     def _plan_service(self, service, now_ms, wall_ms):
-        ready = []
-        for job in self.jobs.values():
-            if job.state.final or self.service_of(job.spec) != service:
-                continue
-            job.open_due_occurrences(wall_ms)
-            steps = job.ready_steps()
-            if steps:
-                forecast = self._forecast(job, wall_ms)
-                ready.append((self._sort_key(job, forecast), job, steps, forecast))
+        ready = self._ready.setdefault(service, ReadyJobs())
+        for name in ready.expired(wall_ms):
+            self._evaluate(self.jobs[name], wall_ms)
         executors = [
             item
             for item in self.pool(service)
@@ -440,30 +459,29 @@
             and not self._health.is_quarantined(item.name)
             and item.name not in self._paused_until_ms
         ]
-        ready.sort(key=lambda item: item[0])
-        not_begun = [(job, forecast) for _, job, _, forecast in ready if not job.begun]
+        room = LargestRoom.of(executors)
         starts = []
-        waiting_cores_m = blocked_vms = 0
-        for _, job, steps, forecast in ready:
-            for step in steps:
+        blocked_vms = 0
+        for item in ready:
+            job, begun, count = item.job, item.job.begun, len(starts)
+            for step in item.steps:
+                if not room.may_fit(step.step):
+                    continue
                 place = self._place_gang if step.step.gang else self._place_tasks
                 starts.extend(place(job, step, executors, now_ms))
-                if rank_of(forecast) <= Rank.LATE:
-                    waiting_cores_m += step.waiting * step.step.reserved_cores_m
                 if step.waiting and any(item.fits(step.step) for item in executors):
                     blocked_vms += -(-step.waiting // (step.step.per_executor or 1))
-        self._pool_needs.record_waiting(service, waiting_cores_m, blocked_vms)
-        waiting = [
-            (job, step) for _, job, steps, _ in ready for step in steps if step.waiting
-        ]
-        if waiting:
-            starts.extend(self._place_probes(service, waiting, executors, now_ms))
-        self._start_delays_ms.extend(
-            max(0.0, forecast.age_ms) for job, forecast in not_begun if job.begun
-        )
+            if len(starts) > count:
+                room = LargestRoom.of(executors)
+                self._evaluate(job, wall_ms)
+                if not begun:
+                    age_ms = wall_ms - job.spec.accepted_ms
+                    self._start_delays_ms.append(max(0.0, age_ms))
+        self._pool_needs.record_waiting(service, ready.waiting_cores_m, blocked_vms)
+        starts.extend(self._place_probes(service, ready, executors, now_ms))
         return starts
 
-    def _place_probes(self, service, waiting, executors, now_ms):
+    def _place_probes(self, service, ready, executors, now_ms):
         """Place tasks that the open ``executors`` do not take on quarantined ones."""
         quarantined = [
             item
@@ -473,6 +491,11 @@
             and item.name not in self._paused_until_ms
             and self._probes.may_begin(item)
         ]
+        if not quarantined:
+            return []
+        waiting = [
+            (item.job, step) for item in ready for step in item.steps if step.waiting
+        ]
         starts, unused = [], []
         for executor in quarantined:
             found = choose_probe(executor, waiting)
@@ -514,11 +537,6 @@
             lasting=job.spec.lasting,
         )
 
-    def _sort_key(self, job, forecast):
-        queue = self.cfg.queue(job.spec.queue)
-        priority = queue.priority if queue is not None else 0
-        return order_key(forecast, priority, (job.spec.accepted_ms, job.spec.job))
-
     def log_stalls(self, now_ms):
         """Log the jobs that stand still, at most SERVICE_LINES_MAX of a service."""
         lines = Counter()
@@ -555,20 +573,19 @@
         return loads
 
     def _place_tasks(self, job, step, executors, now_ms):
-        spread_limits, limits = PlacementLimits(step, executors), PlacementLimits(step)
+        placer = StepPlacer(
+            executors,
+            step.step,
+            PlacementLimits(step),
+            PlacementLimits(step, executors),
+        )
         starts = []
         for task in step.tasks:
             if task.phase is not Phase.WAITING:
                 continue
-            avoid = task.failed_on
-            # Two tasks of a step on one VM delay its upkeep, but waiting is worse.
-            executor = choose_executor(
-                executors, step.step, spread_limits, avoid
-            ) or choose_executor(executors, step.step, limits, avoid)
+            executor = placer.choose(task.failed_on)
             if executor is None:
                 break
-            spread_limits.add(executor.name)
-            limits.add(executor.name)
             run = job.place(task, executor.name)
             starts.append(self._start(job, task, run, executor, now_ms))
         if starts:
@@ -613,6 +630,9 @@
             return False
         del self.jobs[name]
         self._dirty.pop(name, None)
+        self._changed.pop(name, None)
+        for ready in self._ready.values():
+            ready.discard(name)
         self._logged_states.pop(name, None)
         return True
 
--- a/src/cardamomgrade/jobs/urgency.py
+++ b/src/cardamomgrade/jobs/urgency.py
@@ -6,6 +6,7 @@
 over, the least work first, since that completes the most jobs soonest.
 """
 
+import math
 from enum import IntEnum, unique
 
 import attrs
@@ -57,6 +58,17 @@
     return Rank.LATE
 
 
+def rank_ends_at_age_ms(forecast):
+    """Return the age of a job, in ms, up to which its Rank holds if nothing changes."""
+    rank = rank_of(forecast)
+    if rank in (Rank.LASTING, Rank.HOPELESS):
+        return math.inf
+    if rank is Rank.LATE:
+        return forecast.objective_ms * HOPELESS_FACTOR - forecast.remaining_ms
+    margin_ms = 0 if rank is Rank.BEGUN else forecast.remaining_ms * DURATION_MARGIN
+    return forecast.objective_ms - forecast.remaining_ms - margin_ms
+
+
 def order_key(forecast, priority, arrival):
     """Return the sort key of a job within its pool; ``arrival`` breaks ties."""
     rank = rank_of(forecast)
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -17,6 +17,7 @@
 MOVE_RETRY_S = 0.2
 VM_LEASE_MARGIN_S = 0.3  # the platform's clock may differ from this node's
 STATUS_APPEND_TIMEOUT_S = 1.0
+POOL_LOG_S = 1.0
 MS = 1000
 
 
@@ -83,6 +84,18 @@
     steps: list
 
 
+@event(618)
+class PoolsSized:
+    """The VMs of all pools, and the moves that are under way.
+
+    ``pools`` has a row of service, VMs it needs, VMs it has, VMs without runs, and
+    cores that its waiting tasks need.
+    """
+
+    pools: list
+    moves: int
+
+
 class VmManager:
     """Plans and sends the orders for VMs in one term.
 
@@ -113,6 +126,7 @@
         self._ending_by_move = {}
         self._newest_orders = {}
         self._announced = set()
+        self._pools_logged_at = float("-inf")
         self._closed = False
 
     def close(self):
@@ -263,6 +277,7 @@
         """Order moves between pools; return the executors that pending moves end."""
         excluded = wave_vms | set(self._upkeep_in_flight) | self._locked_vms()
         loads = self._scheduler.pool_loads(now * MS)
+        self._log_pools(loads, now)
         for move in self._pools.plan(loads, self._vms_by_name, now, excluded):
             self._pools.record_ordered(move, now)
             if move.executor:
@@ -270,6 +285,23 @@
             self._order_move(move)
         return set(self._ending_by_move.values())
 
+    def _log_pools(self, loads, now):
+        if now - self._pools_logged_at < POOL_LOG_S:
+            return
+        self._pools_logged_at = now
+        rows = [
+            [
+                item.service,
+                item.needed_vms,
+                item.size,
+                len(item.idle),
+                item.waiting_cores_m // 1000,
+            ]
+            for item in loads.values()
+            if not item.standby
+        ]
+        log_event(PoolsSized(rows, len(self._ending_by_move)))
+
     def _order_move(self, move, unanswered_at=None):
         """Order a move; ``unanswered_at`` is when an earlier attempt had no answer."""
 
