--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -17,6 +17,8 @@
 """
 
 from enum import IntEnum, unique
+from functools import cache
+from operator import attrgetter
 
 import attrs
 import cbor2
@@ -163,9 +165,21 @@
     return f"{wave}/{vm}"
 
 
+@cache
+def _row_getter(cls):
+    return attrgetter(*(field.name for field in attrs.fields(cls)))
+
+
+def _row(record):
+    row = _row_getter(type(record))(record)
+    return row if isinstance(row, tuple) else (row,)
+
+
 def encode(record):
     """Return the bytes of a record."""
-    return cbor2.dumps(attrs.astuple(record))
+    return cbor2.dumps(
+        _row(record), default=lambda encoder, item: encoder.encode(_row(item))
+    )
 
 
 def _load(cls, data):
