Grant leases only while no successor can schedule

Cause: a scheduler that is cut off from the store went on renewing the leases of executors that its successor cannot reach; the successor counted them as over and started their tasks again (TWICE; KNOWN-RED, tests/jobs/successor.feature, red since it exists).

Change: leases are granted only within TERM_TIMEOUT_S after the sending of the newest append that is stored, measured with the clock that counts suspensions. A candidate waits at least that long after reading that record. Weighed: a time in the store for each grant (an append a second for each executor), and longer leases during outages (every successor would wait longer for lost executors).

Before: successor.feature failed in every run. After: passes; new scenarios in silence.feature fail without the change (no such bound).

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -11,6 +11,7 @@
 
 RENEW_WAIT_MS = 1000  # a quarter of the lease, so that three renewals may fail
 WATCHED_WAIT_MS = 250  # while a task starts or is paced; executors measure every 500 ms
+WITHHELD_WAIT_MS = 500  # so that the lease is granted soon after the store is back
 UNSTORED_ENDS_WAIT_S = 1.0  # renew then, even if ends are not stored yet
 RENEW_RETRY_S = 0.2
 START_RETRY_S = 0.1
@@ -86,7 +87,9 @@
     ``driver`` has the callbacks ``on_runs_ended``, ``on_executor_gone``,
     ``on_lease_lapsed``, ``on_run_withdrawn``, ``on_run_missing``,
     ``on_start_refused``, ``on_reachable`` and ``on_fenced``, and ``on_running``, which
-    returns whether to request reports more often. ``inherited`` is whether an earlier
+    returns whether to request reports more often. Leases are granted only while its
+    ``may_grant()`` is true, since a successor that cannot reach an executor counts its
+    lease from the start of its own term. ``inherited`` is whether an earlier
     scheduler placed the runs that are on the executor now. While ``silences``
     (SilentExecutors) may have a record of the executor, no request grants the lease.
 
@@ -120,7 +123,7 @@
         self._wait_ms = RENEW_WAIT_MS
         self._answered = False
         self._closed = False
-        if not self._may_grant():
+        if self._has_silence_record():
             self._mark_unreachable("it was silent before")
 
     def replace(self, other):
@@ -204,9 +207,11 @@
             and not self._inherited
             and self._lease.knows_clock(now)
         )
-        wait_ms = self._wait_ms if may_wait else 0
         to_grant = self._executor.allocations and not self._executor.unreachable
         deadline = self._lease.grant(now) if to_grant and self._may_grant() else None
+        wait_ms = self._wait_ms if may_wait else 0
+        if to_grant and deadline is None:
+            wait_ms = min(wait_ms, WITHHELD_WAIT_MS)
 
         def done(report):
             self._renewing = False
@@ -222,13 +227,13 @@
         if isinstance(report, LeaseReport):
             self._lease.update_clock(now, report.clock_ms)
             self._answered = True
-            if self._executor.unreachable or not self._may_grant():
+            if self._executor.unreachable or self._has_silence_record():
                 self._silences.clear(self.name, self._on_silence_cleared)
             self._process_ends(report)
             self._reconcile(report, sent_at)
             if not report.more_ends:
                 self._inherited.clear()
-            if self._may_grant():
+            if not self._has_silence_record():
                 self.renew_if_needed()
             else:
                 self._loop.call_later(RENEW_RETRY_S, self.renew_if_needed)
@@ -251,8 +256,11 @@
                 self._silences.note(self.name, self._lease.granted_at)
         self._loop.call_later(RENEW_RETRY_S, self.renew_if_needed)
 
+    def _has_silence_record(self):
+        return self._silences.granted_at(self.name) is not None
+
     def _may_grant(self):
-        return self._silences.granted_at(self.name) is None
+        return not self._has_silence_record() and self._driver.may_grant()
 
     def _mark_unreachable(self, why):
         now = self._loop.now()
@@ -344,7 +352,7 @@
 
         It is withdrawn if the lease may not be granted.
         """
-        if not self._may_grant():
+        if self._has_silence_record():
             self._driver.on_run_withdrawn(self.name, order.task, order.run)
             return
         pending = _PendingStart(order)
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -358,6 +358,10 @@
 
     # Callbacks of the executor agents
 
+    def may_grant(self):
+        """Return whether leases may be granted, as no successor counts on their end."""
+        return self._writer.holds_term()
+
     def on_runs_ended(self, name, ends):
         """Record the EndedTask items that an executor reported."""
         self._availability.record_ended((item.task, item.run) for item in ends)
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -167,19 +167,26 @@
 
 @cache
 def _row_getter(cls):
-    return attrgetter(*(field.name for field in attrs.fields(cls)))
+    names = [field.name for field in attrs.fields(cls)]
+    if len(names) == 1:  # attrgetter would return the bare value
+        return lambda record: (getattr(record, names[0]),)
+    return attrgetter(*names)
 
 
 def _row(record):
-    row = _row_getter(type(record))(record)
-    return row if isinstance(row, tuple) else (row,)
+    return _row_getter(type(record))(record)
+
+
+def _flat(value):
+    """Return a field's value, with rows in place of nested records."""
+    if isinstance(value, tuple) and value and attrs.has(type(value[0])):
+        return tuple(map(_row, value))
+    return value
 
 
 def encode(record):
     """Return the bytes of a record."""
-    return cbor2.dumps(
-        _row(record), default=lambda encoder, item: encoder.encode(_row(item))
-    )
+    return cbor2.dumps(tuple(map(_flat, _row(record))))
 
 
 def _load(cls, data):
--- a/src/cardamomgrade/jobs/writer.py
+++ b/src/cardamomgrade/jobs/writer.py
@@ -12,7 +12,7 @@
 from ..journal import event, log_event
 from .records import encode, KEY_TERM, TermRecord
 from .store import Appended, AppendFate, WriterPosition
-from .term import BEAT_S
+from .term import BEAT_S, TERM_TIMEOUT_S
 
 WRITER_NAME = "scheduler"
 APPEND_TIMEOUT_S = 0.6  # covers a store that answers 60 times slower than usual
@@ -36,6 +36,7 @@
     callbacks: list
     sequence: int
     sent_at: float
+    boot_sent_at: float
     logged: bool = False
 
 
@@ -57,9 +58,10 @@
         self._callbacks = []
         self._batch = None
         self._sequence = term.beat
-        self._beat_at = loop.now()
+        self._beat_at = float("-inf")
+        self._stored_at = float("-inf")
         self._closed = False
-        self._timer = loop.call_later(BEAT_S, self._beat)
+        self._timer = loop.call_later(0, self._beat)
 
     def close(self):
         """Stop writing; drop records that were not sent."""
@@ -76,6 +78,14 @@
             self._callbacks.append(on_stored)
         self._flush()
 
+    def holds_term(self):
+        """Return whether no other node can schedule yet.
+
+        A candidate waits for TERM_TIMEOUT_S after the newest record of this term, which
+        was sent by this time or later. Counts the time of a suspended machine.
+        """
+        return self._loop.boot_now() - self._stored_at < TERM_TIMEOUT_S
+
     def drop_unsent(self, key):
         """Drop a record that was not sent yet; return whether there was one."""
         return self._items.pop(key, None) is not None
@@ -114,7 +124,9 @@
         callbacks = []
         if not self._items:
             callbacks, self._callbacks = self._callbacks, []
-        self._batch = _Batch(items, callbacks, self._sequence, now)
+        self._batch = _Batch(
+            items, callbacks, self._sequence, now, self._loop.boot_now()
+        )
         self._send()
 
     def _send(self):
@@ -134,6 +146,7 @@
 
     def _acknowledged(self, how):
         batch, self._batch = self._batch, None
+        self._stored_at = batch.boot_sent_at
         self._metrics.count("appends", by="scheduler", fate="done")
         self._metrics.count("append_acks", by="scheduler", how=how)
         self._metrics.time("scheduler_append", self._loop.now() - batch.sent_at)
--- a/tests/jobs/silence.feature
+++ b/tests/jobs/silence.feature
@@ -80,3 +80,20 @@
       | 8120   | no     |
       | 811864 | yes    |
       |        | no     |
+
+  Scenario: a scheduler grants no lease once a successor may count on the end of its leases
+    Given an agent of an executor with a run
+    When the store takes no append for 1.4 s
+    Then the scheduler still holds its term
+    When the store takes no append for 0.2 s
+    Then the scheduler does not hold its term
+    When the executor answers 2 renewals
+    Then no renewal grants the lease
+    And the executor does not count as unreachable
+    When the store takes appends again
+    Then the next renewal grants the lease
+
+  Scenario: the time for which a machine is suspended counts towards the end of a term
+    Given an agent of an executor with a run
+    When the scheduler's machine is suspended for 2 s
+    Then the scheduler does not hold its term
--- a/tests/steps/jobs_agent_reports.py
+++ b/tests/steps/jobs_agent_reports.py
@@ -57,6 +57,9 @@
     executor: object
     said: list = attrs.field(factory=list)
 
+    def may_grant(self):
+        return True
+
     def on_runs_ended(self, name, ends):
         for item in ends:
             self._over(item.outcome.value, item.task, item.run)
--- a/tests/steps/jobs_silent_agent.py
+++ b/tests/steps/jobs_silent_agent.py
@@ -45,6 +45,7 @@
         self.appends = []
         self.withdrawn = []
         self.lapsed = False
+        self.takes_appends = True
         self.view = JobView(self.loop.now)
         term = TermRecord(1, "n1", "life-1", 1, False)
         self.writer = Writer(self.loop, self, term, None, Metrics())
@@ -66,6 +67,9 @@
         running = (RunningTask(TASK, 1, "", 0, 0),)
         self.renewals[-1][1](LeaseReport(1, running, ()))
 
+    def may_grant(self):
+        return self.takes_appends or self.writer.holds_term()
+
     # The client
 
     def renew(self, deadline, stored_end, wait_ms, on_done):
@@ -91,7 +95,9 @@
     # The store
 
     def append(self, items, on_answer, timeout, writer):
-        if len(items) == 1:
+        if not self.takes_appends:
+            self.appends.append((dict(items), on_answer))
+        elif len(items) == 1:
             on_answer(Appended(0))
         else:
             self.appends.append((dict(items), on_answer))
@@ -109,6 +115,38 @@
     context.granted = 1
 
 
+@when("the store takes no append for {seconds:g} s")
+def step_no_append(context, seconds):
+    fixture = context.silent
+    if fixture.takes_appends:
+        fixture.loop.advance(0)
+        fixture.takes_appends = False
+    fixture.loop.advance(seconds)
+
+
+@when("the store takes appends again")
+def step_appends_again(context):
+    fixture = context.silent
+    fixture.takes_appends = True
+    fixture.take()
+
+
+@when("the scheduler's machine is suspended for {seconds:g} s")
+def step_suspended(context, seconds):
+    context.silent.loop.advance(0)
+    context.silent.loop.suspended_s = seconds
+
+
+@then("the scheduler still holds its term")
+def step_holds(context):
+    assert context.silent.writer.holds_term()
+
+
+@then("the scheduler does not hold its term")
+def step_holds_not(context):
+    assert not context.silent.writer.holds_term()
+
+
 @given("an append in flight")
 def step_in_flight(context):
     context.silent.writer.store([("progress/x", b"x")])
