Start to follow executors once the first append of a term is stored

Cause: since leases are granted only after an append that is stored, the agents of a new scheduler renewed without a deadline first and granted up to 0.5 s later, out of the 4 s that a lease lasts through a change of scheduler.

Change: agents are created after the first append of the term, some ms later.

Tests: silence, successor, driver and agent_reports pass.

--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -118,7 +118,8 @@
             self._on_executors_read,
         )
         self._restore()
-        self._executors.start()
+        # No lease can be granted before; agents would wait for their next renewals.
+        self._writer.store([], self._follow_executors)
         self._timers = [loop.call_later(TICK_S, self._tick)]
 
     def _restore(self):
@@ -134,6 +135,10 @@
                 if row.cancelled:
                     self._scheduler.cancel(name)
 
+    def _follow_executors(self):
+        if not self._closed:
+            self._executors.start()
+
     def close(self, resign=False):
         """End the term; with ``resign``, store a record that lets others take over."""
         if self._closed:
--- a/src/cardamomgrade/jobs/writer.py
+++ b/src/cardamomgrade/jobs/writer.py
@@ -58,10 +58,10 @@
         self._callbacks = []
         self._batch = None
         self._sequence = term.beat
-        self._beat_at = float("-inf")
+        self._beat_at = loop.now()
         self._stored_at = float("-inf")
         self._closed = False
-        self._timer = loop.call_later(0, self._beat)
+        self._timer = loop.call_later(BEAT_S, self._beat)
 
     def close(self):
         """Stop writing; drop records that were not sent."""
