Order moves over several connections, and let pools share the estate fairly

Change: orders use 8 connections beside the one for lists, at 0.9 of the platform's rate (dutyPerS); the needs of all pools are met as max-min fair shares; pools above their share close their least busy VMs without lasting tasks until these are empty and move; need is counted with a headroom of 1.3 instead of 1.15.

--- a/src/cardamomgrade/client.py
+++ b/src/cardamomgrade/client.py
@@ -171,6 +171,11 @@
         self._queue.append(call)
         self._next()
 
+    @property
+    def unanswered(self):
+        """The number of requests that are queued or in flight."""
+        return len(self._queue) + (self._current is not None)
+
     def _has_conn(self):
         return self._conn is not None and self._conn.usable
 
@@ -234,6 +239,23 @@
         self._next()
 
 
+class RequesterPool:
+    """Sends requests to one server over several connections, in no fixed order."""
+
+    def __init__(self, loop, net, address, connections):
+        self._requesters = [Requester(loop, net, address) for _ in range(connections)]
+
+    def close(self):
+        """Close all connections and drop all requests, without reporting results."""
+        for requester in self._requesters:
+            requester.close()
+
+    def request(self, req, on_done, timeout):
+        """Send a request over the connection with the fewest; see Requester."""
+        least_busy = min(self._requesters, key=lambda item: item.unanswered)
+        least_busy.request(req, on_done, timeout)
+
+
 @attrs.define(eq=False)
 class _Call:
     """A request that is queued or in flight.
--- a/src/cardamomgrade/emulator/program.py
+++ b/src/cardamomgrade/emulator/program.py
@@ -13,6 +13,7 @@
 SERVICE = "letters"
 CORES_M = 4000
 MEMORY_MB = 16_000
+VM_ORDERS_PER_S = 64.0
 CONFIG = {
     "version": 1,
     "routes": [
@@ -60,7 +61,10 @@
         "limits": {"cpuShare": 1.0, "cores": 1, "linkMbps": 1000},
         "bounds": BOUNDS,
         "platform": {"address": f"{HOST}:{platform.store_port}"},
-        "cloud": {"address": f"{HOST}:{platform.vms_port}"},
+        "cloud": {
+            "address": f"{HOST}:{platform.vms_port}",
+            "dutyPerS": VM_ORDERS_PER_S,
+        },
     }
 
 
--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -8,7 +8,7 @@
 from .demand import Demand
 from .pools import PoolLoad
 
-HEADROOM_FACTOR = 1.15  # tasks do not fill VMs without gaps
+HEADROOM_FACTOR = 1.3  # tasks do not fill VMs without gaps
 
 
 class PoolNeeds:
@@ -30,9 +30,11 @@
         self._waiting_cores_m[service] = waiting_cores_m
         self._blocked_vms[service] = blocked_vms
 
-    def load(self, service, pool, now_ms, quarantined=frozenset()):
+    def load(self, service, pool, now_ms, quarantined=frozenset(), closed=()):
         """Return the PoolLoad of a Service whose executors are ``pool``.
 
+        ``closed`` names executors that get no new runs because they are to move.
+
         Executors that are unreachable, or named in ``quarantined``, do not count
         towards its size: a small pool would otherwise look large enough although none
         of its executors can take the waiting work.
@@ -60,7 +62,18 @@
         blocked = self._blocked_vms.get(service.name, 0)
         if blocked:
             needed = max(needed, size + blocked)
-        idle = tuple(item.name for item in pool if not item.allocations and item.open)
+        usable = [item for item in pool if item.open or item.name in closed]
+        idle = tuple(item.name for item in usable if not item.allocations)
+        closable = sorted(
+            (item for item in usable if item.allocations and not item.lasting_runs),
+            key=lambda item: item.cores_m,
+        )
         return PoolLoad(
-            service.name, needed, idle, size, service.standby, waiting_cores_m
+            service.name,
+            needed,
+            idle,
+            size,
+            service.standby,
+            waiting_cores_m,
+            tuple(item.name for item in closable),
         )
--- a/src/cardamomgrade/jobs/pools.py
+++ b/src/cardamomgrade/jobs/pools.py
@@ -2,17 +2,23 @@
 
 Load pattern: each queue in turn exceeds the capacity of its pool for some seconds and
 needs almost none in between. A pool that is short of VMs takes VMs that are switched
-off, then idle VMs of other pools. A VM that was idle for IDLE_TIMEOUT_S is switched
-off by a move to the standby pool. Only VMs without runs move, so no work is lost.
+off, then idle VMs of other pools. If these do not suffice, pools that have more than
+their fair share close VMs to new runs, which move once their runs have ended. A VM that
+was idle for IDLE_TIMEOUT_S is switched off by a move to the standby pool. Only VMs
+without runs move, so no work is lost.
 """
 
+import math
+
 import attrs
 
 from .reports import STATE_UP
+from .shares import fair_shares
 
 IDLE_TIMEOUT_S = 1.0  # a VM idle this long mostly stays idle until the next burst
 JOIN_TIMEOUT_S = 6.0  # then the VM no longer counts towards the pool that it joins
 MIN_POOL_VMS = 2  # one may fail or be in upkeep
+CLOSE_TIMEOUT_S = 3.0  # VMs with longer runs are opened again
 REFUSED_RETRY_S = 5.0  # delay before a refused move is retried
 
 
@@ -21,9 +27,10 @@
     """Size and need of a pool.
 
     ``needed_vms`` is the number of VMs that its work needs, ``size`` the number that it
-    has, and ``idle`` the names of its executors without runs. ``waiting_cores_m`` is
-    what its waiting tasks need, in thousandths of a core. The VMs of a ``standby`` pool
-    are switched off.
+    has, and ``idle`` the names of its executors without runs. ``closable`` are those
+    that run only tasks that end, the least busy first. ``waiting_cores_m`` is what its
+    waiting tasks need, in thousandths of a core. The VMs of a ``standby`` pool are
+    switched off.
     """
 
     service: str
@@ -32,16 +39,7 @@
     size: int
     standby: bool
     waiting_cores_m: int = 0
-
-    @property
-    def short_vms(self):
-        """The number of VMs that the pool lacks."""
-        return 0 if self.standby else max(0, self.needed_vms - self.size)
-
-    @property
-    def spare_vms(self):
-        """The number of VMs that the pool can release."""
-        return max(0, self.size - max(self.needed_vms, MIN_POOL_VMS))
+    closable: tuple = ()
 
 
 @attrs.frozen
@@ -61,9 +59,14 @@
 
 
 class PoolPlanner:
-    """Plans moves; tracks moves under way, refused moves, and idle times."""
+    """Plans moves; tracks moves under way, refused moves, and idle times.
+
+    ``closed`` maps executors that get no new runs, since their VMs are to move, to the
+    time of closing.
+    """
 
     def __init__(self):
+        self.closed = {}
         self._joining = {}
         self._idle_since = {}
         self._refused_at = {}
@@ -77,8 +80,12 @@
         self._joining.pop(move.vm, None)
         self._refused_at[move.vm, move.pool] = now
 
-    def plan(self, loads, listed, now, excluded):
-        """Return the Moves to order now.
+    def record_not_done(self, move):
+        """Record that a move was not carried out and may be ordered again at once."""
+        self._joining.pop(move.vm, None)
+
+    def plan(self, loads, listed, now, excluded, max_moves=math.inf):
+        """Return the Moves to order now, at most ``max_moves``.
 
         ``loads`` maps a service to its PoolLoad and ``listed`` a VM to its
         ListedVm; ``excluded`` are the VMs that must not move.
@@ -92,19 +99,54 @@
             and vm not in self._joining
             and vm not in excluded
         ]
-        spare = {load.service: load.spare_vms for load in loads.values()}
+        needs = {
+            load.service: load.needed_vms for load in loads.values() if not load.standby
+        }
+        shares = fair_shares(needs, len(listed))
+        short = {
+            pool: share
+            - loads[pool].size
+            - sum(item.pool == pool for item in self._joining.values())
+            for pool, share in shares.items()
+        }
+        spare = {
+            pool: loads[pool].size - max(share, MIN_POOL_VMS)
+            for pool, share in shares.items()
+        }
         moves = []
-        for load in sorted(loads.values(), key=lambda item: -item.short_vms):
-            joining = sum(item.pool == load.service for item in self._joining.values())
-            for _ in range(load.short_vms - joining):
-                machine = self._best_source(load, loads, movable, spare, now)
+        for pool in sorted(short, key=lambda item: -short[item]):
+            while short[pool] > 0 and len(moves) < max_moves:
+                machine = self._best_source(loads[pool], loads, movable, spare, now)
                 if machine is None:
                     break
                 movable.remove(machine)
-                spare[machine.pool] -= 1
-                moves.append(Move(machine.vm, load.service, machine.executor))
-        moves.extend(self._switch_off(loads, movable, spare, now))
-        return moves
+                short[pool] -= 1
+                if machine.pool in spare:
+                    spare[machine.pool] -= 1
+                moves.append(Move(machine.vm, pool, machine.executor))
+        missing = sum(max(0, count) for count in short.values())
+        self._close(loads, movable, spare, missing, now)
+        if not missing:
+            moves.extend(self._switch_off(loads, movable, spare, now))
+        return moves[: int(min(max_moves, len(moves)))]
+
+    def _close(self, loads, movable, spare, missing, now):
+        """Choose the executors that are closed so that ``missing`` VMs get free."""
+        movable_names = {machine.executor for machine in movable}
+        closed = {}
+        for pool in sorted(spare, key=lambda item: -spare[item]):
+            candidates = [
+                name
+                for name in loads[pool].closable
+                if name in movable_names
+                and now - self.closed.get(name, now) < CLOSE_TIMEOUT_S
+            ]
+            # Those that are closed already stay closed.
+            candidates.sort(key=lambda name: name not in self.closed)
+            for name in candidates[: max(0, min(spare[pool], missing))]:
+                closed[name] = self.closed.get(name, now)
+                missing -= 1
+        self.closed = closed
 
     def _drop_joined(self, listed, now):
         for vm, item in list(self._joining.items()):
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -559,8 +559,11 @@
             return "quarantined"
         return "paused" if name in self._paused_until_ms else ""
 
-    def pool_loads(self, now_ms):
-        """Return a dict of service name to PoolLoad."""
+    def pool_loads(self, now_ms, closed=()):
+        """Return a dict of service name to PoolLoad.
+
+        ``closed`` names the executors that are closed because their VMs are to move.
+        """
         loads = {}
         for service in self.cfg.services:
             pool = self.pool(service.name)
@@ -568,7 +571,7 @@
                 item.name for item in pool if self._health.is_quarantined(item.name)
             }
             loads[service.name] = self._pool_needs.load(
-                service, pool, now_ms, quarantined
+                service, pool, now_ms, quarantined, closed
             )
         return loads
 
--- a/src/cardamomgrade/jobs/settings.py
+++ b/src/cardamomgrade/jobs/settings.py
@@ -11,8 +11,10 @@
     how long one scheduler's order for a VM excludes orders of another scheduler,
     ``upkeep_ms`` how long the upkeep of a VM takes, ``stop_ms`` how long stopping a run
     may take, ``status_ms`` how long callers may query a finished job, and ``grace_ms``
-    how long a shutdown may take. ``core_share`` is the fraction of ``cores`` processors
-    that the node may use, ``link_mbps`` the capacity of its network link in Mbit/s.
+    how long a shutdown may take. The platform takes ``vm_orders_per_s`` orders for VMs
+    a second from all nodes together. ``core_share`` is the fraction of ``cores``
+    processors that the node may use, ``link_mbps`` the capacity of its network link in
+    Mbit/s.
     """
 
     node: str
@@ -21,6 +23,7 @@
     ready: str
     store: str
     machines: str
+    vm_orders_per_s: float
     core_share: float
     cores: float
     link_mbps: float
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -18,6 +18,8 @@
 VM_LEASE_MARGIN_S = 0.3  # the platform's clock may differ from this node's
 STATUS_APPEND_TIMEOUT_S = 1.0
 POOL_LOG_S = 1.0
+MOVE_ORDERS_FRACTION = 0.9  # of the orders that the platform takes; upkeeps count too
+MOVE_BURST_S = 0.5  # moves saved up while none were due
 MS = 1000
 
 
@@ -127,6 +129,8 @@
         self._newest_orders = {}
         self._announced = set()
         self._pools_logged_at = float("-inf")
+        self._moves_per_s = cfg.vm_orders_per_s * MOVE_ORDERS_FRACTION
+        self._moves_planned_at = loop.now()
         self._closed = False
 
     def close(self):
@@ -274,16 +278,20 @@
         self._writer.store([*items, (key, record)], stored)
 
     def _plan_moves(self, now, wave_vms):
-        """Order moves between pools; return the executors that pending moves end."""
+        """Order moves between pools; return the executors that get no new runs."""
         excluded = wave_vms | set(self._upkeep_in_flight) | self._locked_vms()
-        loads = self._scheduler.pool_loads(now * MS)
+        loads = self._scheduler.pool_loads(now * MS, self._pools.closed)
         self._log_pools(loads, now)
-        for move in self._pools.plan(loads, self._vms_by_name, now, excluded):
+        since_s, self._moves_planned_at = now - self._moves_planned_at, now
+        max_moves = self._moves_per_s * min(since_s, MOVE_BURST_S)
+        for move in self._pools.plan(
+            loads, self._vms_by_name, now, excluded, max_moves
+        ):
             self._pools.record_ordered(move, now)
             if move.executor:
                 self._ending_by_move[move.vm] = move.executor
             self._order_move(move)
-        return set(self._ending_by_move.values())
+        return set(self._ending_by_move.values()) | set(self._pools.closed)
 
     def _log_pools(self, loads, now):
         if now - self._pools_logged_at < POOL_LOG_S:
@@ -350,6 +358,8 @@
             self._driver.on_executor_gone(move.executor)
         elif result is VmOrderResult.FENCED:
             self._driver.depose("the platform has received a newer epoch")
+        elif result is VmOrderResult.NOT_DONE:
+            self._pools.record_not_done(move)
         else:
             self._pools.record_refused(move, self._loop.now())
 
--- a/src/cardamomgrade/platform/boot.py
+++ b/src/cardamomgrade/platform/boot.py
@@ -31,6 +31,7 @@
     "ready": _Field(("listen", "ready"), str, "ip:port"),
     "store": _Field(("platform", "address"), str, "ip:port"),
     "machines": _Field(("cloud", "address"), str, "ip:port"),
+    "vm_orders_per_s": _Field(("cloud", "dutyPerS"), _NUMBER, COUNT),
     "core_share": _Field(("limits", "cpuShare"), _NUMBER, COUNT),
     "cores": _Field(("limits", "cores"), _NUMBER, COUNT),
     "link_mbps": _Field(("limits", "linkMbps"), _NUMBER, COUNT),
--- a/src/cardamomgrade/platform/machines.py
+++ b/src/cardamomgrade/platform/machines.py
@@ -2,12 +2,13 @@
 
 import json
 
-from ..client import Failure, Requester
+from ..client import Failure, Requester, RequesterPool
 from ..jobs.reports import ListedVm, VmOrderResult
 from ..refusal import Reason, Refusal
 from ..wire import HttpRequest
 
 CALL_TIMEOUT_S = 1.0  # the platform answers in ms, but has slow phases of seconds
+ORDER_CONNECTIONS = 8  # an order takes about 12 ms, hundreds may be due in a second
 LIST_LIMIT_BYTES = 8 * 1024 * 1024
 _CONFLICTS = {
     "fence": VmOrderResult.FENCED,
@@ -29,7 +30,8 @@
     """Lists the VMs and orders upkeeps and moves under one scheduler's epoch."""
 
     def __init__(self, loop, net, address, node, epoch):
-        self._requester = Requester(loop, net, address, LIST_LIMIT_BYTES)
+        self._lists = Requester(loop, net, address, LIST_LIMIT_BYTES)
+        self._orders = RequesterPool(loop, net, address, ORDER_CONNECTIONS)
         self._host = (b"host", address.encode())
         self._headers = (
             self._host,
@@ -39,8 +41,9 @@
         )
 
     def close(self):
-        """Drop the connection; calls in flight make no callback."""
-        self._requester.close()
+        """Drop the connections; calls in flight make no callback."""
+        self._lists.close()
+        self._orders.close()
 
     def list_vms(self, on_done):
         """Call ``on_done`` with a tuple of ListedVm, or a Refusal."""
@@ -65,7 +68,7 @@
 
         target = "/api/machines" + (f"?pageToken={token}" if token else "")
         req = HttpRequest("GET", target, (self._host,))
-        self._requester.request(req, done, CALL_TIMEOUT_S)
+        self._lists.request(req, done, CALL_TIMEOUT_S)
 
     def upkeep(self, vm, wave, on_done):
         """Order the upkeep of a VM; call ``on_done(VmOrderResult)``."""
@@ -79,7 +82,7 @@
     def _order(self, path, fields, on_done):
         body = json.dumps(fields).encode()
         req = HttpRequest("POST", path, self._headers, body)
-        self._requester.request(
+        self._orders.request(
             req, lambda res: on_done(_order_result(res)), CALL_TIMEOUT_S
         )
 
--- a/tests/steps/jobs_node.py
+++ b/tests/steps/jobs_node.py
@@ -37,6 +37,7 @@
     ready="",
     store="",
     machines="",
+    vm_orders_per_s=64.0,
     core_share=1.0,
     cores=2,
     link_mbps=1000,
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -20,7 +20,7 @@
 zone: "a"
 listen: {front: "127.0.0.1:8624", ready: "127.0.0.1:8622"}
 platform: {address: "127.0.0.1:8621", recordBytes: 1000, writesPerS: 600}
-cloud: {address: "127.0.0.1:8620"}
+cloud: {address: "127.0.0.1:8620", dutyPerS: 64.0}
 somethingNew: [1, 2]
 limits: {cpuShare: 0.537, cores: 2, linkMbps: 1000.0}
 bounds:
