Size pools by the growth of a queue, and give late work what is left

Change: while the rate of arrivals grows, the need is that of the time at which a VM joins (at most twice the newest rate); late work shares what work that can be in time leaves; the run times seen in a job's own steps replace the queue's mean.

--- a/src/cardamomgrade/jobs/demand.py
+++ b/src/cardamomgrade/jobs/demand.py
@@ -1,14 +1,19 @@
 """Estimates the cores that arriving jobs keep busy, per service; pure state.
 
 Load pattern: the rate of a queue rises from almost zero to several times its mean
-within a second, and falls back after some seconds. The estimate assumes that work keeps
-arriving at the rate of the last WINDOW_MS, or of the last BURST_MS if that is higher.
+within a second or two, and falls back after some seconds. The estimate assumes that
+work keeps arriving at the rate of the last WINDOW_MS, or of the last BURST_MS if that
+is higher. While the rate grows, the growth is assumed to go on until a VM that is
+ordered now has joined.
 """
 
 from collections import deque
 
 BURST_MS = 500.0  # bursts rise within a second
 WINDOW_MS = 1500.0  # about the time in which a VM joins a pool
+HALF_WINDOW_MS = WINDOW_MS / 2
+JOIN_MS = 2000.0  # from the order of a move until tasks start on the VM
+GROWTH_LIMIT = 2.0  # times the rate of the newest half window
 
 
 class Demand:
@@ -26,9 +31,16 @@
         arrivals = self._arrivals.get(service, ())
         while arrivals and arrivals[0][0] < now_ms - WINDOW_MS:
             arrivals.popleft()
-        mean = sum(core_ms for _, core_ms in arrivals) / WINDOW_MS
-        recent = (
-            sum(core_ms for at, core_ms in arrivals if at > now_ms - BURST_MS)
-            / BURST_MS
+
+        total = sum(core_ms for _, core_ms in arrivals)
+        newer, burst = (
+            sum(core_ms for at, core_ms in arrivals if at > now_ms - ms) / ms
+            for ms in (HALF_WINDOW_MS, BURST_MS)
         )
-        return max(mean, recent) * 1000
+        older = total / HALF_WINDOW_MS - newer
+        expected = newer
+        if 0 < older < newer:
+            growth = (newer - older) / HALF_WINDOW_MS
+            expected += growth * (HALF_WINDOW_MS / 2 + JOIN_MS)
+        expected = min(expected, newer * GROWTH_LIMIT)
+        return max(total / WINDOW_MS, burst, expected) * 1000
--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -16,18 +16,21 @@
 
     def __init__(self):
         self.demand = Demand()
-        self._waiting_cores_m = {}
+        self._urgent_cores_m = {}
+        self._late_cores_m = {}
         self._blocked_vms = {}
         self._largest_vm_cores_m = 0
 
-    def record_waiting(self, service, waiting_cores_m, blocked_vms):
+    def record_waiting(self, service, urgent_cores_m, late_cores_m, blocked_vms):
         """Record the tasks that a placement round left waiting.
 
-        ``waiting_cores_m`` is in thousandths of a core. ``blocked_vms`` is the number
-        of VMs needed by tasks that fit on an open executor but may not run there, for
-        example because of a limit per executor.
+        ``urgent_cores_m`` is the need of jobs that can be in time, in thousandths of a
+        core, ``late_cores_m`` that of late jobs. ``blocked_vms`` is the number of VMs
+        needed by tasks that fit on an open executor but may not run there, for example
+        because of a limit per executor.
         """
-        self._waiting_cores_m[service] = waiting_cores_m
+        self._urgent_cores_m[service] = urgent_cores_m
+        self._late_cores_m[service] = late_cores_m
         self._blocked_vms[service] = blocked_vms
 
     def load(self, service, pool, now_ms, quarantined=frozenset(), closed=()):
@@ -42,16 +45,19 @@
         self._largest_vm_cores_m = max(
             (item.entry.cores_m for item in pool), default=self._largest_vm_cores_m
         )
-        waiting_cores_m = self._waiting_cores_m.get(service.name, 0)
+        urgent_cores_m = self._urgent_cores_m.get(service.name, 0)
+        late_cores_m = self._late_cores_m.get(service.name, 0)
         allocated_cores_m = sum(item.cores_m for item in pool)
         lasting_cores_m = sum(item.lasting_cores_m for item in pool)
         arriving_cores_m = self.demand.cores_m(service.name, now_ms)
-        needed_cores_m = (
-            max(allocated_cores_m + waiting_cores_m, arriving_cores_m) + lasting_cores_m
-        )
-        needed = -(
-            -int(needed_cores_m * HEADROOM_FACTOR) // max(1, self._largest_vm_cores_m)
-        )
+
+        def vms(waiting_cores_m):
+            busy_cores_m = max(allocated_cores_m + waiting_cores_m, arriving_cores_m)
+            cores_m = int((busy_cores_m + lasting_cores_m) * HEADROOM_FACTOR)
+            return -(-cores_m // max(1, self._largest_vm_cores_m))
+
+        needed = vms(urgent_cores_m + late_cores_m)
+        urgent = vms(urgent_cores_m)
         size = sum(
             item.listed
             and not item.entry.draining
@@ -62,6 +68,7 @@
         blocked = self._blocked_vms.get(service.name, 0)
         if blocked:
             needed = max(needed, size + blocked)
+            urgent = max(urgent, size + blocked)
         usable = [item for item in pool if item.open or item.name in closed]
         idle = tuple(item.name for item in usable if not item.allocations)
         closable = sorted(
@@ -71,9 +78,10 @@
         return PoolLoad(
             service.name,
             needed,
+            urgent,
             idle,
             size,
             service.standby,
-            waiting_cores_m,
+            urgent_cores_m + late_cores_m,
             tuple(item.name for item in closable),
         )
--- a/src/cardamomgrade/jobs/pools.py
+++ b/src/cardamomgrade/jobs/pools.py
@@ -26,15 +26,16 @@
 class PoolLoad:
     """Size and need of a pool.
 
-    ``needed_vms`` is the number of VMs that its work needs, ``size`` the number that it
-    has, and ``idle`` the names of its executors without runs. ``closable`` are those
-    that run only tasks that end, the least busy first. ``waiting_cores_m`` is what its
-    waiting tasks need, in thousandths of a core. The VMs of a ``standby`` pool are
-    switched off.
+    ``needed_vms`` is the number of VMs that its work needs, ``urgent_vms`` the part of
+    it for work that can be in time, ``size`` the number that it has, and ``idle`` the
+    names of its executors without runs. ``closable`` are those that run only tasks that
+    end, the least busy first. ``waiting_cores_m`` is what its waiting tasks need, in
+    thousandths of a core. The VMs of a ``standby`` pool are switched off.
     """
 
     service: str
     needed_vms: int
+    urgent_vms: int
     idle: tuple
     size: int
     standby: bool
@@ -58,6 +59,18 @@
     ordered_at: float
 
 
+def _shares(loads, total):
+    """Return a dict of pool to its fair share of ``total`` VMs.
+
+    Late work gets what the work that can be in time leaves in all pools.
+    """
+    pools = [item for item in loads.values() if not item.standby]
+    urgent = fair_shares({item.service: item.urgent_vms for item in pools}, total)
+    rest = {item.service: item.needed_vms - urgent[item.service] for item in pools}
+    late = fair_shares(rest, total - sum(urgent.values()))
+    return {pool: count + late[pool] for pool, count in urgent.items()}
+
+
 class PoolPlanner:
     """Plans moves; tracks moves under way, refused moves, and idle times.
 
@@ -99,10 +112,7 @@
             and vm not in self._joining
             and vm not in excluded
         ]
-        needs = {
-            load.service: load.needed_vms for load in loads.values() if not load.standby
-        }
-        shares = fair_shares(needs, len(listed))
+        shares = _shares(loads, len(listed))
         short = {
             pool: share
             - loads[pool].size
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -50,7 +50,10 @@
 
 @attrs.define(eq=False)
 class StepState:
-    """The tasks of one step and occurrence; counts the unfinished and waiting ones."""
+    """The tasks of one step and occurrence; counts the unfinished and waiting ones.
+
+    ``run_ms`` is the sum of the run times of ``runs_done`` tasks that are done.
+    """
 
     occurrence: int
     number: int
@@ -58,6 +61,17 @@
     tasks: list
     unfinished: int
     waiting: int
+    run_ms: float = 0.0
+    runs_done: int = 0
+
+    def observe(self, run_ms):
+        """Record the run time of a task that is done, in ms."""
+        self.run_ms += run_ms
+        self.runs_done += 1
+
+    def mean_run_ms(self, expected_ms):
+        """Return the mean run time of its tasks, ``expected_ms`` until one is done."""
+        return self.run_ms / self.runs_done if self.runs_done else expected_ms
 
 
 class JobProgress:
@@ -193,7 +207,8 @@
     def critical_path_ms(self, expected_ms, unfinished_only=False):
         """Return the run time of the longest chain of dependent steps, in ms.
 
-        ``expected_ms(step)`` returns the run time of one task of a step. With
+        ``expected_ms(step)`` returns the run time of one task of a step; it is used for
+        steps of which no task is done, since the tasks of a step are alike. With
         ``unfinished_only``, steps whose tasks are all done count as 0.
         """
         ends = []
@@ -201,7 +216,10 @@
             state = self._steps.get((0, number))
             done = unfinished_only and state is not None and state.unfinished == 0
             before = max((ends[item] for item in step.after), default=0.0)
-            ends.append(before + (0.0 if done else expected_ms(step)))
+            run_ms = expected_ms(step)
+            if state is not None:
+                run_ms = state.mean_run_ms(run_ms)
+            ends.append(before + (0.0 if done else run_ms))
         return max(ends, default=0.0)
 
     def core_ms(self, expected_ms):
--- a/src/cardamomgrade/jobs/ready.py
+++ b/src/cardamomgrade/jobs/ready.py
@@ -19,8 +19,8 @@
     """A job, its StepStates with waiting tasks, and its place in the order.
 
     ``valid_until_ms`` is the wall-clock time at which its rank has to be evaluated
-    again. ``waiting_cores_m`` is the need of its waiting tasks if these count as need
-    for VMs, in thousandths of a core.
+    again. ``urgent_cores_m`` and ``late_cores_m`` are the need of its waiting tasks, in
+    thousandths of a core, of which only one is not 0; both are if it is hopeless.
     """
 
     job: object
@@ -28,7 +28,8 @@
     forecast: object
     key: tuple
     valid_until_ms: float
-    waiting_cores_m: int
+    urgent_cores_m: int
+    late_cores_m: int
 
 
 def ready_job(job, steps, forecast, priority, wall_ms):
@@ -36,28 +37,27 @@
     accepted_ms = job.spec.accepted_ms
     key = order_key(forecast, priority, (accepted_ms, job.spec.job))
     ends_ms = accepted_ms + rank_ends_at_age_ms(forecast)
-    waiting_cores_m = 0
-    if rank_of(forecast) <= Rank.LATE:
-        waiting_cores_m = sum(
-            state.waiting * state.step.reserved_cores_m for state in steps
-        )
+    rank = rank_of(forecast)
+    cores_m = sum(state.waiting * state.step.reserved_cores_m for state in steps)
     return ReadyJob(
         job,
         steps,
         forecast,
         key,
         min(max(ends_ms, wall_ms), wall_ms + REFRESH_MS),
-        waiting_cores_m,
+        cores_m if rank < Rank.LATE else 0,
+        cores_m if rank is Rank.LATE else 0,
     )
 
 
 class ReadyJobs:
-    """The ReadyJobs of one service; ``waiting_cores_m`` is the sum of their needs."""
+    """The ReadyJobs of one service, and the sums of their needs for cores."""
 
     def __init__(self):
         self._by_name = {}
         self._order = []
-        self.waiting_cores_m = 0
+        self.urgent_cores_m = 0
+        self.late_cores_m = 0
 
     def __iter__(self):
         """Iterate over a copy of the ReadyJobs, the first to get capacity first."""
@@ -72,14 +72,16 @@
         self.discard(name)
         self._by_name[name] = item
         insort(self._order, item.key)
-        self.waiting_cores_m += item.waiting_cores_m
+        self.urgent_cores_m += item.urgent_cores_m
+        self.late_cores_m += item.late_cores_m
 
     def discard(self, name):
         """Remove a job, by name, if it is there."""
         item = self._by_name.pop(name, None)
         if item is not None:
             del self._order[bisect_left(self._order, item.key)]
-            self.waiting_cores_m -= item.waiting_cores_m
+            self.urgent_cores_m -= item.urgent_cores_m
+            self.late_cores_m -= item.late_cores_m
 
     def expired(self, wall_ms):
         """Return the names of the jobs whose rank has to be evaluated again."""
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -315,6 +315,7 @@
             step = job.spec.steps[task.id.step]
             duration_ms = now_ms - task.placed_ms
             self.durations.observe(job.spec.queue, step.estimate_ms, duration_ms)
+            job.step_state(task.id).observe(duration_ms)
         job.end(task, outcome, checkpoint, confirmed)
         self._record_health(executor, task, outcome, now_ms, was_probe)
         self._mark_dirty(job)
@@ -477,7 +478,9 @@
                 if not begun:
                     age_ms = wall_ms - job.spec.accepted_ms
                     self._start_delays_ms.append(max(0.0, age_ms))
-        self._pool_needs.record_waiting(service, ready.waiting_cores_m, blocked_vms)
+        self._pool_needs.record_waiting(
+            service, ready.urgent_cores_m, ready.late_cores_m, blocked_vms
+        )
         starts.extend(self._place_probes(service, ready, executors, now_ms))
         return starts
 
--- a/tests/jobs/pools.feature
+++ b/tests/jobs/pools.feature
@@ -40,3 +40,50 @@
   Scenario: the first steps of a burst raise the demand in full
     Given work of 16 core-seconds arrives in each of 2 steps of 250 ms
     Then the demand is 64 cores at its end
+
+  Scenario: pools that need more than the estate together share it
+    Then needs of 300, 80 and 20 VMs share 272 VMs as 172, 80 and 20
+    And needs of 300, 200 and 20 VMs share 272 VMs as 126, 126 and 20
+    And needs of 3, 2 and 1 VMs share 272 VMs as 3, 2 and 1
+
+  Scenario: a pool with more than it needs closes its least busy VMs for a pool that is short
+    Given pools "a" that needs 6 of 2 VMs, "b" that needs 3 of 6 VMs and 0 VM that is off
+    When every VM of "b" runs tasks that end
+    Then no more moves are planned
+    And the 3 least busy VMs of "b" are closed
+    When the closed VMs are idle
+    Then the moves to "a" are the VMs that were closed
+
+  Scenario: of two pools that are short, the one with more than its share closes VMs
+    Given pools "a" that needs 40 of 2 VMs, "b" that needs 60 of 18 VMs and 0 VM that is off
+    When every VM of "b" runs tasks that end
+    Then no more moves are planned
+    And the 8 least busy VMs of "b" are closed
+
+  Scenario: late work of one pool gets no VMs that work in time of another needs
+    Given pools "a" that needs 14 of 2 VMs, "b" that needs 60 of 18 VMs and 0 VM that is off
+    When every VM of "b" runs tasks that end
+    And 54 VMs that "b" needs are for late work
+    Then no more moves are planned
+    And the 12 least busy VMs of "b" are closed
+
+  Scenario: VMs whose runs do not end in time are opened again, and others are closed
+    Given pools "a" that needs 6 of 2 VMs, "b" that needs 3 of 6 VMs and 0 VM that is off
+    When every VM of "b" runs tasks that end
+    Then no more moves are planned
+    And the 3 least busy VMs of "b" are closed
+    When 4 s have passed
+    Then no more moves are planned
+    And 3 other VMs of "b" are closed
+
+  Scenario: no more moves are ordered at once than the platform takes
+    Given pools "a" that needs 9 of 2 VMs, "b" that needs 1 of 3 VMs and 9 VM that is off
+    Then 4 moves are planned if the platform takes 4
+
+  Scenario: the demand of a queue whose rate grows is that of the time when VMs join
+    Given work arrives at rates of 10, 20, 40 and 60 cores, each for 375 ms
+    Then the demand is between 95 and 101 cores at its end
+
+  Scenario: a demand that fluctuates in few jobs is not extrapolated without limit
+    Given work arrives at rates of 1, 1, 60 and 60 cores, each for 375 ms
+    Then the demand is between 119 and 121 cores at its end
--- a/tests/steps/jobs_pools.py
+++ b/tests/steps/jobs_pools.py
@@ -1,10 +1,14 @@
 """Steps for pools and for the demand estimate that sizes them."""
 
+import attrs
 from behave import given, then, when
 
 from cardamomgrade.jobs.demand import Demand
 from cardamomgrade.jobs.pools import PoolLoad, PoolPlanner
 from cardamomgrade.jobs.reports import ListedVm
+from cardamomgrade.jobs.shares import fair_shares
+
+PARTS = 25
 
 
 class PoolFixture:
@@ -15,10 +19,12 @@
         self.now = 0.0
         self.excluded = set()
         self.listed = {}
-        self.loads = {"off": PoolLoad("off", 0, (), 0, True)}
+        self.loads = {"off": PoolLoad("off", 0, 0, (), 0, True)}
         for name, size in sizes.items():
             idle = tuple(f"i-{name}{number}" for number in range(size))
-            self.loads[name] = PoolLoad(name, needs[name], idle, size, False)
+            self.loads[name] = PoolLoad(
+                name, needs[name], needs[name], idle, size, False
+            )
             for executor in idle:
                 vm = executor.replace("i-", "m-")
                 self.listed[vm] = ListedVm(vm, name, "up", executor)
@@ -83,7 +89,7 @@
 @when('every VM of "b" has runs')
 def step_busy(context):
     load = context.pools.loads["b"]
-    context.pools.loads["b"] = PoolLoad("b", load.needed_vms, (), load.size, False)
+    context.pools.loads["b"] = attrs.evolve(load, idle=())
 
 
 @when("the VM that is off is due for upkeep")
@@ -99,6 +105,23 @@
     context.now_ms = (steps - 1) * 250.0
 
 
+@given("work arrives at rates of {rates} cores, each for {each:d} ms")
+def step_rates(context, rates, each):
+    context.demand = Demand()
+    context.now_ms = 0.0
+    for rate in rates.replace(" and", ",").split(","):
+        for _ in range(PARTS):
+            context.now_ms += each / PARTS
+            core_ms = int(rate) * each / PARTS
+            context.demand.record_arrival("s", core_ms, context.now_ms)
+
+
+@then("the demand is between {least:d} and {most:d} cores at its end")
+def step_demand_between(context, least, most):
+    cores = context.demand.cores_m("s", context.now_ms) / 1000
+    assert least <= cores <= most, cores
+
+
 @then("the demand is {cores:d} cores at its end")
 def step_demand(context, cores):
     assert context.demand.cores_m("s", context.now_ms) == cores * 1000
@@ -108,3 +131,62 @@
 def step_demand_later(context, cores, seconds):
     later = context.demand.cores_m("s", context.now_ms + seconds * 1000)
     assert later == cores * 1000
+
+
+@then("needs of {needs} VMs share {total:d} VMs as {shares}")
+def step_shares(context, needs, total, shares):
+    needed = [int(item) for item in needs.replace(" and", ",").split(",")]
+    expected = [int(item) for item in shares.replace(" and", ",").split(",")]
+    found = fair_shares(dict(enumerate(needed)), total)
+    assert [found[number] for number in range(len(needed))] == expected, found
+
+
+@when('every VM of "b" runs tasks that end')
+def step_closable(context):
+    load = context.pools.loads["b"]
+    context.pools.loads["b"] = attrs.evolve(load, idle=(), closable=load.idle)
+
+
+@when('{count:d} VMs that "b" needs are for late work')
+def step_late(context, count):
+    load = context.pools.loads["b"]
+    context.pools.loads["b"] = attrs.evolve(load, urgent_vms=load.needed_vms - count)
+
+
+@then('the {count:d} least busy VMs of "b" are closed')
+def step_closed(context, count):
+    fixture = context.pools
+    context.closed = fixture.loads["b"].closable[:count]
+    assert set(fixture.planner.closed) == set(context.closed), fixture.planner.closed
+
+
+@then('{count:d} other VMs of "b" are closed')
+def step_others_closed(context, count):
+    closed = set(context.pools.planner.closed)
+    assert len(closed) == count and closed.isdisjoint(context.closed), closed
+
+
+@when("the closed VMs are idle")
+def step_closed_idle(context):
+    load = context.pools.loads["b"]
+    context.pools.loads["b"] = attrs.evolve(
+        load,
+        idle=context.closed,
+        closable=tuple(item for item in load.closable if item not in context.closed),
+    )
+
+
+@then('the moves to "a" are the VMs that were closed')
+def step_moves_closed(context):
+    moves = context.pools.plan()
+    assert {item.executor for item in moves} == set(context.closed), moves
+    assert {item.pool for item in moves} == {"a"}
+
+
+@then("{count:d} moves are planned if the platform takes {most:d}")
+def step_max_moves(context, count, most):
+    fixture = context.pools
+    moves = fixture.planner.plan(
+        fixture.loads, fixture.listed, fixture.now, fixture.excluded, most
+    )
+    assert len(moves) == count, moves
--- a/tests/steps/jobs_scheduler.py
+++ b/tests/steps/jobs_scheduler.py
@@ -462,7 +462,7 @@
 def step_short(context):
     world = context.jobs
     load = world.scheduler.pool_loads(world.now_ms)["s"]
-    assert load.short_vms > 0, load
+    assert (load.needed_vms - load.size) > 0, load
 
 
 @when("the runs of the first executor are marked lapsed and it answers again")
