Read sockets once more before a request counts as unanswered

Cause: after a delay of a process (a pause, or a round of work longer than a timeout) the loop ran all timers that were due before it polled its sockets, so that requests whose answers had arrived ended as timed out.

Change: timers started by timers wait for the next poll; a request that expires and the last check of a lapse are put off to after it. The simulated loop of the tests runs such timers within the same advance, as the real one does in its next tick.

Tests: the new scenario in client.feature fails with the first expiry taken as final.

--- a/src/cardamomgrade/client.py
+++ b/src/cardamomgrade/client.py
@@ -213,7 +213,13 @@
         self._conn.send(call.req, lambda result: self._finish(call, result))
 
     def _expire(self, call):
+        if not call.expiring:
+            # After a delay of this process the answer may wait in the socket's buffer.
+            call.expiring = True
+            call.timer = self._loop.call_later(0, lambda: self._expire(call))
+            return
         if self._is_arriving(call):
+            call.expiring = False
             call.received_bytes = self._conn.received_bytes
             wait_s = min(call.timeout, call.limit_at - self._loop.now())
             call.timer = self._loop.call_later(wait_s, lambda: self._expire(call))
@@ -270,6 +276,7 @@
     received_bytes: int = 0
     timer: object = None
     sent: bool = False
+    expiring: bool = False
     done: bool = False
 
     def drop(self):
--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -269,8 +269,12 @@
         # A new scheduler may find the lease over; the executor may answer even so.
         self._check_lapsed_in(max(RENEW_RETRY_S, self._lease.lapses_in(now)))
 
-    def _check_lapsed_in(self, seconds):
-        """Report the lapse when it is certain, even while a renewal has no answer."""
+    def _check_lapsed_in(self, seconds, last_check=False):
+        """Report the lapse when it is certain, even while a renewal has no answer.
+
+        After a delay of this process an answer may wait in the socket's buffer, so that
+        sockets are read once more before.
+        """
 
         def check():
             if self._closed or self._answered or not self._executor.unreachable:
@@ -278,6 +282,8 @@
             wait_s = self._lease.lapses_in(self._loop.now())
             if wait_s > 0:
                 self._check_lapsed_in(wait_s)
+            elif not last_check:
+                self._check_lapsed_in(0, True)
             elif self._executor.allocations:
                 self._report_lapsed()
 
--- a/src/cardamomgrade/loop.py
+++ b/src/cardamomgrade/loop.py
@@ -70,7 +70,9 @@
 
     @handler("generate_events", channel="*", priority=1)
     def _on_generate_events(self, event):
-        while self._heap and self._heap[0][0] <= self.now():
+        # Timers that these callbacks start wait until sockets were polled again.
+        now = self.now()
+        while self._heap and self._heap[0][0] <= now:
             callback = heapq.heappop(self._heap)[2].callback
             if callback is not None:
                 callback()
--- a/tests/client.feature
+++ b/tests/client.feature
@@ -50,3 +50,9 @@
       | when its answer does not begin    | 0      | 5     | 0.3   |
       | at its limit                      | 50     | 0.8   | 0.8   |
       | at its timeout if it has no limit | 50     | 0     | 0.3   |
+
+  Scenario: an answer that arrived while the process was delayed is not taken for none
+    Given a server that answers when the test says so
+    When a request with a timeout of 0.3 s is sent for /a
+    And the process is delayed for 0.5 s after the server answered /a
+    Then the request for /a gets its own answer
--- a/tests/steps/client.py
+++ b/tests/steps/client.py
@@ -1,5 +1,7 @@
 """Steps for a Requester; its server answers each request when the test says so."""
 
+import time
+
 from behave import given, then, when
 
 from cardamomgrade.client import Requester
@@ -172,3 +174,15 @@
     (result,) = context.results
     assert not result and result.detail == "timed out", result
     assert seconds <= context.took_s, context.took_s
+
+
+@when("a request with a timeout of {timeout:g} s is sent for {path}")
+def step_sent_timeout(context, timeout, path):
+    context.client.send(path, timeout)
+
+
+@when("the process is delayed for {seconds:g} s after the server answered {path}")
+def step_answer_delayed(context, seconds, path):
+    context.client.exchanges[path].respond(HttpResponse(200, (), path.encode()))
+    time.sleep(seconds)
+    context.client.rig.run_for(SETTLE_S)
--- a/tests/steps/jobs_vms.py
+++ b/tests/steps/jobs_vms.py
@@ -47,10 +47,10 @@
 
     def advance(self, seconds):
         self.time_s += seconds
-        due = [item for item in self.pending if item[0] <= self.time_s]
-        self.pending = [item for item in self.pending if item[0] > self.time_s]
-        for _, callback in due:
-            callback()
+        while due := [item for item in self.pending if item[0] <= self.time_s]:
+            self.pending = [item for item in self.pending if item[0] > self.time_s]
+            for _, callback in due:
+                callback()
 
 
 class SimulatedPlatform:
