Turn away jobs that would end after callers stop waiting

Change: the scheduler publishes, every 0.4 s while jobs wait, how long each service takes for the work that waits, with the VMs that its share gives it; an entry refuses a job that would end after three times its objective, once it has read the store to its end without finding the job, with a Retry-After for when it could be in time, spread by job. Without a figure of the last 2 s the entry accepts, since what it would refuse by may be over. Jobs that are merely late are still accepted.

--- a/src/cardamomgrade/jobs/entry.py
+++ b/src/cardamomgrade/jobs/entry.py
@@ -10,7 +10,9 @@
 import attrs
 
 from ..journal import event, log_event
+from .admission import retry_after_s
 from .calls import Answer, AnswerKind, CallKind
+from .durations import Durations
 from .records import (
     AppendRecord,
     CancelRecord,
@@ -81,6 +83,10 @@
         pending.callbacks.append(on_done)
         self._flush()
 
+    def holds(self, key):
+        """Return whether a record of a key waits for the store."""
+        return key in self._waiting or key in self._sent
+
     def on_key_read(self, key):
         """Answer the callers of a key of which a record was read.
 
@@ -195,6 +201,33 @@
             # An append would most likely time out.
             answer(unavailable("the store cannot be reached"))
             return
+        wait_s = self._retry_after_s(call, queue)
+        if wait_s and not self._batcher.holds(PREFIX_JOB + call.job):
+            self._refuse(call, wait_s, answer)
+        else:
+            self._store_job(call, queue, answer)
+
+    def _retry_after_s(self, call, queue):
+        durations = Durations()
+        if self._view.learned is not None:
+            durations.restore(self._view.learned)
+        return retry_after_s(call, queue, durations, self._view.load, self._wall_ms())
+
+    def _refuse(self, call, wait_s, answer):
+        """Refuse a job, unless an earlier request that had no answer has stored it."""
+
+        def synced(reached):
+            if self._view.find(call.job) is not None:
+                answer(Answer(AnswerKind.DONE))
+            elif not reached:
+                answer(unavailable("the store did not answer"))
+            else:
+                detail = "the work that waits takes longer than this job can wait"
+                answer(Answer(AnswerKind.BUSY, retry_after_s=wait_s, detail=detail))
+
+        self._sync(synced)
+
+    def _store_job(self, call, queue, answer):
         spec = JobSpec(
             call.job,
             queue.name,
--- /dev/null
+++ b/src/cardamomgrade/jobs/load.py
@@ -0,0 +1,57 @@
+"""Publishes how long each service takes for the work that waits for it.
+
+Entries turn jobs away by this (see ``admission``). Nothing is stored while no work
+waits.
+"""
+
+import time
+
+from ..journal import event, log_event
+from .records import encode, KEY_LOAD, LoadRecord
+
+PUBLISH_INTERVAL_S = 0.4  # well within the age at which entries ignore the record
+MS = 1000
+
+
+@event(625)
+class LoadPublished:
+    """The expected waits in ms by service changed from or to none at all."""
+
+    waits: dict
+
+
+def expected_wait_ms(load, vms):
+    """Return in how many ms ``vms`` VMs finish the waiting work of a PoolLoad."""
+    cores_m = vms * load.usable_vm_cores_m - load.lasting_cores_m
+    return load.backlog_core_ms * MS / max(cores_m, load.usable_vm_cores_m, 1)
+
+
+class LoadPublisher:
+    """Stores a LoadRecord with a Writer at regular intervals."""
+
+    def __init__(self, writer):
+        self._writer = writer
+        self._published_at = float("-inf")
+        self._waits = {}
+
+    def publish(self, loads, shares, now):
+        """Store the waits of PoolLoads by service, if that is due.
+
+        ``shares`` maps a service to the VMs that it may have; its pool may not have all
+        of them yet.
+        """
+        if now - self._published_at < PUBLISH_INTERVAL_S:
+            return
+        self._published_at = now
+        waits = {
+            name: int(expected_wait_ms(load, max(load.size, shares.get(name, 0))))
+            for name, load in loads.items()
+            if not load.standby and load.backlog_core_ms
+        }
+        if not waits and not self._waits:
+            return
+        if bool(waits) != bool(self._waits):
+            log_event(LoadPublished(waits))
+        self._waits = waits
+        record = LoadRecord(int(time.time() * MS), tuple(waits.items()))
+        self._writer.store([(KEY_LOAD, encode(record))])
--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -7,6 +7,7 @@
 
 from .demand import Demand
 from .pools import PoolLoad
+from .ready import ReadyJobs
 
 HEADROOM_FACTOR = 1.3  # tasks do not fill VMs without gaps
 
@@ -16,21 +17,17 @@
 
     def __init__(self):
         self.demand = Demand()
-        self._urgent_cores_m = {}
-        self._late_cores_m = {}
+        self._ready = {}
         self._blocked_vms = {}
         self._largest_vm_cores_m = 0
 
-    def record_waiting(self, service, urgent_cores_m, late_cores_m, blocked_vms):
-        """Record the tasks that a placement round left waiting.
+    def record_waiting(self, service, ready, blocked_vms):
+        """Record the ReadyJobs that a placement round left waiting.
 
-        ``urgent_cores_m`` is the need of jobs that can be in time, in thousandths of a
-        core, ``late_cores_m`` that of late jobs. ``blocked_vms`` is the number of VMs
-        needed by tasks that fit on an open executor but may not run there, for example
-        because of a limit per executor.
+        ``blocked_vms`` is the number of VMs needed by tasks that fit on an open
+        executor but may not run there, for example because of a limit per executor.
         """
-        self._urgent_cores_m[service] = urgent_cores_m
-        self._late_cores_m[service] = late_cores_m
+        self._ready[service] = ready
         self._blocked_vms[service] = blocked_vms
 
     def load(self, service, pool, now_ms, quarantined=frozenset(), closed=()):
@@ -45,8 +42,8 @@
         self._largest_vm_cores_m = max(
             (item.entry.cores_m for item in pool), default=self._largest_vm_cores_m
         )
-        urgent_cores_m = self._urgent_cores_m.get(service.name, 0)
-        late_cores_m = self._late_cores_m.get(service.name, 0)
+        ready = self._ready.get(service.name) or ReadyJobs()
+        waiting_cores_m = ready.urgent_cores_m + ready.late_cores_m
         allocated_cores_m = sum(item.cores_m for item in pool)
         lasting_cores_m = sum(item.lasting_cores_m for item in pool)
         arriving_cores_m = self.demand.cores_m(service.name, now_ms)
@@ -56,8 +53,8 @@
             cores_m = int((busy_cores_m + lasting_cores_m) * HEADROOM_FACTOR)
             return -(-cores_m // max(1, self._largest_vm_cores_m))
 
-        needed = vms(urgent_cores_m + late_cores_m)
-        urgent = vms(urgent_cores_m)
+        needed = vms(waiting_cores_m)
+        urgent = vms(ready.urgent_cores_m)
         size = sum(
             item.listed
             and not item.entry.draining
@@ -82,6 +79,9 @@
             idle,
             size,
             service.standby,
-            urgent_cores_m + late_cores_m,
+            waiting_cores_m,
             tuple(item.name for item in closable),
+            ready.backlog_core_ms,
+            lasting_cores_m,
+            int(self._largest_vm_cores_m / HEADROOM_FACTOR),
         )
--- a/src/cardamomgrade/jobs/pools.py
+++ b/src/cardamomgrade/jobs/pools.py
@@ -30,7 +30,10 @@
     it for work that can be in time, ``size`` the number that it has, and ``idle`` the
     names of its executors without runs. ``closable`` are those that run only tasks that
     end, the least busy first. ``waiting_cores_m`` is what its waiting tasks need, in
-    thousandths of a core. The VMs of a ``standby`` pool are switched off.
+    thousandths of a core, and ``backlog_core_ms`` the work of the jobs that wait,
+    without hopeless ones. ``lasting_cores_m`` is what lasting tasks have, and
+    ``usable_vm_cores_m`` the cores of a VM that tasks use on average. The VMs of a
+    ``standby`` pool are switched off.
     """
 
     service: str
@@ -41,6 +44,9 @@
     standby: bool
     waiting_cores_m: int = 0
     closable: tuple = ()
+    backlog_core_ms: float = 0.0
+    lasting_cores_m: int = 0
+    usable_vm_cores_m: int = 0
 
 
 @attrs.frozen
@@ -75,11 +81,12 @@
     """Plans moves; tracks moves under way, refused moves, and idle times.
 
     ``closed`` maps executors that get no new runs, since their VMs are to move, to the
-    time of closing.
+    time of closing. ``shares`` maps a pool to the VMs that it may have.
     """
 
     def __init__(self):
         self.closed = {}
+        self.shares = {}
         self._joining = {}
         self._idle_since = {}
         self._refused_at = {}
@@ -112,7 +119,7 @@
             and vm not in self._joining
             and vm not in excluded
         ]
-        shares = _shares(loads, len(listed))
+        shares = self.shares = _shares(loads, len(listed))
         short = {
             pool: share
             - loads[pool].size
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -8,7 +8,7 @@
 
 from .records import JobState, Phase, ProgressRecord, TaskRecord
 from .reports import Outcome
-from .spec import TaskId
+from .spec import longest_chain_ms, TaskId
 
 
 @attrs.define(eq=False)
@@ -211,16 +211,16 @@
         steps of which no task is done, since the tasks of a step are alike. With
         ``unfinished_only``, steps whose tasks are all done count as 0.
         """
-        ends = []
+        run_ms = []
         for number, step in enumerate(self.spec.steps):
             state = self._steps.get((0, number))
-            done = unfinished_only and state is not None and state.unfinished == 0
-            before = max((ends[item] for item in step.after), default=0.0)
-            run_ms = expected_ms(step)
-            if state is not None:
-                run_ms = state.mean_run_ms(run_ms)
-            ends.append(before + (0.0 if done else run_ms))
-        return max(ends, default=0.0)
+            if state is None:
+                run_ms.append(expected_ms(step))
+            elif unfinished_only and state.unfinished == 0:
+                run_ms.append(0.0)
+            else:
+                run_ms.append(state.mean_run_ms(expected_ms(step)))
+        return longest_chain_ms(self.spec.steps, run_ms)
 
     def core_ms(self, expected_ms):
         """Return the expected core time of the unfinished tasks, in core-ms."""
--- a/src/cardamomgrade/jobs/ready.py
+++ b/src/cardamomgrade/jobs/ready.py
@@ -21,6 +21,7 @@
     ``valid_until_ms`` is the wall-clock time at which its rank has to be evaluated
     again. ``urgent_cores_m`` and ``late_cores_m`` are the need of its waiting tasks, in
     thousandths of a core, of which only one is not 0; both are if it is hopeless.
+    ``backlog_core_ms`` is the work that it has left, 0 if it is lasting or hopeless.
     """
 
     job: object
@@ -30,6 +31,7 @@
     valid_until_ms: float
     urgent_cores_m: int
     late_cores_m: int
+    backlog_core_ms: float
 
 
 def ready_job(job, steps, forecast, priority, wall_ms):
@@ -47,17 +49,19 @@
         min(max(ends_ms, wall_ms), wall_ms + REFRESH_MS),
         cores_m if rank < Rank.LATE else 0,
         cores_m if rank is Rank.LATE else 0,
+        0.0 if rank in (Rank.LASTING, Rank.HOPELESS) else forecast.core_ms,
     )
 
 
 class ReadyJobs:
-    """The ReadyJobs of one service, and the sums of their needs for cores."""
+    """The ReadyJobs of one service, and the sums of their needs and of their work."""
 
     def __init__(self):
         self._by_name = {}
         self._order = []
         self.urgent_cores_m = 0
         self.late_cores_m = 0
+        self.backlog_core_ms = 0.0
 
     def __iter__(self):
         """Iterate over a copy of the ReadyJobs, the first to get capacity first."""
@@ -74,6 +78,7 @@
         insort(self._order, item.key)
         self.urgent_cores_m += item.urgent_cores_m
         self.late_cores_m += item.late_cores_m
+        self.backlog_core_ms += item.backlog_core_ms
 
     def discard(self, name):
         """Remove a job, by name, if it is there."""
@@ -82,6 +87,9 @@
             del self._order[bisect_left(self._order, item.key)]
             self.urgent_cores_m -= item.urgent_cores_m
             self.late_cores_m -= item.late_cores_m
+            # The rounding errors of removed items must not add up.
+            left_core_ms = self.backlog_core_ms - item.backlog_core_ms
+            self.backlog_core_ms = left_core_ms if self._order else 0.0
 
     def expired(self, wall_ms):
         """Return the names of the jobs whose rank has to be evaluated again."""
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -10,6 +10,7 @@
 | ``append/NODE`` | AppendRecord | the entry of that node, last in each of its appends |
 | ``silent/EXECUTOR`` | SilentRecord | the scheduler; deleted before its next grant |
 | ``learned`` | LearnedRecord | the scheduler |
+| ``load`` | LoadRecord | the scheduler |
 | ``term`` | TermRecord | the scheduler and its candidates |
 
 A value is the CBOR array of the record's fields. Writing a record twice has no further
@@ -28,6 +29,7 @@
 
 KEY_TERM = "term"
 KEY_LEARNED = "learned"
+KEY_LOAD = "load"
 PREFIX_JOB = "job/"
 PREFIX_CANCEL = "cancel/"
 PREFIX_PROGRESS = "progress/"
@@ -145,6 +147,18 @@
     queues: tuple
 
 
+@attrs.frozen
+class LoadRecord:
+    """Expected waits at ``at_ms`` of the scheduler's wall clock, as (service, wait_ms).
+
+    ``wait_ms`` is how long a service takes to finish the work that waits and that is
+    not given up, in ms.
+    """
+
+    at_ms: int
+    waits: tuple
+
+
 @attrs.frozen
 class TermRecord:
     """Heartbeat of the scheduler of one epoch; ``beat`` grows with every append."""
@@ -257,3 +271,13 @@
     except (TypeError, ValueError) as exc:
         raise RecordError(f"LearnedRecord: {exc}") from exc
     return LearnedRecord(queues)
+
+
+def decode_load(data):
+    """Return the LoadRecord of the ``load`` key; raise RecordError."""
+    record = _load(LoadRecord, data)
+    try:
+        waits = tuple((str(name), float(wait_ms)) for name, wait_ms in record.waits)
+        return LoadRecord(int(record.at_ms), waits)
+    except (TypeError, ValueError) as exc:
+        raise RecordError(f"LoadRecord: {exc}") from exc
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -478,9 +478,7 @@
                 if not begun:
                     age_ms = wall_ms - job.spec.accepted_ms
                     self._start_delays_ms.append(max(0.0, age_ms))
-        self._pool_needs.record_waiting(
-            service, ready.urgent_cores_m, ready.late_cores_m, blocked_vms
-        )
+        self._pool_needs.record_waiting(service, ready, blocked_vms)
         starts.extend(self._place_probes(service, ready, executors, now_ms))
         return starts
 
--- a/src/cardamomgrade/jobs/spec.py
+++ b/src/cardamomgrade/jobs/spec.py
@@ -72,6 +72,18 @@
         return self.start_at_ms + occurrence * self.interval_ms
 
 
+def longest_chain_ms(steps, run_ms):
+    """Return the run time of the longest chain of dependent steps, in ms.
+
+    ``run_ms`` holds the run time of each step.
+    """
+    ends = []
+    for step, step_ms in zip(steps, run_ms, strict=True):
+        before = max((ends[item] for item in step.after), default=0.0)
+        ends.append(before + step_ms)
+    return max(ends, default=0.0)
+
+
 @attrs.frozen(order=True)
 class TaskId:
     """Identifies one task by job, occurrence, step and index."""
--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -10,6 +10,7 @@
     decode_append,
     decode_job,
     decode_learned,
+    decode_load,
     decode_order,
     decode_progress,
     decode_silent,
@@ -17,6 +18,7 @@
     decode_upkeep,
     JobState,
     KEY_LEARNED,
+    KEY_LOAD,
     KEY_TERM,
     PREFIX_APPEND,
     PREFIX_CANCEL,
@@ -81,6 +83,7 @@
         self.orders = {}
         self.silent = {}
         self.learned = None
+        self.load = None
         self.term = None
         self.on_job = None
         self.on_cancel = None
@@ -121,6 +124,9 @@
             if entry.key == KEY_LEARNED:
                 self.learned = decode_learned(entry.value)
                 return
+            if entry.key == KEY_LOAD:
+                self.load = decode_load(entry.value)
+                return
             for prefix, fold in self._handlers:
                 if entry.key.startswith(prefix):
                     fold(entry.key[len(prefix) :], entry.value)
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -1,6 +1,7 @@
 """Sends the scheduler's orders for VMs: upkeep in waves, and moves between pools."""
 
 from ..journal import event, log_event
+from .load import LoadPublisher
 from .pools import PoolPlanner
 from .records import (
     encode,
@@ -121,6 +122,7 @@
         self._machines = platform.machines(term.epoch)
         self._status_topic = platform.status_topic()
         self._pools = PoolPlanner()
+        self._load = LoadPublisher(deps.writer)
         self._upkeep = UpkeepPlanner(cfg.upkeep_ms / MS)
         self._vms_by_name = {}
         self._listing = False
@@ -291,6 +293,7 @@
             if move.executor:
                 self._ending_by_move[move.vm] = move.executor
             self._order_move(move)
+        self._load.publish(loads, self._pools.shares, now)
         return set(self._ending_by_move.values()) | set(self._pools.closed)
 
     def _log_pools(self, loads, now):
