Read records of progress without building their tasks

Cause: every node reads every record of progress, the scheduling node its own as well, and built a record for each task in it; only a new scheduler needs these.

Change: the rows are kept as they are, checked for their number of fields, and become TaskRecords when a scheduler restores a job; tasks are written as rows as well.

--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from .records import JobState, Phase, ProgressRecord, TaskRecord
+from .records import JobState, Phase, ProgressRecord
 from .reports import Outcome
 from .spec import longest_chain_ms, TaskId
 
@@ -34,9 +34,9 @@
     def _name(self):
         return str(self.id)
 
-    def record(self):
-        """Return the TaskRecord to store."""
-        return TaskRecord(
+    def row(self):
+        """Return the fields of the TaskRecord to store."""
+        return (
             self.id.occurrence,
             self.id.step,
             self.id.index,
@@ -121,8 +121,8 @@
 
     def record(self):
         """Return the ProgressRecord to store."""
-        tasks = tuple(task.record() for task in self._tasks() if task.run > 0)
-        return ProgressRecord(int(self.state), tasks)
+        rows = tuple(task.row() for task in self._tasks() if task.run > 0)
+        return ProgressRecord(int(self.state), rows)
 
     def _tasks(self):
         for step in self._steps.values():
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -79,12 +79,24 @@
     checkpoint: str
 
 
+TASK_FIELDS = len(attrs.fields(TaskRecord))
+
+
 @attrs.frozen
 class ProgressRecord:
-    """The scheduler's decisions about a job: a JobState and TaskRecords."""
+    """The scheduler's decisions about a job: a JobState and the tasks started so far.
+
+    ``rows`` holds the fields of a TaskRecord each. Every node reads every record, but
+    only a new scheduler needs the tasks.
+    """
 
     state: int
-    tasks: tuple
+    rows: tuple
+
+    @property
+    def tasks(self):
+        """The TaskRecords."""
+        return tuple(TaskRecord(*row) for row in self.rows)
 
 
 @attrs.frozen
@@ -225,11 +237,13 @@
     """Return the ProgressRecord of a ``progress/`` key; raise RecordError."""
     record = _load(ProgressRecord, data)
     try:
-        tasks = tuple(TaskRecord(*fields) for fields in record.tasks)
         JobState(record.state)
+        complete = all(len(row) == TASK_FIELDS for row in record.rows)
     except (TypeError, ValueError) as exc:
         raise RecordError(f"ProgressRecord: {exc}") from exc
-    return attrs.evolve(record, tasks=tasks)
+    if not complete:
+        raise RecordError("ProgressRecord: a row has too few or too many fields")
+    return record
 
 
 def decode_term(data):
