Look only at executors with room for the smallest waiting task

Change: a round leaves out executors with less room than the smallest waiting task needs, and asks whether a step is held up by limits only if it has any.

--- a/src/cardamomgrade/jobs/executors.py
+++ b/src/cardamomgrade/jobs/executors.py
@@ -60,6 +60,11 @@
             and self.accelerators + step.accelerators <= entry.accelerators
         )
 
+    @property
+    def free_cores_m(self):
+        """The cores that are not allocated to runs, in thousandths of a core."""
+        return self.entry.cores_m - self.cores_m
+
     @property
     def free_fraction(self):
         """The fraction of the cores that is not allocated to runs."""
@@ -108,7 +113,7 @@
     def of(cls, executors):
         """Return the LargestRoom on ``executors``."""
         return cls(
-            max((item.entry.cores_m - item.cores_m for item in executors), default=-1),
+            max((item.free_cores_m for item in executors), default=-1),
             max(
                 (item.entry.memory_mb - item.memory_mb for item in executors),
                 default=-1,
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -64,6 +64,12 @@
     run_ms: float = 0.0
     runs_done: int = 0
 
+    @property
+    def is_restricted(self):
+        """Whether tasks wait that may not run on every executor with room for one."""
+        step = self.step
+        return bool(self.waiting and (step.gang or step.label or step.per_executor))
+
     def observe(self, run_ms):
         """Record the run time of a task that is done, in ms."""
         self.run_ms += run_ms
--- a/src/cardamomgrade/jobs/ready.py
+++ b/src/cardamomgrade/jobs/ready.py
@@ -70,6 +70,17 @@
     def __len__(self):
         return len(self._order)
 
+    def least_cores_m(self):
+        """Return the cores that the smallest waiting task needs, in thousandths."""
+        return min(
+            (
+                state.step.reserved_cores_m
+                for item in self._by_name.values()
+                for state in item.steps
+            ),
+            default=0,
+        )
+
     def put(self, item):
         """Add a ReadyJob, or replace that of the same job."""
         name = item.job.spec.job
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -460,7 +460,13 @@
             and not self._health.is_quarantined(item.name)
             and item.name not in self._paused_until_ms
         ]
-        room = LargestRoom.of(executors)
+        least_cores_m = ready.least_cores_m()
+
+        def with_room():
+            return [item for item in executors if item.free_cores_m >= least_cores_m]
+
+        roomy = with_room()
+        room = LargestRoom.of(roomy)
         starts = []
         blocked_vms = 0
         for item in ready:
@@ -468,12 +474,18 @@
             for step in item.steps:
                 if not room.may_fit(step.step):
                     continue
-                place = self._place_gang if step.step.gang else self._place_tasks
-                starts.extend(place(job, step, executors, now_ms))
-                if step.waiting and any(item.fits(step.step) for item in executors):
+                if step.step.gang:
+                    starts.extend(self._place_gang(job, step, executors, now_ms))
+                else:
+                    limits = PlacementLimits(step, executors)
+                    starts.extend(self._place_tasks(job, step, roomy, limits, now_ms))
+                if step.is_restricted and any(
+                    item.fits(step.step) for item in executors
+                ):
                     blocked_vms += -(-step.waiting // (step.step.per_executor or 1))
             if len(starts) > count:
-                room = LargestRoom.of(executors)
+                roomy = with_room()
+                room = LargestRoom.of(roomy)
                 self._evaluate(job, wall_ms)
                 if not begun:
                     age_ms = wall_ms - job.spec.accepted_ms
@@ -576,13 +588,8 @@
             )
         return loads
 
-    def _place_tasks(self, job, step, executors, now_ms):
-        placer = StepPlacer(
-            executors,
-            step.step,
-            PlacementLimits(step),
-            PlacementLimits(step, executors),
-        )
+    def _place_tasks(self, job, step, executors, spread_limits, now_ms):
+        placer = StepPlacer(executors, step.step, PlacementLimits(step), spread_limits)
         starts = []
         for task in step.tasks:
             if task.phase is not Phase.WAITING:
