Log the pools where their load is published

A move of code: the line PoolsSized is written after the moves of a round are planned instead of before. Tests of vms and admission pass.

--- a/src/cardamomgrade/jobs/load.py
+++ b/src/cardamomgrade/jobs/load.py
@@ -1,4 +1,4 @@
-"""Publishes how long each service takes for the work that waits for it.
+"""Logs the pools, and publishes how long each service takes for the work that waits.
 
 Entries turn jobs away by this (see ``admission``). Nothing is stored while no work
 waits.
@@ -10,9 +10,22 @@
 from .records import encode, KEY_LOAD, LoadRecord
 
 PUBLISH_INTERVAL_S = 0.4  # well within the age at which entries ignore the record
+POOL_LOG_S = 1.0
 MS = 1000
 
 
+@event(618)
+class PoolsSized:
+    """The VMs of all pools, and the moves that are under way.
+
+    ``pools`` has a row of service, VMs it needs, VMs it has, VMs without runs, and
+    cores that its waiting tasks need.
+    """
+
+    pools: list
+    moves: int
+
+
 @event(625)
 class LoadPublished:
     """The expected waits in ms by service changed from or to none at all."""
@@ -27,13 +40,31 @@
 
 
 class LoadPublisher:
-    """Stores a LoadRecord with a Writer at regular intervals."""
+    """Logs PoolsSized and stores a LoadRecord with a Writer at regular intervals."""
 
     def __init__(self, writer):
         self._writer = writer
-        self._published_at = float("-inf")
+        self._logged_at = self._published_at = float("-inf")
         self._waits = {}
 
+    def log_pools(self, loads, moves, now):
+        """Log PoolLoads by service, if that is due, and how many ``moves`` go on."""
+        if now - self._logged_at < POOL_LOG_S:
+            return
+        self._logged_at = now
+        rows = [
+            [
+                item.service,
+                item.needed_vms,
+                item.size,
+                len(item.idle),
+                item.waiting_cores_m // 1000,
+            ]
+            for item in loads.values()
+            if not item.standby
+        ]
+        log_event(PoolsSized(rows, moves))
+
     def publish(self, loads, shares, now):
         """Store the waits of PoolLoads by service, if that is due.
 
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -18,7 +18,6 @@
 MOVE_RETRY_S = 0.2
 VM_LEASE_MARGIN_S = 0.3  # the platform's clock may differ from this node's
 STATUS_APPEND_TIMEOUT_S = 1.0
-POOL_LOG_S = 1.0
 MOVE_ORDERS_FRACTION = 0.9  # of the orders that the platform takes; upkeeps count too
 MOVE_BURST_S = 0.5  # moves saved up while none were due
 MS = 1000
@@ -87,18 +86,6 @@
     steps: list
 
 
-@event(618)
-class PoolsSized:
-    """The VMs of all pools, and the moves that are under way.
-
-    ``pools`` has a row of service, VMs it needs, VMs it has, VMs without runs, and
-    cores that its waiting tasks need.
-    """
-
-    pools: list
-    moves: int
-
-
 class VmManager:
     """Plans and sends the orders for VMs in one term.
 
@@ -130,7 +117,6 @@
         self._ending_by_move = {}
         self._newest_orders = {}
         self._announced = set()
-        self._pools_logged_at = float("-inf")
         self._moves_per_s = cfg.vm_orders_per_s * MOVE_ORDERS_FRACTION
         self._moves_planned_at = loop.now()
         self._closed = False
@@ -283,7 +269,6 @@
         """Order moves between pools; return the executors that get no new runs."""
         excluded = wave_vms | set(self._upkeep_in_flight) | self._locked_vms()
         loads = self._scheduler.pool_loads(now * MS, self._pools.closed)
-        self._log_pools(loads, now)
         since_s, self._moves_planned_at = now - self._moves_planned_at, now
         max_moves = self._moves_per_s * min(since_s, MOVE_BURST_S)
         for move in self._pools.plan(
@@ -293,26 +278,10 @@
             if move.executor:
                 self._ending_by_move[move.vm] = move.executor
             self._order_move(move)
+        self._load.log_pools(loads, len(self._ending_by_move), now)
         self._load.publish(loads, self._pools.shares, now)
         return set(self._ending_by_move.values()) | set(self._pools.closed)
 
-    def _log_pools(self, loads, now):
-        if now - self._pools_logged_at < POOL_LOG_S:
-            return
-        self._pools_logged_at = now
-        rows = [
-            [
-                item.service,
-                item.needed_vms,
-                item.size,
-                len(item.idle),
-                item.waiting_cores_m // 1000,
-            ]
-            for item in loads.values()
-            if not item.standby
-        ]
-        log_event(PoolsSized(rows, len(self._ending_by_move)))
-
     def _order_move(self, move, unanswered_at=None):
         """Order a move; ``unanswered_at`` is when an earlier attempt had no answer."""
 
