Test queues that take turns on a simulated estate

The load pattern of the users' estate without I/O: queues that rise within two seconds, one with three times what the estate holds beside two small ones, a turn that begins while another ends; the scheduler and the pool planner run against simulated VMs that move in 1.5 s and register 0.4 s later.

--- /dev/null
+++ b/tests/turns.py
@@ -0,0 +1,178 @@
+"""Simulates an estate whose queues take turns; runs the scheduler and the pool planner.
+
+Time is simulated. Moves, registrations and runs take the times of the users' platform;
+orders and appends take none.
+"""
+
+import itertools
+import math
+
+import attrs
+
+from cardamomgrade.jobs.pools import PoolPlanner
+from cardamomgrade.jobs.queues import Queue, QueueConfig, Service
+from cardamomgrade.jobs.reports import ExecutorEntry, ListedVm, Outcome
+from cardamomgrade.jobs.scheduler import Scheduler
+from cardamomgrade.jobs.spec import JobSpec, parse_task, Step
+
+STEP_MS = 20
+POOLS_MS = 160
+MOVE_MS = 1500
+REGISTER_MS = 400
+MOVES_PER_S = 280
+TASKS = 8
+TASK_CORES_M = 2300
+TASK_MS = 640
+VM_CORES_M = 16_000
+VM_MEMORY_MB = 64_000
+STRETCH = 1.6
+TARGET_MS = 600
+OBJECTIVE_MS = STRETCH * TASK_MS + TARGET_MS
+WALL_MS = 1_800_000_000_000
+OFF = "off"
+
+
+@attrs.define
+class Vm:
+    """A VM; it moves until ``up_at_ms``, and its executor registers later."""
+
+    name: str
+    pool: str
+    executor: str
+    up_at_ms: float = 0.0
+    registered: bool = True
+
+
+class Estate:
+    """VMs in pools of equal size, and the jobs that queues named like them submit.
+
+    ``rates`` maps a queue to a function from s to jobs a second. With ``fixed`` pools
+    no VM moves.
+    """
+
+    def __init__(self, vms, rates, fixed=False):
+        self.rates = rates
+        self.fixed = fixed
+        self.now_ms = 0.0
+        self.planner = PoolPlanner()
+        queues = [
+            Queue(name, "host", f"/{name}/", name, stretch=STRETCH, target_ms=TARGET_MS)
+            for name in rates
+        ]
+        services = [Service(name) for name in rates] + [Service(OFF, standby=True)]
+        self.scheduler = Scheduler(QueueConfig(1, tuple(queues), tuple(services)))
+        self.numbers = itertools.count()
+        self.vms = {}
+        for number, pool in zip(range(vms), itertools.cycle(rates)):
+            vm = Vm(f"m{number}", pool, f"m{number}-0")
+            self.vms[vm.name] = vm
+            self.scheduler.put_executor(_entry(vm))
+        self.ends = []
+        self.accepted = {}
+        self.completed = {}
+        self.sizes = []
+        self._due = dict.fromkeys(rates, 0.0)
+
+    def run(self, seconds):
+        """Let ``seconds`` pass."""
+        until_ms = self.now_ms + seconds * 1000
+        while self.now_ms < until_ms:
+            self.now_ms += STEP_MS
+            self._submit()
+            self._end_runs()
+            self._register()
+            if not self.fixed and self.now_ms % POOLS_MS < STEP_MS:
+                self._move()
+            for start in self.scheduler.plan(self.now_ms, WALL_MS + self.now_ms):
+                self.ends.append((self.now_ms + TASK_MS, start))
+
+    def in_time(self, queue, from_s, until_s):
+        """Return the fraction of a queue's jobs of some seconds that were in time."""
+        jobs = [
+            job
+            for job, (name, at_ms) in self.accepted.items()
+            if name == queue and from_s * 1000 <= at_ms < until_s * 1000
+        ]
+        done = sum(
+            self.completed.get(job, math.inf) - self.accepted[job][1] <= OBJECTIVE_MS
+            for job in jobs
+        )
+        return done / len(jobs)
+
+    def _submit(self):
+        for queue, rate in self.rates.items():
+            self._due[queue] += rate(self.now_ms / 1000) * STEP_MS / 1000
+            while self._due[queue] >= 1:
+                self._due[queue] -= 1
+                job = f"{next(self.numbers):016x}"
+                steps = (Step(TASKS, TASK_CORES_M, 1000, estimate_ms=TASK_MS),)
+                spec = JobSpec(job, queue, queue, "", WALL_MS + self.now_ms, steps)
+                self.accepted[job] = (queue, self.now_ms)
+                self.scheduler.add_job(spec, now_ms=self.now_ms)
+
+    def _end_runs(self):
+        ended = [item for item in self.ends if item[0] <= self.now_ms]
+        self.ends = [item for item in self.ends if item[0] > self.now_ms]
+        for _, start in ended:
+            self.scheduler.end(
+                start.executor, start.task, start.run, Outcome.DONE, "", self.now_ms
+            )
+            job = parse_task(start.task).job
+            if self.scheduler.state_of(job).final:
+                self.completed.setdefault(job, self.now_ms)
+
+    def _register(self):
+        for vm in self.vms.values():
+            if vm.registered or vm.pool == OFF:
+                continue
+            if self.now_ms >= vm.up_at_ms + REGISTER_MS:
+                vm.registered = True
+                self.scheduler.put_executor(_entry(vm))
+
+    def _move(self):
+        listed = {
+            vm.name: ListedVm(
+                vm.name,
+                vm.pool,
+                "up" if self.now_ms >= vm.up_at_ms else "moving",
+                "" if vm.pool == OFF else vm.executor,
+            )
+            for vm in self.vms.values()
+        }
+        loads = self.scheduler.pool_loads(self.now_ms, self.planner.closed)
+        now, most = self.now_ms / 1000, MOVES_PER_S * POOLS_MS / 1000
+        for move in self.planner.plan(loads, listed, now, set(), most):
+            self.planner.record_ordered(move, now)
+            vm = self.vms[move.vm]
+            self.scheduler.forget_executor(vm.executor)
+            vm.pool, vm.registered = move.pool, False
+            vm.executor = f"{vm.name}-{next(self.numbers)}"
+            vm.up_at_ms = self.now_ms + MOVE_MS
+        self.scheduler.cordon(self.planner.closed)
+
+
+def _entry(vm):
+    return ExecutorEntry(
+        vm.executor,
+        vm.pool,
+        "127.0.0.1:1",
+        "z",
+        False,
+        VM_CORES_M,
+        VM_MEMORY_MB,
+        0,
+        (),
+        "r",
+        0,
+    )
+
+
+def turn(begin_s, end_s, rate, rise_s=2.0, low=0.05):
+    """Return a rate in jobs a second that rises over ``rise_s`` and falls at once."""
+
+    def at(now_s):
+        if not begin_s <= now_s < end_s:
+            return rate * low
+        return rate * max(low, min(1.0, (now_s - begin_s) / rise_s))
+
+    return at
