Send orders to an executor over several connections

Cause: orders to one executor went one after another. One task of many steps ended 2 s after the others (runs of 0.64 s, p90 2.1 s).

Change: up to 4 connections for orders, the next one opened only while the others wait.

Test: the new scenario in client.feature (a single connection holds the second request up).

--- a/src/cardamomgrade/platform/executor.py
+++ b/src/cardamomgrade/platform/executor.py
@@ -2,7 +2,7 @@
 
 import json
 
-from ..client import Failure, Requester
+from ..client import Failure, Requester, RequesterPool
 from ..jobs.reports import (
     EndedTask,
     LeaseReport,
@@ -14,6 +14,7 @@
 from ..wire import HttpRequest
 
 ORDER_TIMEOUT_S = 0.5  # a healthy executor answers within a few ms
+ORDER_CONNECTIONS = 4  # an order without an answer must not hold up the others
 ANSWER_SLACK_S = 0.7  # beyond the wait that a renewal requests
 ANSWER_LIMIT_BYTES = 4 * 1024 * 1024  # well above a report of 500 ends and all runs
 ENDS_PER_REPORT = 500  # a report with as many may leave out later ones
@@ -90,7 +91,7 @@
 
     def __init__(self, loop, net, entry, epoch):
         self._renewals = Requester(loop, net, entry.address, ANSWER_LIMIT_BYTES)
-        self._orders = Requester(loop, net, entry.address)
+        self._orders = RequesterPool(loop, net, entry.address, ORDER_CONNECTIONS)
         self._epoch = epoch
         self._headers = (
             (b"host", entry.address.encode()),
--- a/tests/client.feature
+++ b/tests/client.feature
@@ -56,3 +56,14 @@
     When a request with a timeout of 0.3 s is sent for /a
     And the process is delayed for 0.5 s after the server answered /a
     Then the request for /a gets its own answer
+
+  Scenario: over a pool of connections a request without an answer holds up no other
+    Given a server that answers when the test says so
+    And a pool of 4 connections to it
+    When a request for /a is sent
+    And a request for /b is sent
+    And the server answers /b
+    Then the request for /b gets its own answer
+    And the server has 2 open connections
+    When a request for /c is sent
+    Then the server has 2 open connections
--- a/tests/steps/client.py
+++ b/tests/steps/client.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from cardamomgrade.client import Requester
+from cardamomgrade.client import Requester, RequesterPool
 from cardamomgrade.server import HttpServer
 from cardamomgrade.wire import HttpRequest, HttpResponse
 from harness import Rig
@@ -24,7 +24,8 @@
         self.results = []
         self.server = HttpServer(self.rig.loop, self.rig.net, self.on_request)
         port = self.server.listen(HOST, 0)
-        self.requester = Requester(self.rig.loop, self.rig.net, f"{HOST}:{port}")
+        self.address = f"{HOST}:{port}"
+        self.requester = Requester(self.rig.loop, self.rig.net, self.address)
 
     def on_request(self, exchange):
         self.exchanges[exchange.req.path] = exchange
@@ -186,3 +187,11 @@
     context.client.exchanges[path].respond(HttpResponse(200, (), path.encode()))
     time.sleep(seconds)
     context.client.rig.run_for(SETTLE_S)
+
+
+@given("a pool of {count:d} connections to it")
+def step_pool(context, count):
+    rig = context.client.rig
+    context.client.requester = RequesterPool(
+        rig.loop, rig.net, context.client.address, count
+    )
