--- a/tests/jobs/urgency.feature
+++ b/tests/jobs/urgency.feature
@@ -12,6 +12,24 @@
       | 2500 | 1000 | yes   | LATE     |
       | 8500 | 1000 | no    | HOPELESS |
 
+  Scenario Outline: a rank holds until the age that is told with it
+    Given a job of age <age> ms with <left> ms remaining of an objective of 3000 ms, begun <begun>
+    Then until it is <end> ms old its rank is <rank>
+
+    Examples:
+      | age  | left | begun | rank    | end  |
+      | 0    | 1000 | no    | IN_TIME | 1850 |
+      | 0    | 1000 | yes   | BEGUN   | 2000 |
+      | 2500 | 1000 | yes   | LATE    | 8000 |
+
+  Scenario: the run times seen in a job replace those expected of its queue
+    Given a job of 2 steps of 2 tasks, each expected to take 640 ms
+    Then its chain takes 1280 ms, of which 1280 ms are left
+    When one task of its first step took 1600 ms
+    Then its chain takes 2240 ms, of which 2240 ms are left
+    When the other task of its first step took 1600 ms
+    Then its chain takes 2240 ms, of which 640 ms are left
+
   Scenario: in an overload of twice the pool for 8 s almost half of the jobs are in time
     Given a pool of 1 executors with 8 cores each
     When a job of 8 tasks that take 1000 ms arrives every 500 ms, 16 in all
--- a/tests/steps/jobs_urgency.py
+++ b/tests/steps/jobs_urgency.py
@@ -2,14 +2,21 @@
 
 import random
 
+import attrs
 from behave import given, then, when
 
 from cardamomgrade.jobs.durations import Durations
 from cardamomgrade.jobs.pace import Pacer
+from cardamomgrade.jobs.progress import JobProgress
 from cardamomgrade.jobs.records import JobState
 from cardamomgrade.jobs.reports import Outcome
-from cardamomgrade.jobs.spec import Step
-from cardamomgrade.jobs.urgency import Forecast, Rank, rank_of
+from cardamomgrade.jobs.spec import JobSpec, Step, TaskId
+from cardamomgrade.jobs.urgency import (
+    Forecast,
+    Rank,
+    rank_ends_at_age_ms,
+    rank_of,
+)
 
 
 @given(
@@ -26,6 +33,42 @@
     assert rank_of(context.forecast) is Rank[rank], rank_of(context.forecast)
 
 
+@then("until it is {end:d} ms old its rank is {rank:w}")
+def step_rank_until(context, end, rank):
+    assert rank_ends_at_age_ms(context.forecast) == end
+    at_end = attrs.evolve(context.forecast, age_ms=end)
+    after = attrs.evolve(context.forecast, age_ms=end + 1)
+    assert rank_of(at_end) is Rank[rank] is not rank_of(after)
+
+
+@given("a job of 2 steps of 2 tasks, each expected to take {expected:d} ms")
+def step_two_steps(context, expected):
+    steps = (Step(2, 1000), Step(2, 1000, after=(0,)))
+    context.progress = JobProgress(JobSpec("a1", "q", "s", "", 0, steps), 1)
+    context.progress.open_due_occurrences(0)
+    context.expected_ms = expected
+
+
+@when("{which} task of its first step took {took:d} ms")
+def step_task_took(context, which, took):
+    job = context.progress
+    state = job.step_state(TaskId("a1", 0, 0, 0))
+    task = state.tasks[0 if which == "one" else 1]
+    job.place(task, "e1")
+    state.observe(took)
+    job.end(task, Outcome.DONE)
+
+
+@then("its chain takes {whole:d} ms, of which {left:d} ms are left")
+def step_chain(context, whole, left):
+    def expected_ms(step):
+        return context.expected_ms
+
+    job = context.progress
+    assert job.critical_path_ms(expected_ms) == whole
+    assert job.critical_path_ms(expected_ms, unfinished_only=True) == left
+
+
 @when(
     "a job of {tasks:d} tasks that take {took:d} ms arrives every {gap:d} ms, "
     "{jobs:d} in all"
