Ignore load records whose waits are no numbers of 0 or more

Four of eight malformed records in the new scenario were accepted or raised another error before; all are ignored now.

--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -17,6 +17,7 @@
 effect, so an append whose answer was lost may be repeated.
 """
 
+import math
 from enum import IntEnum, unique
 from functools import cache
 from operator import attrgetter
@@ -292,6 +293,9 @@
     record = _load(LoadRecord, data)
     try:
         waits = tuple((str(name), float(wait_ms)) for name, wait_ms in record.waits)
-        return LoadRecord(int(record.at_ms), waits)
-    except (TypeError, ValueError) as exc:
+        load = LoadRecord(int(record.at_ms), waits)
+    except (TypeError, ValueError, OverflowError) as exc:
         raise RecordError(f"LoadRecord: {exc}") from exc
+    if not all(0 <= wait_ms < math.inf for _, wait_ms in waits):
+        raise RecordError(f"LoadRecord: {waits!r} are no waits in ms")
+    return load
--- a/tests/jobs/admission.feature
+++ b/tests/jobs/admission.feature
@@ -69,3 +69,19 @@
     And a caller submits a job
     Then no caller is answered yet
     And 1 appends of the entry were sent
+
+  Scenario Outline: a malformed load is ignored, and the one before it stays
+    Given an entry of an overloaded service
+    When a load of <value> is read from the store
+    Then the entry still knows the load before it
+
+    Examples:
+      | value                        |
+      | 7                            |
+      | [1, 2]                       |
+      | [1, [["letters", "soon"]]]   |
+      | [1, [["letters", -1]]]       |
+      | [1, [["letters", NaN]]]      |
+      | [1, [["letters", Infinity]]] |
+      | [Infinity, []]               |
+      | [1, [[]]]                    |
--- a/tests/steps/jobs_admission.py
+++ b/tests/steps/jobs_admission.py
@@ -1,6 +1,9 @@
 """Steps for the admission of jobs and for the load that it rests on."""
 
+import json
+
 import attrs
+import cbor2
 from behave import given, then, when
 
 from cardamomgrade.jobs.admission import retry_after_s
@@ -266,3 +269,15 @@
 @then("{count:d} appends of the entry were sent")
 def step_appends(context, count):
     assert len(context.entry.appends) == count, context.entry.appends
+
+
+@when("a load of {value} is read from the store")
+def step_load_read(context, value):
+    context.load = context.entry.view.load
+    record = cbor2.dumps(json.loads(value))
+    context.entry.view.fold(Entry(0, KEY_LOAD, record))
+
+
+@then("the entry still knows the load before it")
+def step_load_kept(context):
+    assert context.entry.view.load is context.load
