--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -33,11 +33,10 @@
     def load(self, service, pool, now_ms, quarantined=frozenset(), closed=()):
         """Return the PoolLoad of a Service whose executors are ``pool``.
 
-        ``closed`` names executors that get no new runs because they are to move.
-
         Executors that are unreachable, or named in ``quarantined``, do not count
         towards its size: a small pool would otherwise look large enough although none
-        of its executors can take the waiting work.
+        of its executors can take the waiting work. ``closed`` names executors that get
+        no new runs because they are to move.
         """
         self._largest_vm_cores_m = max(
             (item.entry.cores_m for item in pool), default=self._largest_vm_cores_m
@@ -74,14 +73,14 @@
         )
         return PoolLoad(
             service.name,
-            needed,
-            urgent,
-            idle,
-            size,
-            service.standby,
-            waiting_cores_m,
-            tuple(item.name for item in closable),
-            ready.backlog_core_ms,
-            lasting_cores_m,
-            int(self._largest_vm_cores_m / HEADROOM_FACTOR),
+            needed_vms=needed,
+            urgent_vms=urgent,
+            idle=idle,
+            size=size,
+            standby=service.standby,
+            waiting_cores_m=waiting_cores_m,
+            closable=tuple(item.name for item in closable),
+            backlog_core_ms=ready.backlog_core_ms,
+            lasting_cores_m=lasting_cores_m,
+            usable_vm_cores_m=int(self._largest_vm_cores_m / HEADROOM_FACTOR),
         )
--- a/src/cardamomgrade/jobs/ready.py
+++ b/src/cardamomgrade/jobs/ready.py
@@ -19,14 +19,14 @@
     """A job, its StepStates with waiting tasks, and its place in the order.
 
     ``valid_until_ms`` is the wall-clock time at which its rank has to be evaluated
-    again. ``urgent_cores_m`` and ``late_cores_m`` are the need of its waiting tasks, in
-    thousandths of a core, of which only one is not 0; both are if it is hopeless.
-    ``backlog_core_ms`` is the work that it has left, 0 if it is lasting or hopeless.
+    again. ``urgent_cores_m`` is the need of its waiting tasks, in thousandths of a
+    core, if the job can be in time, ``late_cores_m`` if it is late; the other is 0, and
+    both are if it is hopeless. ``backlog_core_ms`` is the work that it has left, 0 if
+    it is lasting or hopeless.
     """
 
     job: object
     steps: list
-    forecast: object
     key: tuple
     valid_until_ms: float
     urgent_cores_m: int
@@ -44,7 +44,6 @@
     return ReadyJob(
         job,
         steps,
-        forecast,
         key,
         min(max(ends_ms, wall_ms), wall_ms + REFRESH_MS),
         cores_m if rank < Rank.LATE else 0,
