Ignore growth of a queue that chance explains

Change: growth counts only beyond two standard deviations of independent arrivals of the same work.

The new scenarios in pools.feature for 2 and 6 and for 8 and 15 jobs are extrapolated without it.

--- a/src/cardamomgrade/jobs/demand.py
+++ b/src/cardamomgrade/jobs/demand.py
@@ -4,15 +4,17 @@
 within a second or two, and falls back after some seconds. The estimate assumes that
 work keeps arriving at the rate of the last WINDOW_MS, or of the last BURST_MS if that
 is higher. While the rate grows, the growth is assumed to go on until a VM that is
-ordered now has joined.
+ordered now has joined. A queue of few large jobs grows and shrinks by chance.
 """
 
+import math
 from collections import deque
 
 BURST_MS = 500.0  # bursts rise within a second
 WINDOW_MS = 1500.0  # about the time in which a VM joins a pool
 HALF_WINDOW_MS = WINDOW_MS / 2
 JOIN_MS = 2000.0  # from the order of a move until tasks start on the VM
+GROWTH_DEVIATIONS = 2.0  # standard deviations of independent arrivals
 GROWTH_LIMIT = 2.0  # times the rate of the newest half window
 
 
@@ -33,14 +35,14 @@
             arrivals.popleft()
 
         total = sum(core_ms for _, core_ms in arrivals)
-        newer, burst = (
-            sum(core_ms for at, core_ms in arrivals if at > now_ms - ms) / ms
-            for ms in (HALF_WINDOW_MS, BURST_MS)
-        )
+        newest = [item for item in arrivals if item[0] > now_ms - HALF_WINDOW_MS]
+        newer = sum(core_ms for _, core_ms in newest) / HALF_WINDOW_MS
+        burst = sum(core_ms for at, core_ms in newest if at > now_ms - BURST_MS)
         older = total / HALF_WINDOW_MS - newer
         expected = newer
-        if 0 < older < newer:
+        chance = math.sqrt(sum(core_ms**2 for _, core_ms in arrivals)) / HALF_WINDOW_MS
+        if 0 < older < newer - GROWTH_DEVIATIONS * chance:
             growth = (newer - older) / HALF_WINDOW_MS
             expected += growth * (HALF_WINDOW_MS / 2 + JOIN_MS)
         expected = min(expected, newer * GROWTH_LIMIT)
-        return max(total / WINDOW_MS, burst, expected) * 1000
+        return max(total / WINDOW_MS, burst / BURST_MS, expected) * 1000
--- a/tests/jobs/pools.feature
+++ b/tests/jobs/pools.feature
@@ -87,3 +87,13 @@
   Scenario: a demand that fluctuates in few jobs is not extrapolated without limit
     Given work arrives at rates of 1, 1, 60 and 60 cores, each for 375 ms
     Then the demand is between 119 and 121 cores at its end
+
+  Scenario Outline: few large jobs that come by chance in the newer half are no growth
+    Given <older> jobs in the older half of the window and <newer> in the newer one
+    Then their demand <result> extrapolated
+
+    Examples:
+      | older | newer | result |
+      | 2     | 6     | is not |
+      | 8     | 15    | is not |
+      | 30    | 60    | is     |
--- a/tests/steps/jobs_pools.py
+++ b/tests/steps/jobs_pools.py
@@ -3,7 +3,7 @@
 import attrs
 from behave import given, then, when
 
-from cardamomgrade.jobs.demand import Demand
+from cardamomgrade.jobs.demand import Demand, HALF_WINDOW_MS
 from cardamomgrade.jobs.pools import PoolLoad, PoolPlanner
 from cardamomgrade.jobs.reports import ListedVm
 from cardamomgrade.jobs.shares import fair_shares
@@ -190,3 +190,24 @@
         fixture.loads, fixture.listed, fixture.now, fixture.excluded, most
     )
     assert len(moves) == count, moves
+
+
+@given("{older:d} jobs in the older half of the window and {newer:d} in the newer one")
+def step_halves(context, older, newer):
+    context.demand = Demand()
+    context.rate = newer * 100.0 / HALF_WINDOW_MS
+    context.now_ms = 2 * HALF_WINDOW_MS
+    for count, end_ms in ((older, HALF_WINDOW_MS), (newer, context.now_ms)):
+        for number in range(count):
+            at_ms = end_ms - HALF_WINDOW_MS * number / count
+            context.demand.record_arrival("s", 100.0, at_ms)
+
+
+@then("their demand is extrapolated")
+def step_extrapolated(context):
+    assert context.demand.cores_m("s", context.now_ms) > context.rate * 1000 * 1.5
+
+
+@then("their demand is not extrapolated")
+def step_not_extrapolated(context):
+    assert context.demand.cores_m("s", context.now_ms) < context.rate * 1000 * 1.1
