Drop a length that nothing reads, and an empty list made for each look at a pool

Found in the last reading of the change: ReadyJobs had a length only so that an empty one counted as none, and each look at a pool without waiting jobs made a new one. One condition in the agent reads without a negation.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -233,10 +233,10 @@
             self._reconcile(report, sent_at)
             if not report.more_ends:
                 self._inherited.clear()
-            if not self._has_silence_record():
-                self.renew_if_needed()
-            else:
+            if self._has_silence_record():
                 self._loop.call_later(RENEW_RETRY_S, self.renew_if_needed)
+            else:
+                self.renew_if_needed()
             return
         self._answered = False
         if report.result is OrderResult.FENCED:
--- a/src/cardamomgrade/jobs/demand.py
+++ b/src/cardamomgrade/jobs/demand.py
@@ -33,7 +33,6 @@
         arrivals = self._arrivals.get(service, ())
         while arrivals and arrivals[0][0] < now_ms - WINDOW_MS:
             arrivals.popleft()
-
         total = sum(core_ms for _, core_ms in arrivals)
         newest = [item for item in arrivals if item[0] > now_ms - HALF_WINDOW_MS]
         newer = sum(core_ms for _, core_ms in newest) / HALF_WINDOW_MS
--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -10,6 +10,7 @@
 from .ready import ReadyJobs
 
 HEADROOM_FACTOR = 1.3  # tasks do not fill VMs without gaps
+NO_JOBS = ReadyJobs()
 
 
 class PoolNeeds:
@@ -41,7 +42,7 @@
         self._largest_vm_cores_m = max(
             (item.entry.cores_m for item in pool), default=self._largest_vm_cores_m
         )
-        ready = self._ready.get(service.name) or ReadyJobs()
+        ready = self._ready.get(service.name, NO_JOBS)
         waiting_cores_m = ready.urgent_cores_m + ready.late_cores_m
         allocated_cores_m = sum(item.cores_m for item in pool)
         lasting_cores_m = sum(item.lasting_cores_m for item in pool)
--- a/src/cardamomgrade/jobs/ready.py
+++ b/src/cardamomgrade/jobs/ready.py
@@ -66,9 +66,6 @@
         """Iterate over a copy of the ReadyJobs, the first to get capacity first."""
         return iter([self._by_name[key[-1][1]] for key in self._order])
 
-    def __len__(self):
-        return len(self._order)
-
     def least_cores_m(self):
         """Return the cores that the smallest waiting task needs, in thousandths."""
         return min(
