Identify customers by their keys, and keep a job's customer with the job

Queues that are not public need the key of a customer; an unknown key gets 401, another customer's job 403, and a node with an old copy of the configuration answers 503. Records of jobs without a customer are unchanged.

--- a/src/cardamomgrade/jobs/calls.py
+++ b/src/cardamomgrade/jobs/calls.py
@@ -17,7 +17,10 @@
 
 @attrs.frozen
 class JobCall:
-    """A validated call; ``deadline_ms`` is the caller's timeout, or 0 for none."""
+    """A validated call; ``deadline_ms`` is the caller's timeout, or 0 for none.
+
+    ``customer`` is the name of the customer whose key the caller sent, or "".
+    """
 
     kind: CallKind
     queue: str
@@ -28,6 +31,7 @@
     repeat: int = 0
     start_at_ms: int = 0
     interval_ms: int = 0
+    customer: str = ""
 
 
 @unique
@@ -37,6 +41,8 @@
     DONE = "done"
     NO_QUEUE = "no-queue"
     NO_JOB = "no-job"
+    NO_KEY = "no-key"
+    FORBIDDEN = "forbidden"
     BAD_REQUEST = "bad-request"
     TOO_LARGE = "too-large"
     BUSY = "busy"
--- a/src/cardamomgrade/jobs/entry.py
+++ b/src/cardamomgrade/jobs/entry.py
@@ -27,6 +27,7 @@
 STALE_S = 2.0  # no states or counts from an older copy; must stay below visible_ms
 APPEND_TIMEOUT_S = 1.0  # a third of a caller's deadline
 RETRY_AFTER_S = 1
+FORBIDDEN = Answer(AnswerKind.FORBIDDEN, detail="the job is another customer's")
 MS = 1000
 
 
@@ -34,12 +35,13 @@
 class JobAnswered:
     """A caller's request on a job was answered.
 
-    ``age_ms`` is the age of the node's copy of the jobs.
+    ``customer`` is the caller's, and ``age_ms`` the age of the node's copy of the jobs.
     """
 
     call: str
     job: str
     queue: str
+    customer: str
     answer: str
     state: str
     age_ms: int
@@ -174,6 +176,7 @@
                     call_kind,
                     call.job,
                     call.queue,
+                    call.customer,
                     kind,
                     state,
                     int(min(self._follower.age(), 3600) * MS),
@@ -194,8 +197,9 @@
             self._find(call, answer)
 
     def _submit(self, call, queue, answer):
-        if self._view.find(call.job) is not None:
-            answer(Answer(AnswerKind.DONE))
+        row = self._view.find(call.job)
+        if row is not None:
+            answer(_known_answer(call, row))
             return
         if self._follower.failing:
             # An append would most likely time out.
@@ -217,8 +221,9 @@
         """Refuse a job, unless an earlier request that had no answer has stored it."""
 
         def synced(reached):
-            if self._view.find(call.job) is not None:
-                answer(Answer(AnswerKind.DONE))
+            row = self._view.find(call.job)
+            if row is not None:
+                answer(_known_answer(call, row))
             elif not reached:
                 answer(unavailable("the store did not answer"))
             else:
@@ -239,6 +244,7 @@
             call.start_at_ms,
             call.interval_ms,
             queue.max_attempts,
+            call.customer,
         )
 
         def stored(result):
@@ -264,6 +270,9 @@
         self._sync(synced)
 
     def _answer_known(self, call, row, answer):
+        if _is_forbidden(call, row):
+            answer(FORBIDDEN)
+            return
         if call.kind is CallKind.STATUS:
             answer(Answer(AnswerKind.DONE, state=row.state))
             return
@@ -283,6 +292,17 @@
     return Answer(AnswerKind.UNAVAILABLE, retry_after_s=RETRY_AFTER_S, detail=detail)
 
 
+def _known_answer(call, row):
+    """Return the Answer to a submission of a job that is stored already."""
+    return FORBIDDEN if _is_forbidden(call, row) else Answer(AnswerKind.DONE)
+
+
+def _is_forbidden(call, row):
+    """Return whether the job is another customer's; a public queue's is anyone's."""
+    owner = row.spec.customer
+    return bool(owner and call.customer) and owner != call.customer
+
+
 def _stored_answer(result):
     if isinstance(result, Appended):
         return Answer(AnswerKind.DONE)
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -73,6 +73,7 @@
     version: int
     queues: int
     services: int
+    customers: int
 
 
 @event(634)
@@ -262,6 +263,14 @@
             else:
                 answer(Answer(AnswerKind.NO_QUEUE, detail="no such queue"))
             return
+        customer = ""
+        if cfg.needs_key(queue):
+            found = self._authenticate(req)
+            if isinstance(found, Answer):
+                self._metrics.count("answers", call="any", answer=found.kind.value)
+                answer(found)
+                return
+            customer = found
         if cfg.body_limit and len(req.body) > cfg.body_limit:
             answer(Answer(AnswerKind.TOO_LARGE, detail="body too large"))
             return
@@ -270,7 +279,20 @@
         except RecordError as exc:
             answer(Answer(AnswerKind.BAD_REQUEST, detail=str(exc)))
             return
-        self._entry.serve(call, queue, answer)
+        self._entry.serve(attrs.evolve(call, customer=customer), queue, answer)
+
+    def _authenticate(self, req):
+        """Return the name of the customer that calls, or the Answer that refuses it.
+
+        A node that cannot read the configuration cannot tell a revoked key from one in
+        force, or an unknown key from a new one.
+        """
+        if self._operator_follower.age() > READY_MAX_AGE_S:
+            return unavailable("the configuration may be too old")
+        customer = self._queue_cfg.customer_of_key(self._platform.decode_key(req))
+        if customer is None:
+            return Answer(AnswerKind.NO_KEY, detail="no customer has this key")
+        return customer.name
 
     def _sync(self, on_done):
         self._follower.sync(self._sync_topic, on_done)
@@ -294,7 +316,10 @@
         self._queue_cfg = queue_cfg
         log_event(
             ConfigInForce(
-                queue_cfg.version, len(queue_cfg.queues), len(queue_cfg.services)
+                queue_cfg.version,
+                len(queue_cfg.queues),
+                len(queue_cfg.services),
+                len(queue_cfg.customers or ()),
             )
         )
         if self._driver is not None:
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -212,8 +212,15 @@
 
 
 def encode(record):
-    """Return the bytes of a record."""
-    return cbor2.dumps(tuple(map(_flat, _row(record))))
+    """Return the bytes of a record.
+
+    A job without a customer is stored as by versions that knew no customers, so that
+    they can read it.
+    """
+    row = tuple(map(_flat, _row(record)))
+    if isinstance(record, JobSpec) and not record.customer:
+        row = row[:-1]
+    return cbor2.dumps(row)
 
 
 def _load(cls, data):
@@ -231,6 +238,8 @@
         steps = tuple(Step(*fields) for fields in spec.steps)
     except TypeError as exc:
         raise RecordError(f"JobSpec: {exc}") from exc
+    if not isinstance(spec.customer, str):
+        raise RecordError("JobSpec: the customer is no text")
     return attrs.evolve(spec, steps=steps)
 
 
--- a/src/cardamomgrade/jobs/spec.py
+++ b/src/cardamomgrade/jobs/spec.py
@@ -47,6 +47,7 @@
     ``accepted_ms`` is the wall clock of the entry. With ``repeat`` above 0 the steps
     run that many times, occurrence K at ``start_at_ms + K * interval_ms``.
     ``max_attempts`` is copied from the queue, which may be deleted before the job ends.
+    ``customer`` is the name of the customer that submitted it, or "".
     """
 
     job: str
@@ -59,6 +60,7 @@
     start_at_ms: int = 0
     interval_ms: int = 0
     max_attempts: int = 1
+    customer: str = ""
 
     @property
     def lasting(self):
--- a/src/cardamomgrade/platform/ingress.py
+++ b/src/cardamomgrade/platform/ingress.py
@@ -16,6 +16,8 @@
 TASKS_LIMIT = 4096
 ID_DIGITS = 16
 READY_PATH = "/api/ready"
+KEY_SCHEME = "bearer"
+KEY_LIMIT_CHARS = 512
 _HEX = frozenset("0123456789abcdefABCDEF")
 _STATES = {
     JobState.PENDING: "pending",
@@ -33,6 +35,8 @@
     AnswerKind.DONE: 200,
     AnswerKind.NO_QUEUE: 404,
     AnswerKind.NO_JOB: 410,
+    AnswerKind.NO_KEY: 401,
+    AnswerKind.FORBIDDEN: 403,
     AnswerKind.BAD_REQUEST: 400,
     AnswerKind.TOO_LARGE: 413,
     AnswerKind.BUSY: 429,
@@ -67,6 +71,22 @@
     return path[len(queue.prefix) :]
 
 
+def decode_key(req):
+    """Return the customer's key that a request carries, or "".
+
+    It is "" unless the request has exactly one header with a scheme and a key.
+    """
+    name = b"authorization"
+    values = [value for key, value in req.headers if key.lower() == name]
+    if len(values) != 1:
+        return ""
+    scheme, _, key = values[0].decode("latin-1").strip().partition(" ")
+    key = key.strip()
+    if scheme.lower() != KEY_SCHEME or len(key) > KEY_LIMIT_CHARS:
+        return ""
+    return "" if any(char.isspace() for char in key) else key
+
+
 def decode_call(req, queue):
     """Return the JobCall of a request to a queue.
 
--- a/src/cardamomgrade/platform/records.py
+++ b/src/cardamomgrade/platform/records.py
@@ -3,6 +3,7 @@
 import json
 
 from ..errors import RecordError
+from ..jobs.customers import Customer, key_digest, Limits
 from ..jobs.queues import Advice, Queue, QueueConfig, Service
 from ..jobs.reports import ExecutorEntry, WaveRequest
 
@@ -35,11 +36,15 @@
     """Return the QueueConfig in a ``config`` record; raise RecordError."""
     fields = _parse_object(data)
     limits = _get(fields, "limits", dict, {})
+    customers = None
+    if "tenants" in fields:
+        customers = tuple(_customer(item) for item in _get(fields, "tenants", list))
     return QueueConfig(
         _get(fields, "version", int),
         tuple(_queue(item) for item in _get(fields, "routes", list)),
         tuple(_service(item) for item in _get(fields, "services", list)),
         _get(limits, "maxBodyBytes", int, 0),
+        customers,
     )
 
 
@@ -56,6 +61,24 @@
         target_ms=_get(fields, "targetLatencyMs", int, 0),
         timeout_ms=_get(fields, "timeoutMs", int, 0),
         advice=_advice(advice) if isinstance(advice, dict) else None,
+        public=_get(fields, "public", bool, False),
+    )
+
+
+def _customer(fields):
+    keys = _get(fields, "apiKeys", list, [])
+    if not all(isinstance(key, str) and key for key in keys):
+        raise RecordError("apiKeys: a key is empty or no string")
+    limits = _get(fields, "maxCount", dict, {})
+    return Customer(
+        name=_get(fields, "name", str),
+        weight=float(_get(fields, "weight", (int, float), 0)),
+        limits=Limits(
+            cores_m=max(0, _get(limits, "cpu", int, 0)),
+            memory_mb=max(0, _get(limits, "memMb", int, 0)),
+            accelerators=max(0, _get(limits, "gpu", int, 0)),
+        ),
+        key_digests=tuple(key_digest(key) for key in keys),
     )
 
 
