Give customers shares of the capacity, and refuse what is beyond them

Jobs beyond weight jobs a second are excess and get the capacity that is left; the others are ordered by start-time fair queueing. Entries refuse excess jobs by the wait for all work. Nothing changes where no customers are configured.

--- a/src/cardamomgrade/jobs/admission.py
+++ b/src/cardamomgrade/jobs/admission.py
@@ -4,6 +4,10 @@
 callers stop waiting. A job that would only be completed after that is refused at once,
 with the time after which it could be in time again, instead of holding room until it is
 useless. Jobs that are merely late are accepted: they get the room that others leave.
+
+A job beyond its customer's share gets only room that nobody else wants, so that it is
+refused by the wait for all work, and told to return when its customer has a share
+again. Jobs within a share are not refused because of it.
 """
 
 import math
@@ -18,11 +22,12 @@
 MS = 1000
 
 
-def retry_after_s(call, queue, durations, load, wall_ms):
+def retry_after_s(call, queue, durations, load, wall_ms, share_wait_ms=0.0):
     """Return when a refused JobCall should return, in seconds; 0 to accept it.
 
     ``durations`` are the Durations learned so far and ``load`` a LoadRecord, or None.
     Without a recent load the job is accepted: what it would be refused by may be over.
+    ``share_wait_ms`` is the time until the customer of the job has a share again.
     """
     if load is None or abs(wall_ms - load.at_ms) > LOAD_MAX_AGE_MS:
         return 0
@@ -36,7 +41,7 @@
     objective_ms = queue.stretch * chain_ms + queue.target_ms
     if wait_ms + chain_ms <= HOPELESS_FACTOR * objective_ms:
         return 0
-    excess_s = (wait_ms + chain_ms - objective_ms) / MS
+    excess_s = max(wait_ms + chain_ms - objective_ms, share_wait_ms) / MS
     # Repeated requests for the same job are told the same time.
     part = zlib.crc32(call.job.encode()) / 2**32
     return max(RETRY_MIN_S, math.ceil(excess_s * (1 + RETRY_SPREAD * part)))
--- a/src/cardamomgrade/jobs/entry.py
+++ b/src/cardamomgrade/jobs/entry.py
@@ -13,6 +13,7 @@
 from .admission import retry_after_s
 from .calls import Answer, AnswerKind, CallKind
 from .durations import Durations
+from .fairness import Entitlements
 from .records import (
     AppendRecord,
     CancelRecord,
@@ -144,7 +145,8 @@
     """Serves checked calls; ``on_done(Answer)`` is called once for each.
 
     ``sync(on_done)`` brings the view up to date before a job is reported as unknown.
-    ``wall_ms()`` returns the wall clock in ms.
+    ``wall_ms()`` returns the wall clock in ms. ``entitlements`` are the Entitlements of
+    customers by the jobs that this node has read.
     """
 
     def __init__(self, loop, view, follower, batcher, sync, metrics, wall_ms=None):
@@ -155,6 +157,8 @@
         self._batcher = batcher
         self._sync = sync
         self._wall_ms = wall_ms or (lambda: int(time.time() * MS))
+        self.entitlements = Entitlements()
+        self._view.on_accepted = self._on_accepted
 
     @property
     def fresh(self):
@@ -215,7 +219,17 @@
         durations = Durations()
         if self._view.learned is not None:
             durations.restore(self._view.learned)
-        return retry_after_s(call, queue, durations, self._view.load, self._wall_ms())
+        wall_ms = self._wall_ms()
+        load, share_wait_ms = self._view.load, 0.0
+        if call.customer:
+            share_wait_ms = self.entitlements.wait_ms(call.customer, wall_ms)
+        if share_wait_ms:
+            load = self._view.excess_load
+        return retry_after_s(call, queue, durations, load, wall_ms, share_wait_ms)
+
+    def _on_accepted(self, spec):
+        if spec.customer and not spec.lasting and not spec.repeat:
+            self.entitlements.record(spec.customer, spec.accepted_ms)
 
     def _refuse(self, call, wait_s, answer):
         """Refuse a job, unless an earlier request that had no answer has stored it."""
--- a/src/cardamomgrade/jobs/load.py
+++ b/src/cardamomgrade/jobs/load.py
@@ -7,7 +7,7 @@
 import time
 
 from ..journal import event, log_event
-from .records import encode, KEY_LOAD, LoadRecord
+from .records import encode, KEY_EXCESS_LOAD, KEY_LOAD, LoadRecord
 
 PUBLISH_INTERVAL_S = 0.4  # well within the age at which entries ignore the record
 POOL_LOG_S = 1.0
@@ -33,10 +33,11 @@
     waits: dict
 
 
-def expected_wait_ms(load, vms):
+def expected_wait_ms(load, vms, with_excess=False):
     """Return in how many ms ``vms`` VMs finish the waiting work of a PoolLoad."""
     cores_m = vms * load.usable_vm_cores_m - load.lasting_cores_m
-    return load.backlog_core_ms * MS / max(cores_m, load.usable_vm_cores_m, 1)
+    core_ms = load.backlog_core_ms + (load.excess_core_ms if with_excess else 0.0)
+    return core_ms * MS / max(cores_m, load.usable_vm_cores_m, 1)
 
 
 class LoadPublisher:
@@ -46,6 +47,7 @@
         self._writer = writer
         self._logged_at = self._published_at = float("-inf")
         self._waits = {}
+        self._excess_waits = {}
 
     def log_pools(self, loads, moves, now):
         """Log PoolLoads by service, if that is due, and how many ``moves`` go on."""
@@ -65,24 +67,39 @@
         ]
         log_event(PoolsSized(rows, moves))
 
-    def publish(self, loads, shares, now):
+    def publish(self, loads, shares, now, with_excess=False):
         """Store the waits of PoolLoads by service, if that is due.
 
         ``shares`` maps a service to the VMs that it may have; its pool may not have all
-        of them yet.
+        of them yet. ``with_excess`` is set where customers have shares.
         """
         if now - self._published_at < PUBLISH_INTERVAL_S:
             return
         self._published_at = now
+        vms = {
+            name: max(load.size, shares.get(name, 0)) for name, load in loads.items()
+        }
         waits = {
-            name: int(expected_wait_ms(load, max(load.size, shares.get(name, 0))))
+            name: int(expected_wait_ms(load, vms[name]))
             for name, load in loads.items()
             if not load.standby and load.backlog_core_ms
         }
-        if not waits and not self._waits:
-            return
-        if bool(waits) != bool(self._waits):
+        if (waits or self._waits) and bool(waits) != bool(self._waits):
             log_event(LoadPublished(waits))
+        if waits or self._waits:
+            self._store(KEY_LOAD, waits)
         self._waits = waits
+        if not with_excess:
+            return
+        excess_waits = {
+            name: int(expected_wait_ms(load, vms[name], with_excess=True))
+            for name, load in loads.items()
+            if not load.standby and load.backlog_core_ms + load.excess_core_ms
+        }
+        if excess_waits or self._excess_waits:
+            self._store(KEY_EXCESS_LOAD, excess_waits)
+        self._excess_waits = excess_waits
+
+    def _store(self, key, waits):
         record = LoadRecord(int(time.time() * MS), tuple(waits.items()))
-        self._writer.store([(KEY_LOAD, encode(record))])
+        self._writer.store([(key, encode(record))])
--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -84,4 +84,5 @@
             backlog_core_ms=ready.backlog_core_ms,
             lasting_cores_m=lasting_cores_m,
             usable_vm_cores_m=int(self._largest_vm_cores_m / HEADROOM_FACTOR),
+            excess_core_ms=ready.excess_core_ms,
         )
--- a/src/cardamomgrade/jobs/ready.py
+++ b/src/cardamomgrade/jobs/ready.py
@@ -11,6 +11,7 @@
 
 from .urgency import order_key, Rank, rank_ends_at_age_ms, rank_of
 
+ENTITLED_RANKS = (Rank.BEGUN, Rank.IN_TIME, Rank.LATE)
 REFRESH_MS = 1000.0  # expected run times are learned while jobs wait
 
 
@@ -20,9 +21,10 @@
 
     ``valid_until_ms`` is the wall-clock time at which its rank has to be evaluated
     again. ``urgent_cores_m`` is the need of its waiting tasks, in thousandths of a
-    core, if the job can be in time, ``late_cores_m`` if it is late; the other is 0, and
-    both are if it is hopeless. ``backlog_core_ms`` is the work that it has left, 0 if
-    it is lasting or hopeless.
+    core, if the job can be in time, ``late_cores_m`` if it is late or excess; the other
+    is 0, and both are if it is hopeless. ``backlog_core_ms`` is the work that it has
+    left, 0 if it is lasting, excess or hopeless, and ``excess_core_ms`` that of an
+    excess job.
     """
 
     job: object
@@ -32,6 +34,7 @@
     urgent_cores_m: int
     late_cores_m: int
     backlog_core_ms: float
+    excess_core_ms: float = 0.0
 
 
 def ready_job(job, steps, forecast, priority, wall_ms):
@@ -47,8 +50,9 @@
         key,
         min(max(ends_ms, wall_ms), wall_ms + REFRESH_MS),
         cores_m if rank < Rank.LATE else 0,
-        cores_m if rank is Rank.LATE else 0,
-        0.0 if rank in (Rank.LASTING, Rank.HOPELESS) else forecast.core_ms,
+        cores_m if rank in (Rank.LATE, Rank.EXCESS) else 0,
+        forecast.core_ms if rank in ENTITLED_RANKS else 0.0,
+        forecast.core_ms if rank is Rank.EXCESS else 0.0,
     )
 
 
@@ -61,6 +65,7 @@
         self.urgent_cores_m = 0
         self.late_cores_m = 0
         self.backlog_core_ms = 0.0
+        self.excess_core_ms = 0.0
 
     def __iter__(self):
         """Iterate over a copy of the ReadyJobs, the first to get capacity first."""
@@ -86,6 +91,7 @@
         self.urgent_cores_m += item.urgent_cores_m
         self.late_cores_m += item.late_cores_m
         self.backlog_core_ms += item.backlog_core_ms
+        self.excess_core_ms += item.excess_core_ms
 
     def discard(self, name):
         """Remove a job, by name, if it is there."""
@@ -97,6 +103,8 @@
             # The rounding errors of removed items must not add up.
             left_core_ms = self.backlog_core_ms - item.backlog_core_ms
             self.backlog_core_ms = left_core_ms if self._order else 0.0
+            left_core_ms = self.excess_core_ms - item.excess_core_ms
+            self.excess_core_ms = left_core_ms if self._order else 0.0
 
     def expired(self, wall_ms):
         """Return the names of the jobs whose rank has to be evaluated again."""
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -11,6 +11,7 @@
 | ``silent/EXECUTOR`` | SilentRecord | the scheduler; deleted before its next grant |
 | ``learned`` | LearnedRecord | the scheduler |
 | ``load`` | LoadRecord | the scheduler |
+| ``excess-load`` | LoadRecord | the scheduler, where customers have shares |
 | ``term`` | TermRecord | the scheduler and its candidates |
 
 A value is the CBOR array of the record's fields. Writing a record twice has no further
@@ -31,6 +32,7 @@
 KEY_TERM = "term"
 KEY_LEARNED = "learned"
 KEY_LOAD = "load"
+KEY_EXCESS_LOAD = "excess-load"
 PREFIX_JOB = "job/"
 PREFIX_CANCEL = "cancel/"
 PREFIX_PROGRESS = "progress/"
@@ -165,7 +167,8 @@
     """Expected waits at ``at_ms`` of the scheduler's wall clock, as (service, wait_ms).
 
     ``wait_ms`` is how long a service takes to finish the work that waits and that is
-    not given up, in ms.
+    not given up, in ms. Work beyond the shares of customers counts only under the key
+    of excess loads.
     """
 
     at_ms: int
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -17,6 +17,7 @@
 from ..journal import log_event
 from .durations import Durations
 from .executors import Executor, LargestRoom
+from .fairness import Shares
 from .needs import PoolNeeds
 from .placing import choose_gang_executors, PlacementLimits, StepPlacer
 from .probes import choose_probe, Probes
@@ -83,6 +84,8 @@
         self._start_delays_ms = []
         self.durations = Durations()
         self._pool_needs = PoolNeeds()
+        self._shares = Shares()
+        self._shares.set_customers(cfg.customers)
         self._stalls = StallWatch()
         self._probes = Probes()
         self._health = Health(
@@ -95,6 +98,7 @@
     def set_config(self, cfg):
         """Apply a new version of the configuration and replan all services."""
         self.cfg = cfg
+        self._shares.set_customers(cfg.customers)
         self._services_to_plan.update(service.name for service in cfg.services)
         self._ready.clear()
         self._changed = {
@@ -127,8 +131,9 @@
             self._allocate(job, task)
         self._services_to_plan.add(self.service_of(spec))
         self._stop_unwanted(job)
+        core_ms = job.core_ms(self._duration_estimator(spec))
+        self._shares.add(spec, self.service_of(spec), core_ms)
         if not job.state.final and not spec.lasting:
-            core_ms = job.core_ms(self._duration_estimator(spec))
             self._pool_needs.demand.record_arrival(
                 self.service_of(spec), core_ms, now_ms
             )
@@ -488,6 +493,7 @@
                 room = LargestRoom.of(roomy)
                 self._evaluate(job, wall_ms)
                 if not begun:
+                    self._shares.on_begun(job.spec.job, service)
                     age_ms = wall_ms - job.spec.accepted_ms
                     self._start_delays_ms.append(max(0.0, age_ms))
         self._pool_needs.record_waiting(service, ready, blocked_vms)
@@ -548,6 +554,8 @@
             core_ms=job.core_ms(expected_ms),
             begun=job.begun,
             lasting=job.spec.lasting,
+            excess=self._shares.is_excess(job.spec.job),
+            tag=self._shares.tag(job.spec.job),
         )
 
     def log_stalls(self, now_ms):
@@ -640,6 +648,7 @@
         if job is None or not job.state.final or job.placed():
             return False
         del self.jobs[name]
+        self._shares.forget(name)
         self._dirty.pop(name, None)
         self._changed.pop(name, None)
         for ready in self._ready.values():
--- a/src/cardamomgrade/jobs/urgency.py
+++ b/src/cardamomgrade/jobs/urgency.py
@@ -3,7 +3,9 @@
 Load pattern: for some seconds a queue submits more than its pool can finish in time.
 First-come, first-served would then make every job late. Jobs that can still meet their
 objective come first, started ones before new ones. Late jobs get the capacity left
-over, the least work first, since that completes the most jobs soonest.
+over, the least work first, since that completes the most jobs soonest. Where customers
+have shares, jobs beyond a customer's share come after those, and jobs of the same rank
+in the order of fair queueing (see ``fairness``).
 """
 
 import math
@@ -23,7 +25,8 @@
     BEGUN = 1
     IN_TIME = 2
     LATE = 3
-    HOPELESS = 4
+    EXCESS = 4
+    HOPELESS = 5
 
 
 @attrs.frozen
@@ -33,6 +36,8 @@
     ``age_ms`` is the time since the job was accepted, ``remaining_ms`` the expected run
     time of its unfinished critical path, ``objective_ms`` the time from acceptance in
     which it is to complete, and ``core_ms`` the core time of its unfinished tasks.
+    ``excess`` jobs are beyond their customer's share; ``tag`` is the start tag in fair
+    queueing.
     """
 
     age_ms: float
@@ -41,6 +46,8 @@
     core_ms: float
     begun: bool
     lasting: bool
+    excess: bool = False
+    tag: float = 0.0
 
 
 def rank_of(forecast):
@@ -50,6 +57,8 @@
     ready_ms = forecast.age_ms + forecast.remaining_ms
     if ready_ms > forecast.objective_ms * HOPELESS_FACTOR:
         return Rank.HOPELESS
+    if forecast.excess:
+        return Rank.EXCESS
     if forecast.begun and ready_ms <= forecast.objective_ms:
         return Rank.BEGUN
     margin_ms = forecast.remaining_ms * DURATION_MARGIN
@@ -63,7 +72,7 @@
     rank = rank_of(forecast)
     if rank in (Rank.LASTING, Rank.HOPELESS):
         return math.inf
-    if rank is Rank.LATE:
+    if rank in (Rank.LATE, Rank.EXCESS):
         return forecast.objective_ms * HOPELESS_FACTOR - forecast.remaining_ms
     margin_ms = 0 if rank is Rank.BEGUN else forecast.remaining_ms * DURATION_MARGIN
     return forecast.objective_ms - forecast.remaining_ms - margin_ms
@@ -72,5 +81,5 @@
 def order_key(forecast, priority, arrival):
     """Return the sort key of a job within its pool; ``arrival`` breaks ties."""
     rank = rank_of(forecast)
-    late = rank in (Rank.LATE, Rank.HOPELESS)
-    return (rank, priority, forecast.core_ms if late else 0.0, arrival)
+    late = rank in (Rank.LATE, Rank.EXCESS, Rank.HOPELESS)
+    return (rank, priority, forecast.core_ms if late else forecast.tag, arrival)
--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -17,6 +17,7 @@
     decode_term,
     decode_upkeep,
     JobState,
+    KEY_EXCESS_LOAD,
     KEY_LEARNED,
     KEY_LOAD,
     KEY_TERM,
@@ -69,7 +70,9 @@
     ``silent`` maps an executor with a SilentRecord to a time of ``now`` by which its
     lease was granted for the last time.
 
-    Optional callbacks: ``on_job(spec)``, ``on_cancel(job)``,
+    ``load`` and ``excess_load`` are LoadRecords, or None.
+
+    Optional callbacks: ``on_job(spec)``, ``on_accepted(spec)``, ``on_cancel(job)``,
     ``on_term(record, offset)``, ``on_stored(key)`` for every record of a ``job/`` or
     ``cancel/`` key that is read, but not for its deletion, and
     ``on_append(node, record)`` for every AppendRecord. ``on_cancel`` is also called
@@ -84,8 +87,10 @@
         self.silent = {}
         self.learned = None
         self.load = None
+        self.excess_load = None
         self.term = None
         self.on_job = None
+        self.on_accepted = None
         self.on_cancel = None
         self.on_term = None
         self.on_stored = None
@@ -127,6 +132,9 @@
             if entry.key == KEY_LOAD:
                 self.load = decode_load(entry.value)
                 return
+            if entry.key == KEY_EXCESS_LOAD:
+                self.excess_load = decode_load(entry.value)
+                return
             for prefix, fold in self._handlers:
                 if entry.key.startswith(prefix):
                     fold(entry.key[len(prefix) :], entry.value)
@@ -155,6 +163,8 @@
         row = self._row(name)
         if row.spec is None:
             row.spec = spec
+            if self.on_accepted is not None:
+                self.on_accepted(spec)
             if self.on_job is not None:
                 self.on_job(row.spec)
             # A repeated submission has a higher offset than the cancellation, and after
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -279,7 +279,8 @@
                 self._ending_by_move[move.vm] = move.executor
             self._order_move(move)
         self._load.log_pools(loads, len(self._ending_by_move), now)
-        self._load.publish(loads, self._pools.shares, now)
+        with_excess = self._scheduler.cfg.customers is not None
+        self._load.publish(loads, self._pools.shares, now, with_excess)
         return set(self._ending_by_move.values()) | set(self._pools.closed)
 
     def _order_move(self, move, unanswered_at=None):
