Test the shares of customers; serve jobs with time to spare first

Cause: jobs that are started at the last moment miss their objective by a little, and in an overload all that follow do the same; and a customer was charged for jobs that were never served in time.

Jobs that have used half of their slack come after the others where customers have shares; work not served in time is refunded; excess jobs are refused when they could not be in time.

--- a/src/cardamomgrade/jobs/admission.py
+++ b/src/cardamomgrade/jobs/admission.py
@@ -6,8 +6,8 @@
 useless. Jobs that are merely late are accepted: they get the room that others leave.
 
 A job beyond its customer's share gets only room that nobody else wants, so that it is
-refused by the wait for all work, and told to return when its customer has a share
-again. Jobs within a share are not refused because of it.
+refused by the wait for all work if it could not be in time, and told to return when its
+customer has a share again. Jobs within a share are not refused because of it.
 """
 
 import math
@@ -39,7 +39,8 @@
     ]
     chain_ms = longest_chain_ms(call.steps, run_ms)
     objective_ms = queue.stretch * chain_ms + queue.target_ms
-    if wait_ms + chain_ms <= HOPELESS_FACTOR * objective_ms:
+    limit_ms = objective_ms if share_wait_ms else HOPELESS_FACTOR * objective_ms
+    if wait_ms + chain_ms <= limit_ms:
         return 0
     excess_s = max(wait_ms + chain_ms - objective_ms, share_wait_ms) / MS
     # Repeated requests for the same job are told the same time.
--- a/src/cardamomgrade/jobs/fairness.py
+++ b/src/cardamomgrade/jobs/fairness.py
@@ -9,7 +9,9 @@
 start-time fair queueing (Goyal, Vin and Cheng 1996): each gets a start tag when it
 arrives, which grows with the work that its customer submitted before, divided by its
 weight. A customer that was idle starts at the virtual time of the jobs served now, so
-that it neither waits for the others' backlog nor saves up a claim.
+that it neither waits for the others' backlog nor saves up a claim. Work of jobs that
+were not served in time is taken back; otherwise a customer that lost some of its jobs
+would lose the later ones as well.
 """
 
 import attrs
@@ -83,6 +85,20 @@
         """Advance the virtual time to the tag of a job that begins."""
         self._virtual_time = max(self._virtual_time, tag)
 
+    def refund(self, customer, weight, core_ms):
+        """Take back the work of a job that was not served in time."""
+        self._finish_tags[customer] -= core_ms / max(MIN_WEIGHT, weight)
+
+
+@attrs.define
+class _Standing:
+    """A job's start tag, and the work for which its customer was charged."""
+
+    customer: str
+    weight: float
+    tag: float
+    core_ms: float
+
 
 class Shares:
     """Standing of the jobs of all services: whether they are excess, and their tags."""
@@ -92,7 +108,7 @@
         self._entitlements = Entitlements()
         self._queues = {}
         self._excess = set()
-        self._tags = {}
+        self._standings = {}
 
     def set_customers(self, customers):
         """Apply the Customers of a configuration, or None."""
@@ -111,7 +127,10 @@
             self._excess.add(spec.job)
             return
         queue = self._queues.setdefault(service, FairQueue())
-        self._tags[spec.job] = queue.tag(spec.customer, customer.weight, core_ms)
+        tag = queue.tag(spec.customer, customer.weight, core_ms)
+        self._standings[spec.job] = _Standing(
+            spec.customer, customer.weight, tag, core_ms
+        )
 
     def is_excess(self, job):
         """Return whether a job, by name, is beyond its customer's entitlement."""
@@ -119,14 +138,25 @@
 
     def tag(self, job):
         """Return the start tag of a job, 0 without customers."""
-        return self._tags.get(job, 0.0)
+        standing = self._standings.get(job)
+        return standing.tag if standing is not None else 0.0
 
     def on_begun(self, job, service):
         """Record that the first task of a job starts."""
-        if job in self._tags:
-            self._queues.setdefault(service, FairQueue()).on_begun(self._tags[job])
+        standing = self._standings.get(job)
+        if standing is not None and service in self._queues:
+            self._queues[service].on_begun(standing.tag)
+
+    def on_late(self, job, service):
+        """Record that a job can no longer be in time, and has not begun."""
+        standing = self._standings.get(job)
+        if standing is not None and standing.core_ms and service in self._queues:
+            self._queues[service].refund(
+                standing.customer, standing.weight, standing.core_ms
+            )
+            standing.core_ms = 0.0
 
     def forget(self, job):
         """Drop what is known of a job."""
         self._excess.discard(job)
-        self._tags.pop(job, None)
+        self._standings.pop(job, None)
--- a/src/cardamomgrade/jobs/ready.py
+++ b/src/cardamomgrade/jobs/ready.py
@@ -11,7 +11,7 @@
 
 from .urgency import order_key, Rank, rank_ends_at_age_ms, rank_of
 
-ENTITLED_RANKS = (Rank.BEGUN, Rank.IN_TIME, Rank.LATE)
+ENTITLED_RANKS = (Rank.BEGUN, Rank.IN_TIME, Rank.AT_RISK, Rank.LATE)
 REFRESH_MS = 1000.0  # expected run times are learned while jobs wait
 
 
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -34,7 +34,7 @@
 )
 from .spec import parse_task
 from .stalls import count_executor_states, SERVICE_LINES_MAX, stall_event, StallWatch
-from .urgency import Forecast
+from .urgency import Forecast, Rank, rank_of
 
 FAILURE_STREAK_JOBS = 2  # a healthy executor rarely fails two jobs' tasks in a row
 QUARANTINE_MIN_MS = 4000  # each retry of a faulty executor costs one task
@@ -452,6 +452,8 @@
         queue = self.cfg.queue(job.spec.queue)
         priority = queue.priority if queue is not None else 0
         forecast = self._forecast(job, wall_ms)
+        if forecast.tag and not job.begun and rank_of(forecast) >= Rank.LATE:
+            self._shares.on_late(job.spec.job, self.service_of(job.spec))
         ready.put(ready_job(job, steps, forecast, priority, wall_ms))
 
     def _plan_service(self, service, now_ms, wall_ms):
@@ -554,6 +556,7 @@
             core_ms=job.core_ms(expected_ms),
             begun=job.begun,
             lasting=job.spec.lasting,
+            shares=self.cfg.customers is not None,
             excess=self._shares.is_excess(job.spec.job),
             tag=self._shares.tag(job.spec.job),
         )
--- a/src/cardamomgrade/jobs/urgency.py
+++ b/src/cardamomgrade/jobs/urgency.py
@@ -15,6 +15,7 @@
 
 HOPELESS_FACTOR = 3.0  # times the objective; callers do not wait longer
 DURATION_MARGIN = 0.15  # run times of similar tasks vary by this fraction
+AT_RISK_FRACTION = 0.5  # of the time that a job may wait; tasks start one by one
 
 
 @unique
@@ -24,9 +25,10 @@
     LASTING = 0
     BEGUN = 1
     IN_TIME = 2
-    LATE = 3
-    EXCESS = 4
-    HOPELESS = 5
+    AT_RISK = 3
+    LATE = 4
+    EXCESS = 5
+    HOPELESS = 6
 
 
 @attrs.frozen
@@ -36,8 +38,8 @@
     ``age_ms`` is the time since the job was accepted, ``remaining_ms`` the expected run
     time of its unfinished critical path, ``objective_ms`` the time from acceptance in
     which it is to complete, and ``core_ms`` the core time of its unfinished tasks.
-    ``excess`` jobs are beyond their customer's share; ``tag`` is the start tag in fair
-    queueing.
+    Where customers have ``shares``, ``excess`` jobs are beyond their customer's, and
+    ``tag`` is the start tag in fair queueing.
     """
 
     age_ms: float
@@ -46,6 +48,7 @@
     core_ms: float
     begun: bool
     lasting: bool
+    shares: bool = False
     excess: bool = False
     tag: float = 0.0
 
@@ -62,9 +65,16 @@
     if forecast.begun and ready_ms <= forecast.objective_ms:
         return Rank.BEGUN
     margin_ms = forecast.remaining_ms * DURATION_MARGIN
-    if ready_ms + margin_ms <= forecast.objective_ms:
-        return Rank.IN_TIME
-    return Rank.LATE
+    if ready_ms + margin_ms > forecast.objective_ms:
+        return Rank.LATE
+    if forecast.shares and forecast.age_ms > _risk_starts_at_age_ms(forecast):
+        return Rank.AT_RISK
+    return Rank.IN_TIME
+
+
+def _risk_starts_at_age_ms(forecast):
+    slack_ms = forecast.objective_ms - forecast.remaining_ms
+    return max(0.0, slack_ms) * AT_RISK_FRACTION
 
 
 def rank_ends_at_age_ms(forecast):
@@ -74,6 +84,8 @@
         return math.inf
     if rank in (Rank.LATE, Rank.EXCESS):
         return forecast.objective_ms * HOPELESS_FACTOR - forecast.remaining_ms
+    if rank is Rank.IN_TIME and forecast.shares:
+        return _risk_starts_at_age_ms(forecast)
     margin_ms = 0 if rank is Rank.BEGUN else forecast.remaining_ms * DURATION_MARGIN
     return forecast.objective_ms - forecast.remaining_ms - margin_ms
 
--- a/tests/steps/jobs_admission.py
+++ b/tests/steps/jobs_admission.py
@@ -50,6 +50,14 @@
             retry_after_s(call, self.queue, self.durations, self.load, wall_ms)
         )
 
+    def arrive_excess(self, share_wait_ms):
+        call = job_call()
+        self.answers.append(
+            retry_after_s(
+                call, self.queue, self.durations, self.load, NOW_MS, share_wait_ms
+            )
+        )
+
 
 @given(
     "a queue with a stretch of {stretch:g} and a target of {target_ms:d} ms, on a "
--- a/tests/turns.py
+++ b/tests/turns.py
@@ -47,11 +47,13 @@
     """VMs in pools of equal size, and the jobs that queues named like them submit.
 
     ``rates`` maps a queue to a function from s to jobs a second. With ``fixed`` pools
-    no VM moves.
+    no VM moves. ``customers`` are Customers or None, and ``customer_of(now_s, number)``
+    returns the name of the one that submits a job.
     """
 
-    def __init__(self, vms, rates, fixed=False):
+    def __init__(self, vms, rates, fixed=False, customers=None, customer_of=None):
         self.rates = rates
+        self.customer_of = customer_of or (lambda now_s, number: "")
         self.fixed = fixed
         self.now_ms = 0.0
         self.planner = PoolPlanner()
@@ -60,7 +62,9 @@
             for name in rates
         ]
         services = [Service(name) for name in rates] + [Service(OFF, standby=True)]
-        self.scheduler = Scheduler(QueueConfig(1, tuple(queues), tuple(services)))
+        self.scheduler = Scheduler(
+            QueueConfig(1, tuple(queues), tuple(services), customers=customers)
+        )
         self.numbers = itertools.count()
         self.vms = {}
         for number, pool in zip(range(vms), itertools.cycle(rates)):
@@ -69,6 +73,7 @@
             self.scheduler.put_executor(_entry(vm))
         self.ends = []
         self.accepted = {}
+        self.customers = {}
         self.completed = {}
         self.sizes = []
         self._due = dict.fromkeys(rates, 0.0)
@@ -86,12 +91,17 @@
             for start in self.scheduler.plan(self.now_ms, WALL_MS + self.now_ms):
                 self.ends.append((self.now_ms + TASK_MS, start))
 
-    def in_time(self, queue, from_s, until_s):
-        """Return the fraction of a queue's jobs of some seconds that were in time."""
+    def in_time(self, queue, from_s, until_s, customers=None):
+        """Return the fraction of a queue's jobs of some seconds that were in time.
+
+        ``customers`` are the names of those whose jobs count, None for all.
+        """
         jobs = [
             job
             for job, (name, at_ms) in self.accepted.items()
-            if name == queue and from_s * 1000 <= at_ms < until_s * 1000
+            if name == queue
+            and from_s * 1000 <= at_ms < until_s * 1000
+            and (customers is None or self.customers[job] in customers)
         ]
         done = sum(
             self.completed.get(job, math.inf) - self.accepted[job][1] <= OBJECTIVE_MS
@@ -104,9 +114,20 @@
             self._due[queue] += rate(self.now_ms / 1000) * STEP_MS / 1000
             while self._due[queue] >= 1:
                 self._due[queue] -= 1
-                job = f"{next(self.numbers):016x}"
+                number = next(self.numbers)
+                job = f"{number:016x}"
+                customer = self.customer_of(self.now_ms / 1000, number)
+                self.customers[job] = customer
                 steps = (Step(TASKS, TASK_CORES_M, 1000, estimate_ms=TASK_MS),)
-                spec = JobSpec(job, queue, queue, "", WALL_MS + self.now_ms, steps)
+                spec = JobSpec(
+                    job,
+                    queue,
+                    queue,
+                    "",
+                    WALL_MS + self.now_ms,
+                    steps,
+                    customer=customer,
+                )
                 self.accepted[job] = (queue, self.now_ms)
                 self.scheduler.add_job(spec, now_ms=self.now_ms)
 
