Keep keys out of the errors of a malformed configuration

Cause: decode_config put the value of a field of the wrong type into its error, which nodes log as ConfigUnreadable. A tenants table or an apiKeys text so wrote keys to the log. Items that are no objects, numbers too large for a float and keys that are not valid Unicode raised other exceptions than RecordError and would have ended a node.

The values of these two fields are left out, and all these inputs are a RecordError.

--- a/src/cardamomgrade/platform/records.py
+++ b/src/cardamomgrade/platform/records.py
@@ -1,6 +1,7 @@
 """Decodes the records of operators and executors, and encodes states of waves."""
 
 import json
+import math
 
 from ..errors import RecordError
 from ..jobs.customers import Customer, key_digest, Limits
@@ -8,6 +9,7 @@
 from ..jobs.reports import ExecutorEntry, WaveRequest
 
 KEY_CONFIG = "config"
+SECRET_FIELDS = ("tenants", "apiKeys")  # their values hold keys, errors must not
 PREFIX_WAVE = "wave/"
 EXECUTOR_STATES = ("ready", "draining")
 STATUS_RUNNING = "running"
@@ -28,21 +30,40 @@
     value = fields.get(name, default)
     wrong_bool = isinstance(value, bool) and kind is not bool
     if not isinstance(value, kind) or wrong_bool:
-        raise RecordError(f"{name} = {value!r}: missing or of the wrong type")
+        shown = "" if name in SECRET_FIELDS else f" = {value!r}"
+        raise RecordError(f"{name}{shown}: missing or of the wrong type")
     return value
 
 
+def _get_objects(fields, name):
+    items = _get(fields, name, list)
+    if not all(isinstance(item, dict) for item in items):
+        raise RecordError(f"{name}: an item is not a JSON object")
+    return items
+
+
+def _get_number(fields, name, default):
+    value = _get(fields, name, (int, float), default)
+    try:
+        number = float(value)
+    except OverflowError:
+        number = math.inf
+    if not math.isfinite(number):
+        raise RecordError(f"{name}: not a finite number")
+    return number
+
+
 def decode_config(data):
     """Return the QueueConfig in a ``config`` record; raise RecordError."""
     fields = _parse_object(data)
     limits = _get(fields, "limits", dict, {})
     customers = None
     if "tenants" in fields:
-        customers = tuple(_customer(item) for item in _get(fields, "tenants", list))
+        customers = tuple(_customer(item) for item in _get_objects(fields, "tenants"))
     return QueueConfig(
         _get(fields, "version", int),
-        tuple(_queue(item) for item in _get(fields, "routes", list)),
-        tuple(_service(item) for item in _get(fields, "services", list)),
+        tuple(_queue(item) for item in _get_objects(fields, "routes")),
+        tuple(_service(item) for item in _get_objects(fields, "services")),
         _get(limits, "maxBodyBytes", int, 0),
         customers,
     )
@@ -57,7 +78,7 @@
         service=_get(fields, "service", str),
         priority=_get(fields, "priority", int, 0),
         max_attempts=_get(fields, "maxAttempts", int, 1),
-        stretch=float(_get(fields, "stretch", (int, float), 1.0)),
+        stretch=_get_number(fields, "stretch", 1.0),
         target_ms=_get(fields, "targetLatencyMs", int, 0),
         timeout_ms=_get(fields, "timeoutMs", int, 0),
         advice=_advice(advice) if isinstance(advice, dict) else None,
@@ -72,16 +93,24 @@
     limits = _get(fields, "maxCount", dict, {})
     return Customer(
         name=_get(fields, "name", str),
-        weight=float(_get(fields, "weight", (int, float), 0)),
+        weight=_get_number(fields, "weight", 0),
         limits=Limits(
             cores_m=max(0, _get(limits, "cpu", int, 0)),
             memory_mb=max(0, _get(limits, "memMb", int, 0)),
             accelerators=max(0, _get(limits, "gpu", int, 0)),
         ),
-        key_digests=tuple(key_digest(key) for key in keys),
+        key_digests=tuple(map(_digest, keys)),
     )
 
 
+def _digest(key):
+    try:
+        return key_digest(key)
+    except UnicodeEncodeError:
+        # Without its cause, which holds the key.
+        raise RecordError("apiKeys: a key is not valid Unicode") from None
+
+
 def _advice(fields):
     return Advice(
         _get(fields, "decisionMs", int, 0),
@@ -133,7 +162,7 @@
     return WaveRequest(
         _get(fields, "wave", int),
         tuple(vms),
-        float(_get(fields, "durationS", (int, float), 0)),
+        _get_number(fields, "durationS", 0),
         max(1, _get(fields, "maxCount", int, 1)),
     )
 
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -76,3 +76,19 @@
       | config | {"version":1,"routes":[{"name":"x"}],"services":[]} |
       | wave   | {"wave":1,"machines":[7]}                    |
       | wave   | {"machines":[]}                              |
+      | config | {"version":1,"routes":["x"],"services":[]}   |
+      | config | {"version":1,"routes":[],"services":[7]}     |
+      | config | {"version":1,"routes":[],"services":[],"tenants":[null]} |
+      | config | {"version":1,"routes":[],"services":[],"tenants":[{"name":"c","weight":NaN}]} |
+      | wave   | {"wave":1,"machines":[],"durationS":Infinity} |
+
+  Scenario Outline: the error of an invalid configuration contains no key
+    Then the error of the config record with <tenants> contains no "k-9f31"
+
+    Examples:
+      | tenants                             |
+      | {"c":{"apiKeys":["k-9f31"]}}        |
+      | [{"name":"c","apiKeys":"k-9f31"}]   |
+      | [{"name":"c","apiKeys":["k-9f31",""]}] |
+      | ["k-9f31"]                          |
+      | [{"name":"c","apiKeys":["k-9f31\ud800"]}] |
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -193,3 +193,14 @@
     except RecordError:
         return
     raise AssertionError("the record was accepted")
+
+
+@then('the error of the config record with {tenants} contains no "{key}"')
+def step_no_key_in_error(context, tenants, key):
+    text = f'{{"version":1,"routes":[],"services":[],"tenants":{tenants}}}'
+    try:
+        records.decode_config(text.encode())
+    except RecordError as exc:
+        assert key not in str(exc), exc
+        return
+    raise AssertionError("the record was accepted")
