Show operators the customers with their limits, shares and jobs

Cause: no command told who is at its limit, who waits and who sends more than its share.

An unreadable configuration is named instead of ending the command with a traceback.

--- a/src/cardamomgrade/ctl.py
+++ b/src/cardamomgrade/ctl.py
@@ -19,6 +19,7 @@
     exit_with_error,
     print_value,
 )
+from .customerctl import customer
 from .errors import BundleError, PeerError
 from .explain import bundle_view, bundles_view, explain_vm, fleet_view, wave_views
 from .jobctl import job
@@ -184,6 +185,7 @@
 
 
 main.add_command(job)
+main.add_command(customer)
 
 
 @main.group()
--- a/src/cardamomgrade/jobctl.py
+++ b/src/cardamomgrade/jobctl.py
@@ -35,19 +35,26 @@
     stored: str
 
 
-def _now_ms():
+def now_ms():
+    """Return the wall clock in ms."""
     return int(time.time() * 1000)
 
 
-def _session(path):
+def open_session(path):
+    """Return the JobSession of a settings file; exit when it cannot be used."""
     try:
         return JobSession(load_settings(path), Platform)
     except SettingsError as exc:
         exit_with_error(EXIT_BAD_INPUT, str(exc))
 
 
+settings_option = click.option(
+    "--settings", default="", help=f"Settings file; default {PATH_VARIABLE}."
+)
+
+
 @click.group()
-@click.option("--settings", default="", help=f"Settings file; default {PATH_VARIABLE}.")
+@settings_option
 @click.pass_context
 def job(ctx, settings):
     """Submit, cancel and show jobs."""
@@ -60,8 +67,8 @@
 @click.pass_obj
 def list_jobs(path, queue, state, as_json):
     """List the jobs in the store, the oldest first."""
-    with _session(path) as session:
-        print_value(job_summaries(session.view, _now_ms(), queue, state), as_json)
+    with open_session(path) as session:
+        print_value(job_summaries(session.view, now_ms(), queue, state), as_json)
 
 
 @command(job, "show", "cardamomctl job show 5c0e7a21d94b36f8")
@@ -69,7 +76,7 @@
 @click.pass_obj
 def show_job(path, name, as_json):
     """Show a job's state and the latest run of each of its tasks."""
-    with _session(path) as session:
+    with open_session(path) as session:
         details = job_details(session.view, name)
     if details is None:
         exit_with_error(EXIT_REFUSED, f"{name}: no such job")
@@ -80,7 +87,7 @@
 @click.pass_obj
 def queues(path, as_json):
     """List the configured queues with their pending and running jobs."""
-    with _session(path) as session:
+    with open_session(path) as session:
         if session.config is None:
             exit_with_error(EXIT_REFUSED, "no configuration is in force")
         print_value(queue_summaries(session.view, session.config), as_json)
@@ -94,12 +101,12 @@
 def submit(path, queue, file, name, as_json):
     """Submit the job in FILE to QUEUE; an id that is already known changes nothing."""
     name = name or secrets.token_hex(ID_BYTES)
-    with _session(path) as session:
+    with open_session(path) as session:
         target = session.config.queue(queue) if session.config is not None else None
         if target is None:
             exit_with_error(EXIT_REFUSED, f"{queue}: no such queue")
         if session.view.find(name) is None:
-            spec = parse_job_file(file, _read(file), name, target, _now_ms())
+            spec = parse_job_file(file, _read(file), name, target, now_ms())
             _store(session, name, PREFIX_JOB + name, encode(spec))
     print_value(Stored(name, "job"), as_json)
 
@@ -109,13 +116,13 @@
 @click.pass_obj
 def cancel(path, name, as_json):
     """Cancel a job and stop its runs."""
-    with _session(path) as session:
+    with open_session(path) as session:
         row = session.view.find(name)
         if row is None:
             exit_with_error(EXIT_REFUSED, f"{name}: no such job")
         if row.state.final:
             exit_with_error(EXIT_REFUSED, f"{name}: {row.state.name.lower()} already")
-        record = encode(CancelRecord(_now_ms()))
+        record = encode(CancelRecord(now_ms()))
         _store(session, name, PREFIX_CANCEL + name, record)
     print_value(Stored(name, "cancellation"), as_json)
 
--- a/src/cardamomgrade/jobs/session.py
+++ b/src/cardamomgrade/jobs/session.py
@@ -1,6 +1,6 @@
 """Operator access to the jobs topic: reads its records and stores single ones."""
 
-from ..errors import FeedError
+from ..errors import FeedError, RecordError
 from ..loop import Loop
 from ..net import Net
 from .follow import TopicFollower
@@ -15,7 +15,9 @@
     """All jobs and the configuration in force, as read when the session is entered.
 
     A context manager that closes its connections at its end. ``view`` is a JobView,
-    ``config`` the newest QueueConfig or None. The loop only runs during calls.
+    ``config`` the newest QueueConfig or None. ``config_error`` says why the newest
+    record of the configuration cannot be read, or is "". The loop only runs during
+    calls.
     """
 
     def __init__(self, cfg, make_platform):
@@ -23,6 +25,7 @@
         self._platform = make_platform(self._loop, Net(self._loop), cfg)
         self.view = JobView()
         self.config = None
+        self.config_error = ""
         self._jobs = TopicFollower(
             self._loop, self._platform.jobs_topic(), "jobs", self.view.fold
         )
@@ -32,8 +35,13 @@
         self._writer = self._platform.jobs_topic()
 
     def _on_operator(self, entry):
-        if entry.key == self._platform.key_config and entry.value:
+        if entry.key != self._platform.key_config or not entry.value:
+            return
+        try:
             self.config = self._platform.decode_config(entry.value)
+            self.config_error = ""
+        except RecordError as exc:
+            self.config_error = f"the configuration cannot be read: {exc}"
 
     def __enter__(self):
         """Read both topics completely.
