Check a configuration before operators send it

Cause: a mistake in a version is in force on all nodes within seconds, and the decoder of the nodes stops at the first fault, or ignores it.

cardamomctl config check names all faults with path, value and what is allowed, entries that can never match, contradictions, and the difference from a file or the version in force. Keys are never shown: values that may hold one in a wrong place are left out, keys that two customers have are reported by the customers' names, and the difference only counts them.

--- a/src/cardamomgrade/ctl.py
+++ b/src/cardamomgrade/ctl.py
@@ -11,6 +11,7 @@
 
 from . import console
 from .bundle import diff_sections, parse_bundle
+from .configctl import config_group
 from .console import (
     EXIT_BAD_INPUT,
     EXIT_LOG_UNAVAILABLE,
@@ -186,6 +187,7 @@
 
 main.add_command(job)
 main.add_command(customer)
+main.add_command(config_group)
 
 
 @main.group()
