Count answers by customer, and log calls refused for their key

Cause: no metric told whose calls are answered how, and a call with an unknown key left no line, so its 401 could not be found by the job's id.

customer_answers has a label for each of the first 49 customers and sums the others, so that a scraper's series stay bounded. CallRefused names the job, the queue and the reason, never the key. The tests count 60 customers, and read the line of a 401 from a node's log.

--- a/src/cardamomgrade/jobs/entry.py
+++ b/src/cardamomgrade/jobs/entry.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ..journal import event, log_event
+from ..metrics import BoundedLabel
 from .admission import retry_after_s
 from .calls import Answer, AnswerKind, CallKind
 from .durations import Durations
@@ -49,6 +50,19 @@
     detail: str
 
 
+@event(645)
+class CallRefused:
+    """A call was refused before it was decoded, as its customer is not known.
+
+    ``job`` is "" where the path has no id. The key is not logged, nor its digest.
+    """
+
+    job: str
+    queue: str
+    answer: str
+    detail: str
+
+
 @attrs.define(eq=False)
 class _Pending:
     """A record to store, and the ``on_done`` callbacks that wait for it."""
@@ -150,6 +164,7 @@
     def __init__(self, loop, view, follower, batcher, sync, metrics, wall_ms=None):
         self._loop = loop
         self._metrics = metrics
+        self._customer_label = BoundedLabel()
         self._view = view
         self._follower = follower
         self._batcher = batcher
@@ -169,6 +184,9 @@
             now = self._loop.now()
             call_kind, kind = call.kind.value, result.kind.value
             self._metrics.count("answers", call=call_kind, answer=kind)
+            if call.customer:
+                label = self._customer_label.of(call.customer)
+                self._metrics.count("customer_answers", customer=label, answer=kind)
             self._metrics.time(f"answer_{call_kind}", now - started)
             state = result.state.name.lower() if result.state is not None else ""
             log_event(
@@ -196,6 +214,12 @@
         else:
             self._find(call, answer)
 
+    def note_refused(self, job, queue, result):
+        """Count and log the Answer to a call whose customer is not known."""
+        kind = result.kind.value
+        self._metrics.count("answers", call="any", answer=kind)
+        log_event(CallRefused(job, queue.name, kind, result.detail))
+
     def _submit(self, call, queue, answer):
         row = self._view.find(call.job)
         if row is not None:
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -267,7 +267,8 @@
         if cfg.needs_key(queue):
             found = self._authenticate(req)
             if isinstance(found, Answer):
-                self._metrics.count("answers", call="any", answer=found.kind.value)
+                job = self._platform.decode_job(req, queue)
+                self._entry.note_refused(job, queue, found)
                 answer(found)
                 return
             customer = found
--- a/src/cardamomgrade/metrics.py
+++ b/src/cardamomgrade/metrics.py
@@ -7,6 +7,8 @@
 HIGHEST_US = 3600 * 1000 * 1000
 SIGNIFICANT_DIGITS = 2
 US_PER_S = 1_000_000
+LABELS_HIGH = 50  # scrapers keep each series for weeks, also those of removed customers
+OTHER = "other"
 
 
 @attrs.frozen
@@ -29,6 +31,25 @@
     timings: dict
 
 
+class BoundedLabel:
+    """Keeps a label to LABELS_HIGH values, OTHER included.
+
+    The first values have labels of their own, and the counts of all others are summed.
+    """
+
+    def __init__(self):
+        self._values = set()
+
+    def of(self, value):
+        """Return the label to count ``value`` under."""
+        if value in self._values:
+            return value
+        if len(self._values) < LABELS_HIGH - 1:
+            self._values.add(value)
+            return value
+        return OTHER
+
+
 def _timing_view(histogram):
     return TimingView(
         histogram.get_total_count(),
--- a/src/cardamomgrade/platform/adapter.py
+++ b/src/cardamomgrade/platform/adapter.py
@@ -17,6 +17,7 @@
 
     ready_path = ingress.READY_PATH
     decode_call = staticmethod(ingress.decode_call)
+    decode_job = staticmethod(ingress.decode_job)
     decode_key = staticmethod(ingress.decode_key)
     encode_answer = staticmethod(ingress.encode_answer)
     bad_request = staticmethod(ingress.bad_request)
--- a/src/cardamomgrade/platform/ingress.py
+++ b/src/cardamomgrade/platform/ingress.py
@@ -71,6 +71,16 @@
     return path[len(queue.prefix) :]
 
 
+def decode_job(req, queue):
+    """Return the id of the job in a request's path, or "" if there is no valid one."""
+    rest = path_after_prefix(queue, req.path)
+    return rest if _is_id(rest) else ""
+
+
+def _is_id(text):
+    return len(text) == ID_DIGITS and _HEX.issuperset(text)
+
+
 def decode_key(req):
     """Return the customer's key that a request carries, or "".
 
@@ -100,7 +110,7 @@
     kind = _METHODS.get(req.method)
     if kind is None:
         raise RecordError(f"method {req.method}")
-    if len(rest) != ID_DIGITS or not _HEX.issuperset(rest):
+    if not _is_id(rest):
         raise RecordError("the id is no string of 16 hexadecimal digits")
     call = JobCall(kind, queue.name, rest, deadline_ms)
     return _decode_job(call, req.body) if kind is CallKind.SUBMIT else call
--- a/tests/jobs/entry.feature
+++ b/tests/jobs/entry.feature
@@ -109,3 +109,16 @@
     Given a node whose append of jobs a1 and a1 is in flight
     When another node's record of job/a1 is read
     Then both callers of job/a1 are answered done
+
+  Scenario: answers are counted by customer, and those of too many customers summed
+    Given an entry that answers calls of 60 customers, and 3 of nobody
+    Then the first 49 customers have a count of 1 each
+    And the other 11 customers are counted as "other"
+    And no count has an empty customer
+
+  Scenario: a call refused for its key is logged with its job, and without the key
+    Given 1 nodes with customers on an emulated platform
+    When a caller submits job 00000000000000c4 with the key "k-not-known"
+    Then this call gets status 401
+    And a line CallRefused names job 00000000000000c4, its queue and no-key
+    And no line contains "k-not-known"
--- a/tests/steps/jobs_entry.py
+++ b/tests/steps/jobs_entry.py
@@ -1,8 +1,16 @@
 """Steps for the appends of callers' records; the client of the store is a fake."""
 
+import io
+import json
+
 from behave import given, then, when
+from jobs_node import CONFIG, NodeWorld
 
-from cardamomgrade.jobs.entry import AppendBatcher
+from cardamomgrade import journal
+from cardamomgrade.client import Requester
+from cardamomgrade.jobs.calls import CallKind, JobCall
+from cardamomgrade.jobs.entry import AppendBatcher, JobEntry
+from cardamomgrade.jobs.queues import Queue
 from cardamomgrade.jobs.records import (
     AppendRecord,
     CancelRecord,
@@ -16,6 +24,7 @@
 from cardamomgrade.jobs.store import Appended, AppendFailed, AppendFate, Entry
 from cardamomgrade.jobs.view import JobView
 from cardamomgrade.metrics import Metrics
+from cardamomgrade.wire import HttpRequest
 
 NODE = "n1"
 INCARNATION = "life-1"
@@ -221,3 +230,96 @@
         return counters.get(("append_acks", (("by", "entry"), ("how", how))), 0)
 
     assert (count("read"), count("answer")) == (read, answer), counters
+
+
+class FreshFollower:
+    """A follower whose copy is never too old."""
+
+    loaded = True
+    failing = False
+
+    def age(self):
+        return 0.0
+
+
+@given("an entry that answers calls of {count:d} customers, and {public:d} of nobody")
+def step_entry(context, count, public):
+    context.metrics = Metrics()
+    entry = JobEntry(
+        FakeLoop(), JobView(), FreshFollower(), None, None, context.metrics
+    )
+    queue = Queue("q", "h", "/q/", "s")
+    for name in [f"c{number}" for number in range(count)] + [""] * public:
+        call = JobCall(CallKind.COUNT, "q", "", customer=name)
+        entry.serve(call, queue, lambda answer: None)
+
+
+def customer_counts(context):
+    """Return the counts of answers by customer; all of them are done."""
+    return {
+        dict(labels)["customer"]: value
+        for (name, labels), value in context.metrics.counters().items()
+        if name == "customer_answers" and dict(labels)["answer"] == "done"
+    }
+
+
+@then("the first {count:d} customers have a count of 1 each")
+def step_first(context, count):
+    found = customer_counts(context)
+    assert len(found) == count + 1, found
+    assert all(found[f"c{number}"] == 1 for number in range(count)), found
+
+
+@then('the other {count:d} customers are counted as "{label}"')
+def step_other(context, count, label):
+    assert customer_counts(context)[label] == count
+
+
+@then("no count has an empty customer")
+def step_no_empty(context):
+    assert "" not in customer_counts(context)
+
+
+@given("{nodes:d} nodes with customers on an emulated platform")
+def step_customer_nodes(context, nodes):
+    context.log = io.StringIO()
+    journal.start_logging("jobs", "n0", context.log)
+    context.add_cleanup(journal.stop_logging)
+    world = context.nodes = NodeWorld(nodes, 1)
+    tenants = [{"name": "c", "apiKeys": ["k-known"], "weight": 1}]
+    config = {**CONFIG, "version": 4, "tenants": tenants}
+    world.platform.put("keyed.op", "config", config)
+    world.rig.run_until(lambda: '"version": 4' in context.log.getvalue())
+
+
+@when('a caller submits job {job} with the key "{key}"')
+def step_submit_key(context, job, key):
+    world = context.nodes
+    caller = Requester(world.rig.loop, world.rig.net, world.cfgs[0].front)
+    headers = (
+        (b"host", b"jobs.example"),
+        (b"authorization", f"Bearer {key}".encode()),
+    )
+    answers = []
+    caller.request(
+        HttpRequest("POST", f"/q/{job}", headers, b"{}"), answers.append, 5.0
+    )
+    world.rig.run_until(lambda: answers)
+    context.answer = answers[0]
+
+
+@then("this call gets status {status:d}")
+def step_status(context, status):
+    assert context.answer.status == status, context.answer
+
+
+@then("a line CallRefused names job {job}, its queue and {answer}")
+def step_refused_line(context, job, answer):
+    lines = [json.loads(line) for line in context.log.getvalue().splitlines()]
+    (line,) = [item for item in lines if item["event_name"] == "CallRefused"]
+    assert (line["job"], line["queue"], line["answer"]) == (job, "r-q", answer), line
+
+
+@then('no line contains "{key}"')
+def step_no_key_logged(context, key):
+    assert key not in context.log.getvalue()
