Let the emulator have customers, and operators submit for one

Cause: the emulated platform had no customers, so nothing with keys could be tried on it, and jobs that operators submit belonged to nobody where all jobs have a customer.

The tests run the programs as processes, look for the keys in all output and logs, and call with a key of the file.

--- a/src/cardamomgrade/emulator/program.py
+++ b/src/cardamomgrade/emulator/program.py
@@ -1,5 +1,8 @@
 """Program ``cardamom-emulator``: runs the emulated platform, writes node settings."""
 
+import configparser
+import os
+import secrets
 import socket
 from pathlib import Path
 
@@ -14,6 +17,10 @@
 CORES_M = 4000
 MEMORY_MB = 16_000
 VM_ORDERS_PER_S = 64.0
+KEY_BYTES = 16
+WEIGHT = 5  # jobs a second
+KEYS_FILE = "keys.ini"
+KEYS_MODE = 0o600
 CONFIG = {
     "version": 1,
     "routes": [
@@ -46,6 +53,32 @@
 }
 
 
+def customer_fields(count, cores_m):
+    """Return the records of ``count`` customers with one key each.
+
+    ``cores_m`` is each customer's limit in thousandths of a core.
+    """
+    return [
+        {
+            "name": f"customer-{number}",
+            "apiKeys": [secrets.token_hex(KEY_BYTES)],
+            "weight": WEIGHT,
+            "maxCount": {"cpu": cores_m, "memMb": 0, "gpu": 0},
+        }
+        for number in range(1, count + 1)
+    ]
+
+
+def _write_keys(path, customers):
+    """Write the keys to a file that only its owner can read."""
+    keys = configparser.ConfigParser(interpolation=None)
+    keys.read_dict({item["name"]: {"key": item["apiKeys"][0]} for item in customers})
+    path.unlink(missing_ok=True)  # an existing file would keep its mode
+    fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, KEYS_MODE)
+    with os.fdopen(fd, "w") as file:
+        keys.write(file)
+
+
 def _free_address():
     with socket.socket() as sock:
         sock.bind((HOST, 0))
@@ -76,16 +109,25 @@
 )
 @click.option("--spare", default=2, show_default=True, help="VMs in the standby pool.")
 @click.option("--task-ms", default=300, show_default=True, help="Duration of a task.")
-def main(folder, nodes, executors, spare, task_ms):
+@click.option(
+    "--customers", default=0, show_default=True, help=f"Customers; keys in {KEYS_FILE}."
+)
+def main(folder, nodes, executors, spare, task_ms, customers):
     """Write n1.yaml and so on to FOLDER, print a ready line, serve until SIGTERM."""
     loop = Loop()
     platform = EmulatedPlatform(loop, lambda task: (task_ms, "done"))
     for number in range(executors + spare):
         pool = SERVICE if number < executors else "spare"
         platform.add_executor(f"i-{number}", pool, CORES_M, MEMORY_MB)
-    platform.put("keyed.op", "config", CONFIG)
     directory = Path(folder)
     directory.mkdir(parents=True, exist_ok=True)
+    config = CONFIG
+    if customers:
+        # Half of the pool each, so that two customers can fill it.
+        fields = customer_fields(customers, max(CORES_M, executors * CORES_M // 2))
+        config = {**CONFIG, "tenants": fields}
+        _write_keys(directory / KEYS_FILE, fields)
+    platform.put("keyed.op", "config", config)
     for number in range(1, nodes + 1):
         text = yaml.safe_dump(node_settings(number, platform))
         (directory / f"n{number}.yaml").write_text(text)
--- a/src/cardamomgrade/jobctl.py
+++ b/src/cardamomgrade/jobctl.py
@@ -64,11 +64,13 @@
 @command(job, "list", "cardamomctl job list --state running")
 @click.option("--queue", default="", help="Only jobs of this queue.")
 @click.option("--state", default="", type=click.Choice(["", *STATES]), help="Only.")
+@click.option("--customer", default="", help="Only jobs of this customer.")
 @click.pass_obj
-def list_jobs(path, queue, state, as_json):
+def list_jobs(path, queue, state, customer, as_json):
     """List the jobs in the store, the oldest first."""
     with open_session(path) as session:
-        print_value(job_summaries(session.view, now_ms(), queue, state), as_json)
+        found = job_summaries(session.view, now_ms(), queue, state, customer)
+        print_value(found, as_json)
 
 
 @command(job, "show", "cardamomctl job show 5c0e7a21d94b36f8")
@@ -97,16 +99,25 @@
 @click.argument("queue")
 @click.argument("file")
 @click.option("--id", "name", default="", help="Id of the job; repeats a submission.")
+@click.option("--customer", default="", help="Customer that the job belongs to.")
 @click.pass_obj
-def submit(path, queue, file, name, as_json):
-    """Submit the job in FILE to QUEUE; an id that is already known changes nothing."""
+def submit(path, queue, file, name, customer, as_json):
+    """Submit the job in FILE to QUEUE; an id that is already known changes nothing.
+
+    Where callers need a key, --customer says whose job it is; no key is needed here.
+    """
     name = name or secrets.token_hex(ID_BYTES)
     with open_session(path) as session:
         target = session.config.queue(queue) if session.config is not None else None
         if target is None:
             exit_with_error(EXIT_REFUSED, f"{queue}: no such queue")
-        if session.view.find(name) is None:
+        _check_customer(session.config, target, customer)
+        row = session.view.find(name)
+        if row is not None and row.spec.customer != customer:
+            exit_with_error(EXIT_REFUSED, f"{name}: the job is another customer's")
+        if row is None:
             spec = parse_job_file(file, _read(file), name, target, now_ms())
+            spec = attrs.evolve(spec, customer=customer)
             _store(session, name, PREFIX_JOB + name, encode(spec))
     print_value(Stored(name, "job"), as_json)
 
@@ -127,6 +138,20 @@
     print_value(Stored(name, "cancellation"), as_json)
 
 
+def _check_customer(config, queue, customer):
+    """Exit unless a job of a customer's name, or of none, may be put into a Queue."""
+    if not config.needs_key(queue):
+        if customer:
+            text = "callers of this queue need no key; leave out --customer"
+            exit_with_error(EXIT_REFUSED, f"{queue.name}: {text}")
+    elif not customer:
+        text = "its jobs belong to customers; name one with --customer"
+        exit_with_error(EXIT_BAD_INPUT, f"{queue.name}: {text}")
+    elif config.customer(customer) is None:
+        text = "no such customer; see cardamomctl customer list"
+        exit_with_error(EXIT_REFUSED, f"{customer}: {text}")
+
+
 def _read(file):
     try:
         return Path(file).read_text()
--- a/src/cardamomgrade/jobs/summary.py
+++ b/src/cardamomgrade/jobs/summary.py
@@ -12,6 +12,7 @@
 
     job: str
     queue: str
+    customer: str
     state: str
     tasks: int
     started: int
@@ -40,6 +41,7 @@
     job: str
     queue: str
     service: str
+    customer: str
     state: str
     accepted_ms: int
     steps: list
@@ -71,6 +73,7 @@
     return JobSummary(
         name,
         spec.queue,
+        spec.customer,
         row.state.name.lower(),
         sum(step.tasks for step in spec.steps) * max(1, spec.repeat),
         len(tasks),
@@ -79,13 +82,14 @@
     )
 
 
-def job_summaries(view, now_ms, queue="", state=""):
-    """Return JobSummaries, the oldest first, optionally of one queue or state."""
+def job_summaries(view, now_ms, queue="", state="", customer=""):
+    """Return JobSummaries, the oldest first; a text that is not "" selects some."""
     rows = [
         (row.spec.accepted_ms, name, row)
         for name, row in view.rows.items()
         if row.spec is not None
         and queue in ("", row.spec.queue)
+        and customer in ("", row.spec.customer)
         and state in ("", row.state.name.lower())
     ]
     return [_summarize(name, row, now_ms) for _, name, row in sorted(rows)]
@@ -111,6 +115,7 @@
         name,
         spec.queue,
         spec.service,
+        spec.customer,
         row.state.name.lower(),
         spec.accepted_ms,
         [
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -102,12 +102,13 @@
     return f"127.0.0.1:{free_port()}"
 
 
-def start(module, *args, log=None, env=None):
+def start(module, *args, log=None, env=None, output=None):
     """Start ``python -m cardamomgrade.MODULE`` and return its Popen.
 
-    ``log`` is a file for stderr; ``env`` are additional environment variables.
+    ``log`` is a file for stderr, ``output`` one for stdout; ``env`` are additional
+    environment variables.
     """
-    return _start(["-m", f"cardamomgrade.{module}", *args], log, env)
+    return _start(["-m", f"cardamomgrade.{module}", *args], log, env, output)
 
 
 def start_script(name, *args):
@@ -115,12 +116,13 @@
     return _start([str(ROOT / "scripts" / name), *args], None)
 
 
-def _start(arguments, log, extra_env=None):
+def _start(arguments, log, extra_env=None, output=None):
     env = dict(os.environ, PYTHONPATH=str(ROOT / "src"), **(extra_env or {}))
     process = subprocess.Popen(
         [sys.executable, *arguments],
         cwd=ROOT,
         env=env,
+        stdout=output,
         stderr=log or subprocess.DEVNULL,
         stdin=subprocess.DEVNULL,
     )
--- a/tests/jobs/commands.feature
+++ b/tests/jobs/commands.feature
@@ -16,6 +16,29 @@
     And "cancel ID" exits 0 printing "cancellation"
     And "show ID" eventually prints "state: cancelled"
 
+  Scenario: jobs of customers are submitted by name and listed with their customer
+    Given an emulated platform with 2 customers and 1 nodes as processes
+    Then "submit notices JOB" exits 2 printing "name one with --customer"
+    And "submit notices JOB --customer nobody" exits 1 printing "no such customer"
+    When an operator submits a job of customer-2
+    Then "show ID" eventually prints "state: completed"
+    And "show ID" exits 0 printing "customer: customer-2"
+    And "list --customer customer-2 --json" exits 0 printing "ID"
+    And "list --customer customer-1" exits 0 printing nothing
+    And "submit notices JOB --id ID --customer customer-1" exits 1 printing "another customer's"
+    And the command "customer list" exits 0 printing "jobs_done: 1"
+    And the command "customer list --json" exits 0 printing "customer-1"
+    And the command "config check CONFIG --in-force" exits 2 printing "tenants[0].apiKeys"
+    And only the owner can read the file of keys
+    And no command or log has printed a key
+    And a caller gets 401 with another key and 200 with a key of the file
+
+  Scenario: commands on customers in a deployment without them
+    Given an emulated platform and 0 nodes as processes
+    Then the command "customer list" exits 0 printing "has no customers"
+    And the command "config check SAME --in-force" exits 2 printing "version 1 is in force"
+    And "submit notices JOB --customer one" exits 1 printing "leave out --customer"
+
   Scenario Outline: errors name the wrong argument or field
     Given an emulated platform and 0 nodes as processes
     Then "<command>" exits <code> printing "<text>"
