--- a/scripts/catalogue.py
+++ b/scripts/catalogue.py
@@ -15,7 +15,7 @@
 from cardamomgrade import bundle, journal
 from cardamomgrade.control import ControlSettings
 from cardamomgrade.entry import EntrySettings
-from cardamomgrade.platform import boot
+from cardamomgrade.platform import boot, configfile
 
 DOCS = Path(__file__).resolve().parent.parent / "docs"
 PROGRAMS = (("cardamom-entry", EntrySettings), ("cardamom-control", ControlSettings))
@@ -102,6 +102,7 @@
     for program, cls in PROGRAMS:
         lines += ["", f"## {program}", "", *head, *option_rows(cls)]
     lines += ["", *platform_settings()]
+    lines += ["", *platform_config()]
     lines += ["", "## Bundles", "", *head]
     for section, cls in BUNDLE_SECTIONS:
         lines += option_rows(cls, section)
@@ -127,6 +128,26 @@
     return lines
 
 
+def platform_config():
+    """Return the lines on the fields of the operators' configuration."""
+    lines = [
+        "## Configuration of the platform's operators",
+        "",
+        "The record `config`, a JSON object. `cardamomctl config check FILE` reports",
+        "all faults of a file with path, value and what is allowed, entries that can",
+        "never match, and contradictions; `--in-force` or `--against FILE` also shows",
+        "what it changes. Nothing is sent.",
+        "Exit codes: 0 no errors, 1 warnings and `--strict`, 2 errors, 3 store down.",
+        "Without `tenants` there are no customers, and no caller needs a key.",
+        "",
+        "| field | allowed | required |",
+        "|---|---|---|",
+    ]
+    for path, allowed, required in configfile.field_rows():
+        lines.append(f"| `{path}` | {allowed} | {'yes' if required else 'no'} |")
+    return lines
+
+
 def modules_page():
     """Return the text of docs/MODULES.md."""
     lines = [
--- a/src/cardamomgrade/platform/configfile.py
+++ b/src/cardamomgrade/platform/configfile.py
@@ -94,6 +94,22 @@
     return text
 
 
+def field_rows():
+    """Yield (path, allowed, whether it must be there) of each field, for the docs."""
+    tables = (
+        ("", _CONFIG),
+        ("routes[].", _QUEUE),
+        ("routes[].advice.", _ADVICE),
+        ("services[].", _SERVICE),
+        ("tenants[].", _CUSTOMER),
+        ("tenants[].maxCount.", _LIMITS),
+        ("limits.", _BODY),
+    )
+    for prefix, table in tables:
+        for name, (_, kind, required) in table.items():
+            yield prefix + name, _ALLOWED[kind], required
+
+
 @attrs.frozen
 class CheckedFile:
     """A configuration file: its QueueConfig, or None when it has errors."""
