--- a/src/cardamomgrade/ctl.py
+++ b/src/cardamomgrade/ctl.py
@@ -11,6 +11,7 @@
 
 from . import console
 from .bundle import diff_sections, parse_bundle
+from .configctl import config_group
 from .console import (
     EXIT_BAD_INPUT,
     EXIT_LOG_UNAVAILABLE,
@@ -19,6 +20,7 @@
     exit_with_error,
     print_value,
 )
+from .customerctl import customer
 from .errors import BundleError, PeerError
 from .explain import bundle_view, bundles_view, explain_vm, fleet_view, wave_views
 from .jobctl import job
@@ -184,6 +186,8 @@
 
 
 main.add_command(job)
+main.add_command(customer)
+main.add_command(config_group)
 
 
 @main.group()
