Start no task that brings a customer over its limit

Cause: maxCount was decoded, but nothing looked at it, so that one customer could take every executor.

jobs/quotas.py keeps what each customer has running, and decides. A run is charged in Executor.allocate and released in Executor.release; runs on executors that are not registered are charged in jobs/orphans.py, which took over that part of the scheduler. Charges are kept by executor, task and run, so that a run is counted once when its executor registers, and forgetting an executor releases what is left on it. Steps of many tasks go in waves under the limit, gangs all or nothing, and probes obey it too.

Its service is planned again when a run of the customer ends, on any service. What the limits hold back does not count as need of a pool, nor as work that others wait for.

A task or a gang that is larger than the limit is refused with 400, unless the job is stored already.

--- a/src/cardamomgrade/jobs/entry.py
+++ b/src/cardamomgrade/jobs/entry.py
@@ -13,6 +13,7 @@
 from .admission import retry_after_s
 from .calls import Answer, AnswerKind, CallKind
 from .durations import Durations
+from .quotas import excess_over, NO_LIMITS
 from .records import (
     AppendRecord,
     CancelRecord,
@@ -161,8 +162,11 @@
         """Whether this node's copy is recent enough to answer from."""
         return self._follower.loaded and self._follower.age() < STALE_S
 
-    def serve(self, call, queue, on_done):
-        """Serve a JobCall on a Queue; ``on_done(Answer)`` follows."""
+    def serve(self, call, queue, on_done, limits=NO_LIMITS):
+        """Serve a JobCall on a Queue; ``on_done(Answer)`` follows.
+
+        ``limits`` are those of the customer that calls.
+        """
         started = self._loop.now()
 
         def answer(result):
@@ -187,7 +191,7 @@
             on_done(result)
 
         if call.kind is CallKind.SUBMIT:
-            self._submit(call, queue, answer)
+            self._submit(call, queue, limits, answer)
         elif not self.fresh:
             answer(unavailable("this node's copy of the jobs is too old"))
         elif call.kind is CallKind.COUNT:
@@ -196,7 +200,7 @@
         else:
             self._find(call, answer)
 
-    def _submit(self, call, queue, answer):
+    def _submit(self, call, queue, limits, answer):
         row = self._view.find(call.job)
         if row is not None:
             answer(_known_answer(call, row))
@@ -205,19 +209,30 @@
             # An append would most likely time out.
             answer(unavailable("the store cannot be reached"))
             return
-        wait_s = self._retry_after_s(call, queue)
-        if wait_s and not self._batcher.holds(PREFIX_JOB + call.job):
-            self._refuse(call, wait_s, answer)
+        refusal = self._refusal(call, queue, limits)
+        if refusal is not None and not self._batcher.holds(PREFIX_JOB + call.job):
+            self._refuse(call, refusal, answer)
         else:
             self._store_job(call, queue, answer)
 
+    def _refusal(self, call, queue, limits):
+        """Return the Answer that refuses a job, or None to store it."""
+        detail = excess_over(limits, call.steps)
+        if detail:
+            return Answer(AnswerKind.BAD_REQUEST, detail=detail)
+        wait_s = self._retry_after_s(call, queue)
+        if wait_s:
+            detail = "the work that waits takes longer than this job can wait"
+            return Answer(AnswerKind.BUSY, retry_after_s=wait_s, detail=detail)
+        return None
+
     def _retry_after_s(self, call, queue):
         durations = Durations()
         if self._view.learned is not None:
             durations.restore(self._view.learned)
         return retry_after_s(call, queue, durations, self._view.load, self._wall_ms())
 
-    def _refuse(self, call, wait_s, answer):
+    def _refuse(self, call, refusal, answer):
         """Refuse a job, unless an earlier request that had no answer has stored it."""
 
         def synced(reached):
@@ -227,8 +242,7 @@
             elif not reached:
                 answer(unavailable("the store did not answer"))
             else:
-                detail = "the work that waits takes longer than this job can wait"
-                answer(Answer(AnswerKind.BUSY, retry_after_s=wait_s, detail=detail))
+                answer(refusal)
 
         self._sync(synced)
 
--- a/src/cardamomgrade/jobs/executors.py
+++ b/src/cardamomgrade/jobs/executors.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from .quotas import CustomerUsage
+
 
 @attrs.frozen
 class Allocation:
@@ -24,11 +26,13 @@
     to it was not answered. ``allocations`` maps the name of a task to its Allocation.
     ``cores_m`` (thousandths of a core), ``memory_mb`` and ``accelerators`` are the sums
     of the allocations; ``lasting_cores_m`` is the part of ``cores_m`` of lasting tasks,
-    of which there are ``lasting_runs``.
+    of which there are ``lasting_runs``. Runs are counted in ``usage``, a CustomerUsage,
+    for as long as they are allocated.
     """
 
-    def __init__(self, entry):
+    def __init__(self, entry, usage=None):
         self.entry = entry
+        self._usage = CustomerUsage() if usage is None else usage
         self.listed = True
         self.cordoned = False
         self.unreachable = False
@@ -70,8 +74,8 @@
         """The fraction of the cores that is not allocated to runs."""
         return 1 - self.cores_m / max(1, self.entry.cores_m)
 
-    def allocate(self, task, run, step):
-        """Allocate capacity to a run of a task."""
+    def allocate(self, task, run, step, customer=""):
+        """Allocate capacity to a run of a task of a customer."""
         allocation = Allocation(
             task,
             run,
@@ -82,6 +86,7 @@
         )
         self.allocations[task] = allocation
         self._adjust_usage(allocation, 1)
+        self._usage.charge(self.name, task, run, customer, step)
 
     def release(self, task, run):
         """Free the capacity of a run of a task; return whether any was allocated."""
@@ -90,6 +95,7 @@
             return False
         del self.allocations[task]
         self._adjust_usage(allocation, -1)
+        self._usage.release(self.name, task, run)
         return True
 
     def _adjust_usage(self, allocation, sign):
--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -7,6 +7,7 @@
 
 from .demand import Demand
 from .pools import PoolLoad
+from .quotas import ALL_STARTABLE
 from .ready import ReadyJobs
 
 HEADROOM_FACTOR = 1.3  # tasks do not fill VMs without gaps
@@ -31,19 +32,29 @@
         self._ready[service] = ready
         self._blocked_vms[service] = blocked_vms
 
-    def load(self, service, pool, now_ms, quarantined=frozenset(), closed=()):
+    def load(
+        self,
+        service,
+        pool,
+        now_ms,
+        quarantined=frozenset(),
+        closed=(),
+        startable=ALL_STARTABLE,
+    ):
         """Return the PoolLoad of a Service whose executors are ``pool``.
 
         Executors that are unreachable, or named in ``quarantined``, do not count
         towards its size: a small pool would otherwise look large enough although none
         of its executors can take the waiting work. ``closed`` names executors that get
-        no new runs because they are to move.
+        no new runs because they are to move. ``startable`` is the StartableShare of
+        what waits: more VMs do not help work that customers' limits hold back.
         """
         self._largest_vm_cores_m = max(
             (item.entry.cores_m for item in pool), default=self._largest_vm_cores_m
         )
         ready = self._ready.get(service.name, NO_JOBS)
-        waiting_cores_m = ready.urgent_cores_m + ready.late_cores_m
+        urgent_cores_m = int(ready.urgent_cores_m * startable.urgent)
+        waiting_cores_m = urgent_cores_m + int(ready.late_cores_m * startable.late)
         allocated_cores_m = sum(item.cores_m for item in pool)
         lasting_cores_m = sum(item.lasting_cores_m for item in pool)
         arriving_cores_m = self.demand.cores_m(service.name, now_ms)
@@ -54,7 +65,7 @@
             return -(-cores_m // max(1, self._largest_vm_cores_m))
 
         needed = vms(waiting_cores_m)
-        urgent = vms(ready.urgent_cores_m)
+        urgent = vms(urgent_cores_m)
         size = sum(
             item.listed
             and not item.entry.draining
@@ -81,7 +92,7 @@
             standby=service.standby,
             waiting_cores_m=waiting_cores_m,
             closable=tuple(item.name for item in closable),
-            backlog_core_ms=ready.backlog_core_ms,
+            backlog_core_ms=ready.backlog_core_ms * startable.backlog,
             lasting_cores_m=lasting_cores_m,
             usable_vm_cores_m=int(self._largest_vm_cores_m / HEADROOM_FACTOR),
         )
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -12,6 +12,7 @@
 from ..server import HttpServer, ServerLimits
 from ..wire import HttpResponse
 from .calls import Answer, AnswerKind
+from .customers import Customer
 from .driver import Driver
 from .entry import AppendBatcher, JobEntry, unavailable
 from .follow import TopicFollower
@@ -30,6 +31,7 @@
 MAX_REPORTED_AGE_S = 3600.0  # metric value for a copy that was never read
 MAX_CONNECTIONS = 1500
 MS = 1000
+NO_CUSTOMER = Customer("")
 
 
 @event(631)
@@ -263,7 +265,7 @@
             else:
                 answer(Answer(AnswerKind.NO_QUEUE, detail="no such queue"))
             return
-        customer = ""
+        customer = NO_CUSTOMER
         if cfg.needs_key(queue):
             found = self._authenticate(req)
             if isinstance(found, Answer):
@@ -279,10 +281,11 @@
         except RecordError as exc:
             answer(Answer(AnswerKind.BAD_REQUEST, detail=str(exc)))
             return
-        self._entry.serve(attrs.evolve(call, customer=customer), queue, answer)
+        call = attrs.evolve(call, customer=customer.name)
+        self._entry.serve(call, queue, answer, customer.limits)
 
     def _authenticate(self, req):
-        """Return the name of the customer that calls, or the Answer that refuses it.
+        """Return the Customer that calls, or the Answer that refuses the call.
 
         A node that cannot read the configuration cannot tell a revoked key from one in
         force, or an unknown key from a new one.
@@ -292,7 +295,7 @@
         customer = self._queue_cfg.customer_of_key(self._platform.decode_key(req))
         if customer is None:
             return Answer(AnswerKind.NO_KEY, detail="no customer has this key")
-        return customer.name
+        return customer
 
     def _sync(self, on_done):
         self._follower.sync(self._sync_topic, on_done)
--- a/src/cardamomgrade/jobs/ready.py
+++ b/src/cardamomgrade/jobs/ready.py
@@ -6,9 +6,11 @@
 """
 
 from bisect import bisect_left, insort
+from collections import Counter
 
 import attrs
 
+from .quotas import KINDS, needs_of, WaitingWork
 from .urgency import order_key, Rank, rank_ends_at_age_ms, rank_of
 
 REFRESH_MS = 1000.0  # expected run times are learned while jobs wait
@@ -22,7 +24,7 @@
     again. ``urgent_cores_m`` is the need of its waiting tasks, in thousandths of a
     core, if the job can be in time, ``late_cores_m`` if it is late; the other is 0, and
     both are if it is hopeless. ``backlog_core_ms`` is the work that it has left, 0 if
-    it is lasting or hopeless.
+    it is lasting or hopeless. ``work`` is the same of a job with a customer, else None.
     """
 
     job: object
@@ -32,6 +34,7 @@
     urgent_cores_m: int
     late_cores_m: int
     backlog_core_ms: float
+    work: object = None
 
 
 def ready_job(job, steps, forecast, priority, wall_ms):
@@ -41,21 +44,33 @@
     ends_ms = accepted_ms + rank_ends_at_age_ms(forecast)
     rank = rank_of(forecast)
     cores_m = sum(state.waiting * state.step.reserved_cores_m for state in steps)
-    return ReadyJob(
-        job,
-        steps,
-        key,
-        min(max(ends_ms, wall_ms), wall_ms + REFRESH_MS),
+    valid_until_ms = min(max(ends_ms, wall_ms), wall_ms + REFRESH_MS)
+    counts = (
         cores_m if rank < Rank.LATE else 0,
         cores_m if rank is Rank.LATE else 0,
         0.0 if rank in (Rank.LASTING, Rank.HOPELESS) else forecast.core_ms,
     )
+    work = _waiting_work(steps, counts, rank) if job.spec.customer else None
+    return ReadyJob(job, steps, key, valid_until_ms, *counts, work)
+
+
+def _waiting_work(steps, counts, rank):
+    amounts = [0] * len(KINDS)
+    for state in steps if rank < Rank.HOPELESS else ():
+        for kind, need in enumerate(needs_of(state.step)):
+            amounts[kind] += state.waiting * need
+    return WaitingWork(*counts, tuple(amounts))
 
 
 class ReadyJobs:
-    """The ReadyJobs of one service, and the sums of their needs and of their work."""
+    """The ReadyJobs of one service, and the sums of their needs and of their work.
+
+    ``work_by_customer`` maps the customers of these jobs to their WaitingWork.
+    """
 
     def __init__(self):
+        self.work_by_customer = {}
+        self._jobs_by_customer = Counter()
         self._by_name = {}
         self._order = []
         self.urgent_cores_m = 0
@@ -86,6 +101,7 @@
         self.urgent_cores_m += item.urgent_cores_m
         self.late_cores_m += item.late_cores_m
         self.backlog_core_ms += item.backlog_core_ms
+        self._count_work(item, 1)
 
     def discard(self, name):
         """Remove a job, by name, if it is there."""
@@ -97,6 +113,17 @@
             # The rounding errors of removed items must not add up.
             left_core_ms = self.backlog_core_ms - item.backlog_core_ms
             self.backlog_core_ms = left_core_ms if self._order else 0.0
+            self._count_work(item, -1)
+
+    def _count_work(self, item, sign):
+        customer = item.job.spec.customer
+        if not customer:
+            return
+        self._jobs_by_customer[customer] += sign
+        if not self._jobs_by_customer[customer]:
+            del self._jobs_by_customer[customer], self.work_by_customer[customer]
+            return
+        self.work_by_customer.setdefault(customer, WaitingWork()).add(item.work, sign)
 
     def expired(self, wall_ms):
         """Return the names of the jobs whose rank has to be evaluated again."""
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -18,9 +18,11 @@
 from .durations import Durations
 from .executors import Executor, LargestRoom
 from .needs import PoolNeeds
+from .orphans import OrphanedRun, OrphanedRuns
 from .placing import choose_gang_executors, PlacementLimits, StepPlacer
 from .probes import choose_probe, Probes
 from .progress import JobProgress
+from .quotas import ALL_STARTABLE, CustomerUsage, Quota
 from .ready import ready_job, ReadyJobs
 from .records import encode, Phase, PREFIX_PROGRESS
 from .reports import Outcome
@@ -76,7 +78,9 @@
         self._dirty = {}
         self._logged_states = {}
         self._pending_stops = {}
-        self._orphaned_runs = {}
+        self.usage = CustomerUsage()
+        self._quota = Quota(self.usage, cfg)
+        self._orphans = OrphanedRuns(self.usage)
         self._services_to_plan = set()
         self._paused_until_ms = {}
         self._cordoned = frozenset()
@@ -95,6 +99,7 @@
     def set_config(self, cfg):
         """Apply a new version of the configuration and replan all services."""
         self.cfg = cfg
+        self._quota.set_config(cfg)
         self._services_to_plan.update(service.name for service in cfg.services)
         self._ready.clear()
         self._changed = {
@@ -143,12 +148,12 @@
 
     def _allocate(self, job, task):
         executor = self.executors.get(task.executor)
-        step = job.spec.steps[task.id.step]
+        step, customer = job.spec.steps[task.id.step], job.spec.customer
         if executor is not None:
-            executor.allocate(task.name, task.run, step)
+            executor.allocate(task.name, task.run, step, customer)
         else:
-            runs = self._orphaned_runs.setdefault(task.executor, {})
-            runs[task.name] = (task.run, step)
+            orphan = OrphanedRun(task.run, step, customer)
+            self._orphans.add(task.executor, task.name, orphan)
 
     def cancel(self, name):
         """Cancel a job and order its runs stopped."""
@@ -228,12 +233,9 @@
         """Add or update an executor from its ExecutorEntry."""
         executor = self.executors.get(entry.executor)
         if executor is None:
-            executor = self.executors[entry.executor] = Executor(entry)
+            executor = self.executors[entry.executor] = Executor(entry, self.usage)
             executor.cordoned = entry.executor in self._cordoned
-            for name, (run, step) in self._orphaned_runs.pop(
-                entry.executor, {}
-            ).items():
-                executor.allocate(name, run, step)
+            self._orphans.adopt(executor)
             self._log_executor(entry)
         elif (executor.entry.draining, executor.listed) != (entry.draining, True):
             self._log_executor(entry)
@@ -261,6 +263,8 @@
         executor = self.executors.pop(name, None)
         if executor is not None:
             self._pools[executor.entry.service].pop(name, None)
+            for task, item in list(executor.allocations.items()):
+                executor.release(task, item.run)
 
     def pool(self, service):
         """Return the executors of a service."""
@@ -268,13 +272,13 @@
 
     def unregistered_executors(self):
         """Return the names of unregistered executors that runs are assigned to."""
-        return list(self._orphaned_runs)
+        return self._orphans.executors()
 
     def has_runs(self, name):
         """Return whether runs are assigned to an executor, registered or not."""
         executor = self.executors.get(name)
         allocations = executor.allocations if executor is not None else ()
-        return bool(allocations) or name in self._orphaned_runs
+        return bool(allocations) or bool(self._orphans.runs_on(name))
 
     # Ends of runs
 
@@ -283,9 +287,7 @@
         executor = self.executors.get(name)
         allocations = executor.allocations if executor is not None else {}
         runs = {task: item.run for task, item in allocations.items()}
-        runs.update(
-            (task, run) for task, (run, _) in self._orphaned_runs.pop(name, {}).items()
-        )
+        runs.update(self._orphans.runs_on(name))
         for task, run in runs.items():
             self.end(name, task, run, Outcome.LAPSED, "", now_ms, confirmed=False)
 
@@ -305,6 +307,7 @@
             was_probe = self._probes.end(name, task_name, run)
             if was_probe and outcome is Outcome.DONE:
                 self._health.reopen(name)
+        self._orphans.release(name, task_name, run)
         job, task = self._find_run(task_name, run)
         if task is None and job is not None:
             task = job.lapsed_task(parse_task(task_name), run, name)
@@ -383,6 +386,7 @@
         if executor is not None and executor.release(task_name, run):
             self._services_to_plan.add(executor.entry.service)
             self._probes.end(name, task_name, run)
+        self._orphans.release(name, task_name, run)
         job, task = self._find_run(task_name, run)
         if task is not None and task.executor == name:
             job.withdraw(task)
@@ -430,7 +434,8 @@
         for job in changed.values():
             self._evaluate(job, wall_ms)
         starts = []
-        services, self._services_to_plan = self._services_to_plan, set()
+        services = self._services_to_plan | self._quota.take_unblocked()
+        self._services_to_plan = set()
         for service in services:
             starts.extend(self._plan_service(service, now_ms, wall_ms))
         return starts
@@ -471,9 +476,12 @@
         blocked_vms = 0
         for item in ready:
             job, begun, count = item.job, item.job.begun, len(starts)
+            customer = job.spec.customer
             for step in item.steps:
                 if not room.may_fit(step.step):
                     continue
+                if not self._quota.may_start(customer, step, service):
+                    continue
                 if step.step.gang:
                     starts.extend(self._place_gang(job, step, executors, now_ms))
                 else:
@@ -482,7 +490,8 @@
                 if step.is_restricted and any(
                     item.fits(step.step) for item in executors
                 ):
-                    blocked_vms += -(-step.waiting // (step.step.per_executor or 1))
+                    startable = self._quota.startable(customer, step)
+                    blocked_vms += -(-startable // (step.step.per_executor or 1))
             if len(starts) > count:
                 roomy = with_room()
                 room = LargestRoom.of(roomy)
@@ -509,9 +518,15 @@
         waiting = [
             (item.job, step) for item in ready for step in item.steps if step.waiting
         ]
+
+        def startable():
+            for job, step in waiting:
+                if self._quota.may_start(job.spec.customer, step, service):
+                    yield job, step
+
         starts, unused = [], []
         for executor in quarantined:
-            found = choose_probe(executor, waiting)
+            found = choose_probe(executor, startable())
             if found is None:
                 unused.append(executor)
                 continue
@@ -565,6 +580,9 @@
                     PlacementLimits(item.step_state),
                     self._reason_aside,
                 )
+                customer = item.job.spec.customer
+                if not self._quota.may_start(customer, item.step_state, service):
+                    states = Counter({"customer-limit": states.total()})
                 log_event(stall_event(item, for_ms, service, states))
 
     def _reason_aside(self, name):
@@ -578,22 +596,31 @@
         ``closed`` names the executors that are closed because their VMs are to move.
         """
         loads = {}
+        startable = self._quota.startable_shares(self._ready)
         for service in self.cfg.services:
             pool = self.pool(service.name)
             quarantined = {
                 item.name for item in pool if self._health.is_quarantined(item.name)
             }
             loads[service.name] = self._pool_needs.load(
-                service, pool, now_ms, quarantined, closed
+                service,
+                pool,
+                now_ms,
+                quarantined,
+                closed,
+                startable.get(service.name, ALL_STARTABLE),
             )
         return loads
 
     def _place_tasks(self, job, step, executors, spread_limits, now_ms):
+        service = self.service_of(job.spec)
         placer = StepPlacer(executors, step.step, PlacementLimits(step), spread_limits)
         starts = []
         for task in step.tasks:
             if task.phase is not Phase.WAITING:
                 continue
+            if not self._quota.may_start(job.spec.customer, step, service):
+                break
             executor = placer.choose(task.failed_on)
             if executor is None:
                 break
@@ -604,6 +631,9 @@
         return starts
 
     def _place_gang(self, job, step, executors, now_ms):
+        service = self.service_of(job.spec)
+        if not self._quota.may_start(job.spec.customer, step, service):
+            return []
         chosen = choose_gang_executors(executors, step.step, PlacementLimits(step))
         if chosen is None:
             return []
@@ -620,7 +650,8 @@
     def _start(self, job, task, run, executor, now_ms):
         name = task.name
         task.placed_ms = now_ms
-        executor.allocate(name, run, job.spec.steps[task.id.step])
+        step = job.spec.steps[task.id.step]
+        executor.allocate(name, run, step, job.spec.customer)
         free = executor.entry.cores_m - executor.cores_m
         log_event(
             TaskStarted(job.spec.job, name, run, executor.name, job.spec.queue, free)
