Ignore configurations whose tenants are malformed, without showing keys

Cause: an error about apiKeys or tenants of the wrong type contained their text, and so the log contained keys. A tenant that is no table, a key with a lone surrogate or a weight too large for a float raised errors that the node does not expect from a record. White space other than the delimiter was stripped from a caller's key, so that a key that was never configured could be taken for another one.

--- a/src/cardamomgrade/jobs/customers.py
+++ b/src/cardamomgrade/jobs/customers.py
@@ -33,7 +33,8 @@
 
 def key_digest(key):
     """Return the digest under which a key is kept."""
-    return hashlib.sha256(key.encode()).digest()
+    # JSON may contain lone surrogates, which have no plain UTF-8 form.
+    return hashlib.sha256(key.encode(errors="surrogatepass")).digest()
 
 
 def index_keys(customers):
--- a/src/cardamomgrade/platform/ingress.py
+++ b/src/cardamomgrade/platform/ingress.py
@@ -80,8 +80,9 @@
     values = [value for key, value in req.headers if key.lower() == name]
     if len(values) != 1:
         return ""
-    scheme, _, key = values[0].decode("latin-1").strip().partition(" ")
-    key = key.strip()
+    # Other white space is part of a key, and no key has any.
+    scheme, _, key = values[0].decode("latin-1").strip(" \t").partition(" ")
+    key = key.strip(" ")
     if scheme.lower() != KEY_SCHEME or len(key) > KEY_LIMIT_CHARS:
         return ""
     return "" if any(char.isspace() for char in key) else key
--- a/src/cardamomgrade/platform/records.py
+++ b/src/cardamomgrade/platform/records.py
@@ -1,6 +1,7 @@
 """Decodes the records of operators and executors, and encodes states of waves."""
 
 import json
+import math
 
 from ..errors import RecordError
 from ..jobs.customers import Customer, key_digest, Limits
@@ -10,6 +11,7 @@
 KEY_CONFIG = "config"
 PREFIX_WAVE = "wave/"
 EXECUTOR_STATES = ("ready", "draining")
+WEIGHT_MAX = 1e9  # jobs a second; an integer of any size must fit a float
 STATUS_RUNNING = "running"
 STATUS_COMPLETED = "completed"
 
@@ -32,17 +34,25 @@
     return value
 
 
+def _list_of_tables(fields, name):
+    # The error shows no value: one of the wrong type may contain keys.
+    items = fields.get(name)
+    if not isinstance(items, list) or not all(isinstance(x, dict) for x in items):
+        raise RecordError(f"{name}: missing, or no list of tables")
+    return items
+
+
 def decode_config(data):
     """Return the QueueConfig in a ``config`` record; raise RecordError."""
     fields = _parse_object(data)
     limits = _get(fields, "limits", dict, {})
     customers = None
     if "tenants" in fields:
-        customers = tuple(_customer(item) for item in _get(fields, "tenants", list))
+        customers = tuple(map(_customer, _list_of_tables(fields, "tenants")))
     return QueueConfig(
         _get(fields, "version", int),
-        tuple(_queue(item) for item in _get(fields, "routes", list)),
-        tuple(_service(item) for item in _get(fields, "services", list)),
+        tuple(map(_queue, _list_of_tables(fields, "routes"))),
+        tuple(map(_service, _list_of_tables(fields, "services"))),
         _get(limits, "maxBodyBytes", int, 0),
         customers,
     )
@@ -66,13 +76,17 @@
 
 
 def _customer(fields):
-    keys = _get(fields, "apiKeys", list, [])
-    if not all(isinstance(key, str) and key for key in keys):
-        raise RecordError("apiKeys: a key is empty or no string")
+    keys = fields.get("apiKeys", [])
+    # The error shows no value: it contains keys.
+    if not isinstance(keys, list) or not all(isinstance(x, str) and x for x in keys):
+        raise RecordError("apiKeys: no list of strings, or a key is empty")
     limits = _get(fields, "maxCount", dict, {})
+    weight = _get(fields, "weight", (int, float), 0)
+    if not 0 <= weight < math.inf:
+        raise RecordError(f"weight = {weight!r}; allowed: 0 or more")
     return Customer(
         name=_get(fields, "name", str),
-        weight=float(_get(fields, "weight", (int, float), 0)),
+        weight=float(min(weight, WEIGHT_MAX)),
         limits=Limits(
             cores_m=max(0, _get(limits, "cpu", int, 0)),
             memory_mb=max(0, _get(limits, "memMb", int, 0)),
