--- a/src/cardamomgrade/jobs/quotas.py
+++ b/src/cardamomgrade/jobs/quotas.py
@@ -12,9 +12,11 @@
 import attrs
 
 from .customers import Limits
+from .demand import BURST_MS
 
 KINDS = tuple(field.name for field in attrs.fields(Limits))
 NO_LIMITS = Limits()
+DEMAND_DEPTH_MS = BURST_MS  # so that a burst counts as no more cores than the limit
 
 
 def needs_of(step):
@@ -117,6 +119,7 @@
         self._usage = usage
         self._limits = {}
         self._blocked = {}
+        self._demand = {}
         self.set_config(cfg)
 
     def set_config(self, cfg):
@@ -127,6 +130,9 @@
             if item.limits != NO_LIMITS
         }
         self._blocked.clear()
+        self._demand = {
+            name: item for name, item in self._demand.items() if name in self._limits
+        }
 
     def allows(self, customer, step, tasks=1):
         """Return whether ``tasks`` more tasks of a step fit under the limit.
@@ -183,6 +189,30 @@
             services |= self._blocked.pop(customer, set())
         return services
 
+    def demand_share(self, spec, expected_ms, now_ms):
+        """Return the part, 0 to 1, of an arriving job's work that counts as demand.
+
+        Work that arrives faster than its customer's limit lets it run keeps no more
+        cores busy. ``expected_ms(step)`` is the expected run time of a task.
+        """
+        limits = self._limits.get(spec.customer)
+        if limits is None:
+            return 1.0
+        totals = [0.0] * len(KINDS)
+        for step in spec.steps:
+            task_ms = step.tasks * expected_ms(step)
+            for kind, need in enumerate(needs_of(step)):
+                totals[kind] += need * task_ms
+        run_ms = max(
+            total / limit if limit else 0.0
+            for total, limit in zip(totals, limits, strict=True)
+        )
+        left_ms, at_ms = self._demand.get(spec.customer, (DEMAND_DEPTH_MS, now_ms))
+        left_ms = min(DEMAND_DEPTH_MS, left_ms + max(0.0, now_ms - at_ms))
+        counted_ms = min(run_ms, left_ms)
+        self._demand[spec.customer] = left_ms - counted_ms, max(at_ms, now_ms)
+        return counted_ms / run_ms if run_ms else 1.0
+
     def startable_shares(self, ready_by_service):
         """Return a dict of service to the StartableShare of its ReadyJobs.
 
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -133,7 +133,9 @@
         self._services_to_plan.add(self.service_of(spec))
         self._stop_unwanted(job)
         if not job.state.final and not spec.lasting:
-            core_ms = job.core_ms(self._duration_estimator(spec))
+            expected_ms = self._duration_estimator(spec)
+            core_ms = job.core_ms(expected_ms)
+            core_ms *= self._quota.demand_share(spec, expected_ms, now_ms)
             self._pool_needs.demand.record_arrival(
                 self.service_of(spec), core_ms, now_ms
             )
