Search: the records of a forgotten job are deleted, so no later scheduler knows it

The simulated store had dropped a forgotten job's progress but kept the job, so that the next scheduler started it again as run 1 and took the repeated end of the first run 1 for its end.

--- a/tests/quotas.py
+++ b/tests/quotas.py
@@ -70,6 +70,7 @@
         self.specs = {}
         self.records = {}
         self.cancelled = set()
+        self.forgotten = set()
         self.live = []
         self.ended = []
         self.hand_over()
@@ -172,6 +173,8 @@
         if self.quarantines:
             self.scheduler._health = Health(1, QUARANTINE_MS, QUARANTINE_MS, 1.0)
         for job, spec in self.specs.items():
+            if job in self.forgotten:
+                continue
             record = self.records.get(job)
             if record is not None:
                 record = decode_progress(record)
@@ -181,6 +184,12 @@
         for name in self.names if registered is None else registered:
             self.register(name)
 
+    def forget_jobs(self):
+        """Delete the records of jobs in a final state of which nothing runs."""
+        for job in self.scheduler.finished():
+            if self.scheduler.forget_job(job):
+                self.forgotten.add(job)
+
     def plan(self):
         """Plan, store the decisions and send the starts; return the starts."""
         starts = self.scheduler.plan(self.now_ms, WALL_MS + self.now_ms)
