Hold room under a limit for a large task, and refuse held-back jobs by three comparisons

Cause: small tasks of a customer took all room that got free under its limit, so that a large one never started. Room is now held for a step that the limit refused for 0.2 s, for 2 s at most and for later jobs of the same customer and service only. In the test a task of the size of the limit starts within 1 s among small ones that keep coming; without held room it does not start in 10 s. Room held for a task that fits no executor costs less than a fifth of the customer's runs.

A step that needs no less than one that was refused in the same round is refused at once.

--- a/src/cardamomgrade/jobs/customers.py
+++ b/src/cardamomgrade/jobs/customers.py
@@ -31,6 +31,18 @@
     key_digests: tuple = attrs.field(default=(), repr=False)
 
 
+KINDS = tuple(field.name for field in attrs.fields(Limits))
+NO_LIMITS = Limits()
+
+
+def needs_of(step):
+    """Return what one task of a Step counts towards a limit, in the order of KINDS.
+
+    A fill task reserves no cores on its executor, but counts with those that it uses.
+    """
+    return step.cores_m, step.memory_mb, step.accelerators
+
+
 def key_digest(key):
     """Return the digest under which a key is kept."""
     # JSON may contain lone surrogates, which have no plain UTF-8 form.
--- a/src/cardamomgrade/jobs/entry.py
+++ b/src/cardamomgrade/jobs/entry.py
@@ -12,8 +12,9 @@
 from ..journal import event, log_event
 from .admission import retry_after_s
 from .calls import Answer, AnswerKind, CallKind
+from .customers import NO_LIMITS
 from .durations import Durations
-from .quotas import excess_over, NO_LIMITS
+from .quotas import excess_over
 from .records import (
     AppendRecord,
     CancelRecord,
--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -7,8 +7,8 @@
 
 from .demand import Demand
 from .pools import PoolLoad
-from .quotas import ALL_STARTABLE
 from .ready import ReadyJobs
+from .waiting import ALL_STARTABLE
 
 HEADROOM_FACTOR = 1.3  # tasks do not fill VMs without gaps
 NO_JOBS = ReadyJobs()
--- a/src/cardamomgrade/jobs/quotas.py
+++ b/src/cardamomgrade/jobs/quotas.py
@@ -11,22 +11,16 @@
 
 import attrs
 
-from .customers import Limits
+from .customers import KINDS, needs_of, NO_LIMITS
 from .demand import BURST_MS
+from .waiting import HeldBack
 
-KINDS = tuple(field.name for field in attrs.fields(Limits))
-NO_LIMITS = Limits()
+HOLD_FROM_MS = 200  # a job that is refused for longer soon is late, and last in order
+HOLD_UNTIL_MS = 2200  # what waits because of a hold may not stall for 3 s
+HOLD_AGAIN_MS = 5200  # what waited because of the last hold goes first
 DEMAND_DEPTH_MS = BURST_MS  # so that a burst counts as no more cores than the limit
 
 
-def needs_of(step):
-    """Return what one task of a step counts towards a limit, in the order of KINDS.
-
-    A fill task reserves no cores on its executor, but counts with those that it uses.
-    """
-    return step.cores_m, step.memory_mb, step.accelerators
-
-
 def excess_over(limits, steps):
     """Return the detail of a refusal if ``steps`` could never start, else "".
 
@@ -109,6 +103,27 @@
         return released
 
 
+@attrs.define
+class Hold:
+    """Room under a customer's limit that is held for one StepState.
+
+    Small tasks of the same customer would otherwise take all room that gets free, and a
+    large one would never start. It holds for later jobs of the same service only, and
+    for a time within which most runs end, so that a step which cannot start for other
+    reasons delays them little. ``round`` is the planning round in which the limit
+    refused the step last.
+    """
+
+    state: object
+    since_ms: float
+    round: int
+    ended: bool = False
+
+    def is_active(self, now_ms):
+        """Return whether room is held now."""
+        return HOLD_FROM_MS <= now_ms - self.since_ms < HOLD_UNTIL_MS
+
+
 class Quota:
     """Decides by the limits of the newest configuration whether a customer may start.
 
@@ -119,6 +134,10 @@
         self._usage = usage
         self._limits = {}
         self._blocked = {}
+        self._refused = {}
+        self._holds = {}
+        self._round = 0
+        self._now_ms = 0.0
         self._demand = {}
         self.set_config(cfg)
 
@@ -130,6 +149,8 @@
             if item.limits != NO_LIMITS
         }
         self._blocked.clear()
+        self._refused.clear()
+        self._holds.clear()
         self._demand = {
             name: item for name, item in self._demand.items() if name in self._limits
         }
@@ -145,26 +166,95 @@
             return True
         usage = self._usage.of(customer)
         counted = tasks if usage.runs else tasks - 1
-        for limit, used, need in zip(
-            limits, usage.amounts, needs_of(step), strict=True
-        ):
-            if limit and need and used + need * counted > limit:
-                return False
-        return True
+        # Written out, since a round asks this for each job that waits.
+        cores_m, memory_mb, accelerators = limits
+        used_cores_m, used_memory_mb, used_accelerators = usage.amounts
+        need = step.cores_m
+        if cores_m and need and used_cores_m + need * counted > cores_m:
+            return False
+        need = step.memory_mb
+        if memory_mb and need and used_memory_mb + need * counted > memory_mb:
+            return False
+        need = step.accelerators
+        return not (
+            accelerators and need and used_accelerators + need * counted > accelerators
+        )
 
     def may_start(self, customer, state, service):
         """Return whether the limit lets a StepState start: one task, or its gang.
 
-        If not, the ``service`` is planned again when a run of the customer is over.
+        To be called in planning rounds, in which usage only grows, so that what one
+        refused step needs is refused from then on. If the answer is no, the ``service``
+        is planned again when a run of the customer is over.
         """
         if customer not in self._limits:
             return True
         step = state.step
-        if self.allows(customer, step, step.tasks if step.gang else 1):
+        refused = self._refused.get(customer)
+        if (
+            refused is not None
+            and refused[0] == service
+            and step.cores_m >= refused[1].cores_m
+            and step.memory_mb >= refused[1].memory_mb
+            and step.accelerators >= refused[1].accelerators
+        ):
+            return False
+        allowed = self.allows(customer, step, step.tasks if step.gang else 1)
+        if allowed and not self._is_held_back(customer, state, service):
             return True
-        self._blocked.setdefault(customer, set()).add(service)
+        if not allowed:
+            self._hold_room(customer, state, service)
+            if not step.gang:
+                self._refused[customer] = service, step
+        services = self._blocked.get(customer)
+        if services is None:
+            services = self._blocked[customer] = set()
+        services.add(service)
         return False
 
+    def _hold_room(self, customer, state, service):
+        """Hold room for a StepState that the limit refuses, unless it is held already.
+
+        Nothing is held for a gang that exceeds the limit: it can never start.
+        """
+        step, limits = state.step, self._limits[customer]
+        hold = self._holds.get((customer, service))
+        if hold is not None and hold.state is state:
+            hold.round = self._round
+        elif hold is None or not hold.state.waiting:
+            rest = step.tasks - 1 if step.gang else 0
+            needs = zip(limits, needs_of(step), strict=True)
+            if all(not limit or need * rest <= limit for limit, need in needs):
+                hold = Hold(state, self._now_ms, self._round)
+                self._holds[customer, service] = hold
+
+    def _is_held_back(self, customer, state, service):
+        """Return whether a StepState would take the room held for one before it."""
+        hold = self._holds.get((customer, service))
+        if hold is None:
+            return False
+        if hold.state is state:
+            # It starts now, or it does not start for another reason than the limit.
+            hold.since_ms = min(hold.since_ms, self._now_ms - HOLD_UNTIL_MS)
+            hold.ended = True
+            return False
+        if hold.round != self._round or not hold.is_active(self._now_ms):
+            return False
+        held, tasks = hold.state.step, hold.state.step.tasks
+        used = self._usage.of(customer).amounts
+        return any(
+            limit
+            and need
+            and used + need + wanted * (tasks if held.gang else 1) > limit
+            for limit, used, need, wanted in zip(
+                self._limits[customer],
+                used,
+                needs_of(state.step),
+                needs_of(held),
+                strict=True,
+            )
+        )
+
     def startable(self, customer, state):
         """Return how many of the waiting tasks of a StepState the limit lets start."""
         limits = self._limits.get(customer)
@@ -182,9 +272,21 @@
                 count = min(count, max(0, limit - used) // need)
         return count if usage.runs else max(1, count)
 
-    def take_unblocked(self):
-        """Return the services to plan again, since runs of their customers are over."""
+    def begin_round(self, now_ms):
+        """Begin a planning round; return the services that have to be planned again.
+
+        Runs of customers that were held back there are over, or a Hold has ended.
+        """
+        self._now_ms = now_ms
+        self._round += 1
+        self._refused.clear()
         services = set()
+        for (customer, service), hold in list(self._holds.items()):
+            if now_ms - hold.since_ms >= HOLD_AGAIN_MS:
+                del self._holds[customer, service]
+            elif not hold.ended and now_ms - hold.since_ms >= HOLD_UNTIL_MS:
+                hold.ended = True
+                services.add(service)
         for customer in self._usage.take_released():
             services |= self._blocked.pop(customer, set())
         return services
@@ -244,69 +346,3 @@
             if limit and total:
                 share = min(share, max(0, limit - usage.amounts[kind]) / total)
         return share
-
-
-@attrs.define
-class WaitingWork:
-    """What waits of a customer in a service, as ReadyJob counts it.
-
-    ``amounts``, in the order of KINDS, are what its urgent and late tasks count towards
-    the limit.
-    """
-
-    urgent_cores_m: int = 0
-    late_cores_m: int = 0
-    backlog_core_ms: float = 0.0
-    amounts: tuple = (0,) * len(KINDS)
-
-    def add(self, other, sign):
-        """Add another WaitingWork, or subtract it with a ``sign`` of -1."""
-        self.urgent_cores_m += sign * other.urgent_cores_m
-        self.late_cores_m += sign * other.late_cores_m
-        self.backlog_core_ms += sign * other.backlog_core_ms
-        self.amounts = tuple(
-            mine + sign * its
-            for mine, its in zip(self.amounts, other.amounts, strict=True)
-        )
-
-
-@attrs.frozen
-class StartableShare:
-    """The parts, 0 to 1, of a service's waiting work that the limits let run."""
-
-    urgent: float = 1.0
-    late: float = 1.0
-    backlog: float = 1.0
-
-
-ALL_STARTABLE = StartableShare()
-
-
-@attrs.define
-class HeldBack:
-    """The part of a service's waiting work that limits keep from starting."""
-
-    urgent_cores_m: float = 0.0
-    late_cores_m: float = 0.0
-    backlog_core_ms: float = 0.0
-
-    def add(self, work, share):
-        """Add a customer's WaitingWork; a ``share`` of it may start, urgent first."""
-        cores_m = work.urgent_cores_m + work.late_cores_m
-        held_m = cores_m * (1 - share)
-        late_m = min(held_m, work.late_cores_m)
-        self.late_cores_m += late_m
-        self.urgent_cores_m += held_m - late_m
-        self.backlog_core_ms += work.backlog_core_ms * (1 - share)
-
-    def startable(self, ready):
-        """Return the StartableShare of the ReadyJobs that this is a part of."""
-        return StartableShare(
-            _rest(self.urgent_cores_m, ready.urgent_cores_m),
-            _rest(self.late_cores_m, ready.late_cores_m),
-            _rest(self.backlog_core_ms, ready.backlog_core_ms),
-        )
-
-
-def _rest(held, total):
-    return min(1.0, max(0.0, 1 - held / total)) if total else 1.0
--- a/src/cardamomgrade/jobs/ready.py
+++ b/src/cardamomgrade/jobs/ready.py
@@ -10,8 +10,9 @@
 
 import attrs
 
-from .quotas import KINDS, needs_of, WaitingWork
+from .customers import KINDS, needs_of
 from .urgency import order_key, Rank, rank_ends_at_age_ms, rank_of
+from .waiting import WaitingWork
 
 REFRESH_MS = 1000.0  # expected run times are learned while jobs wait
 
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -22,7 +22,7 @@
 from .placing import choose_gang_executors, PlacementLimits, StepPlacer
 from .probes import choose_probe, Probes
 from .progress import JobProgress
-from .quotas import ALL_STARTABLE, CustomerUsage, Quota
+from .quotas import CustomerUsage, Quota
 from .ready import ready_job, ReadyJobs
 from .records import encode, Phase, PREFIX_PROGRESS
 from .reports import Outcome
@@ -36,6 +36,7 @@
 from .spec import parse_task
 from .stalls import count_executor_states, SERVICE_LINES_MAX, stall_event, StallWatch
 from .urgency import Forecast
+from .waiting import ALL_STARTABLE
 
 FAILURE_STREAK_JOBS = 2  # a healthy executor rarely fails two jobs' tasks in a row
 QUARANTINE_MIN_MS = 4000  # each retry of a faulty executor costs one task
@@ -436,7 +437,7 @@
         for job in changed.values():
             self._evaluate(job, wall_ms)
         starts = []
-        services = self._services_to_plan | self._quota.take_unblocked()
+        services = self._services_to_plan | self._quota.begin_round(now_ms)
         self._services_to_plan = set()
         for service in services:
             starts.extend(self._plan_service(service, now_ms, wall_ms))
@@ -583,7 +584,9 @@
                     self._reason_aside,
                 )
                 customer = item.job.spec.customer
-                if not self._quota.may_start(customer, item.step_state, service):
+                if item.waiting and not self._quota.startable(
+                    customer, item.step_state
+                ):
                     states = Counter({"customer-limit": states.total()})
                 log_event(stall_event(item, for_ms, service, states))
 
--- a/tests/jobs/quotas.feature
+++ b/tests/jobs/quotas.feature
@@ -98,6 +98,16 @@
     When the limit of a is 3500 cores_m
     Then 4 tasks of a start
 
+  Scenario: a large task starts although small ones of its customer come without end
+    Given small tasks of a take all of its limit, and more keep coming
+    When a submits a task of 4000 cores_m to s while small ones go on for 10 s
+    Then the large task starts within 1000 ms, and without held room it does not
+
+  Scenario: room held for a task that cannot start is given up again
+    Given small tasks of a take all of its limit, and more keep coming
+    When a submits a task that fits no executor to s, then small ones for 10 s
+    Then 80 small tasks are done or run
+
   Scenario: a run that is being stopped counts until it has ended
     When a submits 4 tasks of 1000 cores_m to s
     Then 4 tasks of a start
@@ -188,6 +198,7 @@
     When 1 runs of a end done
     Then 2 tasks of a start
 
+  # Without the limit on arriving work s would need 13 VMs at first.
   Scenario: what a limit holds back is no need of a pool and no work that others wait for
     When a submits 40 tasks of 1000 cores_m to s
     Then 4 tasks of a start
--- a/tests/quotas.py
+++ b/tests/quotas.py
@@ -8,9 +8,8 @@
 import attrs
 
 from cardamomgrade.health import Health
-from cardamomgrade.jobs.customers import Customer, Limits
+from cardamomgrade.jobs.customers import Customer, Limits, needs_of
 from cardamomgrade.jobs.queues import Queue, QueueConfig, Service
-from cardamomgrade.jobs.quotas import needs_of
 from cardamomgrade.jobs.records import decode_job, decode_progress, encode
 from cardamomgrade.jobs.reports import ExecutorEntry, Outcome
 from cardamomgrade.jobs.scheduler import Scheduler
@@ -31,7 +30,15 @@
     return QueueConfig(
         1,
         tuple(
-            Queue(f"q-{name}", "h", f"/{name}/", name, max_attempts=3, target_ms=600)
+            Queue(
+                f"q-{name}",
+                "h",
+                f"/{name}/",
+                name,
+                max_attempts=3,
+                stretch=2.0,
+                target_ms=600,
+            )
             for name in SERVICES
         ),
         tuple(Service(name) for name in SERVICES),
@@ -209,7 +216,7 @@
 
     def missed_starts(self):
         """Return the starts that a plan of all services finds after the last plan."""
-        self.scheduler.set_config(self.scheduler.cfg)
+        self.scheduler._services_to_plan.update(SERVICES)
         return self.scheduler.plan(self.now_ms, WALL_MS + self.now_ms)
 
     def _send(self, start):
@@ -254,7 +261,10 @@
         return spec.customer, spec.steps[task.step]
 
     def check(self):
-        """Fail unless usage is the sum of allocations and has every live run."""
+        """Fail unless usage is the sum of allocations and has every live run.
+
+        The sums of what waits, by customer, must be right as well.
+        """
         allocated, usage = self.allocated(), self.scheduler.usage
         uncounted = [
             item for item in self.live if item.customer and item.key not in allocated
@@ -267,6 +277,18 @@
             assert (found.runs, found.amounts) == (len(steps), wanted), (
                 f"{customer}: {found} is not {len(steps)} runs of {wanted}"
             )
+        for ready in self.scheduler._ready.values():
+            for customer in {item.job.spec.customer for item in ready} - {""}:
+                works = [
+                    item.work for item in ready if item.job.spec.customer == customer
+                ]
+                found = ready.work_by_customer[customer]
+                rows = [item.amounts for item in works]
+                wanted = tuple(map(sum, zip(*rows, strict=True)))
+                assert found.amounts == wanted, (found, works)
+                assert found.late_cores_m == sum(x.late_cores_m for x in works)
+            waiting = {item.job.spec.customer for item in ready} - {""}
+            assert set(ready.work_by_customer) == waiting
 
 
 def amounts(live_runs):
--- a/tests/steps/jobs_quota_search.py
+++ b/tests/steps/jobs_quota_search.py
@@ -180,7 +180,13 @@
 
 
 def _without_planning_other_services():
-    return mock.patch.object(quotas.Quota, "take_unblocked", lambda self: set())
+    begin_round = quotas.Quota.begin_round
+
+    def begin_only(self, now_ms):
+        begin_round(self, now_ms)
+        return set()
+
+    return mock.patch.object(quotas.Quota, "begin_round", begin_only)
 
 
 def _with_limits_of_the_first_version():
--- a/tests/steps/jobs_quotas.py
+++ b/tests/steps/jobs_quotas.py
@@ -9,6 +9,7 @@
 
 from cardamomgrade import journal
 from cardamomgrade.health import Health
+from cardamomgrade.jobs import quotas
 from cardamomgrade.jobs.customers import Limits
 from cardamomgrade.jobs.placing import StepPlacer
 from cardamomgrade.jobs.reports import Outcome
@@ -226,6 +227,59 @@
     assert placed.call_count == 1, placed.call_count
 
 
+@given("small tasks of a take all of its limit, and more keep coming")
+def step_small(context):
+    for _ in range(4):
+        submit(context, "a", 1, 1000, "s")
+    assert started(context) == {"a": 4}
+
+
+def run_small(context, until_ms):
+    """Let small runs of a end, one every 100 ms; return when a large one started."""
+    estate = context.quota
+    while estate.now_ms < until_ms:
+        estate.now_ms += 100
+        oldest = live_of(estate, "a")[:1]
+        for item in oldest:
+            item.begun = True
+            estate.end(item, Outcome.DONE)
+            estate.report(estate.ended[-1])
+        submit(context, "a", 1, 1000, "s")
+        for start in estate.plan():
+            if parse_task(start.task).job == context.large:
+                return estate.now_ms
+    return None
+
+
+@when("a submits a task of 4000 cores_m to s while small ones go on for {wait_s:d} s")
+def step_large(context, wait_s):
+    context.large = submit(context, "a", 1, 4000, "s")
+    context.large_at_ms = run_small(context, wait_s * 1000)
+
+
+@when("a submits a task that fits no executor to s, then small ones for {wait_s:d} s")
+def step_never(context, wait_s):
+    context.large = submit(context, "a", 1, 4000, "s", label="none")
+    context.large_at_ms = run_small(context, wait_s * 1000)
+
+
+@then("the large task starts within {wait_ms:d} ms, and without held room it does not")
+def step_large_started(context, wait_ms):
+    assert context.large_at_ms is not None and context.large_at_ms <= wait_ms
+    context.quota = QuotaEstate(SMALL)
+    with mock.patch.object(quotas, "HOLD_FROM_MS", quotas.HOLD_UNTIL_MS):
+        step_small(context)
+        step_large(context, 10)
+    assert context.large_at_ms is None, context.large_at_ms
+
+
+@then("{count:d} small tasks are done or run")
+def step_small_done(context, count):
+    estate = context.quota
+    found = len(estate.ended) + len(estate.live)
+    assert found >= count, found
+
+
 @when("{wait_ms:d} ms pass")
 def step_pass(context, wait_ms):
     scheduler = context.quota.scheduler
