Evaluate at most 200 waiting jobs again in a planning round

Cause: the places of all waiting jobs are evaluated again each second, in one round. A rank may hold longer than before where more than 200 jobs of a service wait, by 50 ms at 20 rounds a second for each further 200.

The new step fails if a round evaluates more.

--- a/src/cardamomgrade/jobs/ready.py
+++ b/src/cardamomgrade/jobs/ready.py
@@ -7,6 +7,7 @@
 
 from bisect import bisect_left, insort
 from collections import Counter
+from itertools import islice
 
 import attrs
 
@@ -15,6 +16,7 @@
 from .waiting import WaitingWork
 
 REFRESH_MS = 1000.0  # expected run times are learned while jobs wait
+EXPIRED_MAX = 200  # of a round; thousands at once took a third of a second
 
 
 @attrs.frozen
@@ -127,9 +129,13 @@
         self.work_by_customer.setdefault(customer, WaitingWork()).add(item.work, sign)
 
     def expired(self, wall_ms):
-        """Return the names of the jobs whose rank has to be evaluated again."""
-        return [
+        """Return the names of jobs whose rank has to be evaluated again.
+
+        They are EXPIRED_MAX at most, those first that were evaluated longest ago.
+        """
+        names = (
             name
             for name, item in self._by_name.items()
             if item.valid_until_ms <= wall_ms
-        ]
+        )
+        return list(islice(names, EXPIRED_MAX))
--- a/tests/jobs/quotas.feature
+++ b/tests/jobs/quotas.feature
@@ -221,6 +221,7 @@
   Scenario: a planning round is short while thousands of jobs are held back
     When a submits 3000 jobs of 1 task of 1000 cores_m to s
     Then a round that starts b's job looks at no executor for a's jobs
+    And after 1100 ms each round evaluates at most 200 of them, and 15 rounds all
 
   Scenario: a stalled job names its customer's limit
     When a submits 4 tasks of 1000 cores_m to s
--- a/tests/steps/jobs_quotas.py
+++ b/tests/steps/jobs_quotas.py
@@ -227,6 +227,27 @@
     assert placed.call_count == 1, placed.call_count
 
 
+@then(
+    "after {wait_ms:d} ms each round evaluates at most {most:d} of them, and "
+    "{rounds:d} rounds all"
+)
+def step_evaluated(context, wait_ms, most, rounds):
+    estate, evaluated = context.quota, set()
+    estate.now_ms += wait_ms
+    scheduler = estate.scheduler
+    with mock.patch.object(
+        scheduler, "_evaluate", side_effect=scheduler._evaluate
+    ) as evaluate:
+        for _ in range(rounds):
+            scheduler.replan_executor("s1")
+            assert started(context) == {}
+            names = [call.args[0].spec.job for call in evaluate.call_args_list]
+            assert 0 < len(names) <= most, len(names)
+            evaluated.update(names)
+            evaluate.reset_mock()
+    assert len(evaluated) == 2996, len(evaluated)
+
+
 @given("small tasks of a take all of its limit, and more keep coming")
 def step_small(context):
     for _ in range(4):
