Test on nodes that no more runs than a limit lets run, also when another takes over

Guards against a driver that starts runs which the scheduler does not count. On a scratch copy whose Quota.may_start always agrees, all 8 tasks run at once and the scenario fails.

--- a/tests/jobs/customers.feature
+++ b/tests/jobs/customers.feature
@@ -115,6 +115,12 @@
     When version 11 limits a to 100 cores_m
     Then a job of 5 tasks of 2000 cores_m is accepted as a1
 
+  Scenario: executors never run more than a limit lets run, also when another node takes over
+    Given a second node
+    When version 10 limits a to 2000 cores_m
+    And a job of 8 tasks of 1000 cores_m runs, and the scheduler is killed after 2 of them
+    Then all 8 tasks are done, and never more than 2 ran at once
+
   Scenario: keys are in no log line, no record and on no metrics page
     Given the node's log is kept
     When customer a submits job a1 with key-a1
--- a/tests/steps/jobs_customers.py
+++ b/tests/steps/jobs_customers.py
@@ -103,6 +103,43 @@
     context.nodes.configure(version, [tenant])
 
 
+@given("a second node")
+def step_second_node(context):
+    world = context.nodes
+    world.cfgs.append(world.settings(1))
+    world.nodes.append(world.start(world.cfgs[1]))
+    world.rig.run_for(NOTICE_S)
+
+
+@when(
+    "a job of {tasks:d} tasks of {cores_m:d} cores_m runs, and the scheduler is killed "
+    "after {count:d} of them"
+)
+def step_killed(context, tasks, cores_m, count):
+    world = context.nodes
+    world.task_ms = 300
+    answer = submit_steps(context, "/q/a1", tasks, cores_m, False)
+    assert answer.status == 200, answer
+    world.rig.run_until(lambda: len(world.done(job_id("a1"))) >= count)
+    gone = world.scheduler()
+    world.nodes[gone].close()
+    world.nodes[gone] = None
+
+
+@then("all {tasks:d} tasks are done, and never more than {most:d} ran at once")
+def step_at_once(context, tasks, most):
+    world = context.nodes
+    world.rig.run_until(lambda: len(set(world.done(job_id("a1")))) == tasks)
+    running, highest = set(), 0
+    for kind, executor, task, run in world.platform.trace:
+        if kind == "start":
+            running.add((executor, task, run))
+        else:
+            running.discard((executor, task, run))
+        highest = max(highest, len(running))
+    assert highest == most, (highest, world.platform.trace)
+
+
 @when("a malformed version with {key} is written")
 def step_malformed(context, key):
     for tenants in ([{"name": "a", "apiKeys": key}], {"apiKeys": [key]}):
