--- a/src/cardamomgrade/jobs/configcheck.py
+++ b/src/cardamomgrade/jobs/configcheck.py
@@ -202,8 +202,6 @@
         if not customer.name:
             advice = "jobs of a customer without a name belong to nobody: name it"
             yield _error((*path, "name"), "", "a name", advice)
-        advice = "the weight is the customer's share in jobs a second"
-        yield from _below((*path, "weight"), customer.weight, 0, advice)
         if customer.weight == 0:
             yield _warning(
                 (*path, "weight"),
--- a/src/cardamomgrade/jobs/ready.py
+++ b/src/cardamomgrade/jobs/ready.py
@@ -6,13 +6,18 @@
 """
 
 from bisect import bisect_left, insort
+from collections import Counter
+from itertools import islice
 
 import attrs
 
+from .customers import KINDS, needs_of
 from .urgency import order_key, Rank, rank_ends_at_age_ms, rank_of
+from .waiting import WaitingWork
 
 ENTITLED_RANKS = (Rank.BEGUN, Rank.IN_TIME, Rank.AT_RISK, Rank.LATE)
 REFRESH_MS = 1000.0  # expected run times are learned while jobs wait
+EXPIRED_MAX = 200  # of a round; thousands at once took a third of a second
 
 
 @attrs.frozen
@@ -24,7 +29,7 @@
     core, if the job can be in time, ``late_cores_m`` if it is late or excess; the other
     is 0, and both are if it is hopeless. ``backlog_core_ms`` is the work that it has
     left, 0 if it is lasting, excess or hopeless, and ``excess_core_ms`` that of an
-    excess job.
+    excess job. ``work`` is the same of a job with a customer, else None.
     """
 
     job: object
@@ -35,6 +40,7 @@
     late_cores_m: int
     backlog_core_ms: float
     excess_core_ms: float = 0.0
+    work: object = None
 
 
 def ready_job(job, steps, forecast, priority, wall_ms):
@@ -44,22 +50,34 @@
     ends_ms = accepted_ms + rank_ends_at_age_ms(forecast)
     rank = rank_of(forecast)
     cores_m = sum(state.waiting * state.step.reserved_cores_m for state in steps)
-    return ReadyJob(
-        job,
-        steps,
-        key,
-        min(max(ends_ms, wall_ms), wall_ms + REFRESH_MS),
+    valid_until_ms = min(max(ends_ms, wall_ms), wall_ms + REFRESH_MS)
+    counts = (
         cores_m if rank < Rank.LATE else 0,
         cores_m if rank in (Rank.LATE, Rank.EXCESS) else 0,
         forecast.core_ms if rank in ENTITLED_RANKS else 0.0,
         forecast.core_ms if rank is Rank.EXCESS else 0.0,
     )
+    work = _waiting_work(steps, counts, rank) if job.spec.customer else None
+    return ReadyJob(job, steps, key, valid_until_ms, *counts, work)
+
+
+def _waiting_work(steps, counts, rank):
+    amounts = [0] * len(KINDS)
+    for state in steps if rank < Rank.HOPELESS else ():
+        for kind, need in enumerate(needs_of(state.step)):
+            amounts[kind] += state.waiting * need
+    return WaitingWork(*counts, tuple(amounts))
 
 
 class ReadyJobs:
-    """The ReadyJobs of one service, and the sums of their needs and of their work."""
+    """The ReadyJobs of one service, and the sums of their needs and of their work.
+
+    ``work_by_customer`` maps the customers of these jobs to their WaitingWork.
+    """
 
     def __init__(self):
+        self.work_by_customer = {}
+        self._jobs_by_customer = Counter()
         self._by_name = {}
         self._order = []
         self.urgent_cores_m = 0
@@ -92,6 +110,7 @@
         self.late_cores_m += item.late_cores_m
         self.backlog_core_ms += item.backlog_core_ms
         self.excess_core_ms += item.excess_core_ms
+        self._count_work(item, 1)
 
     def discard(self, name):
         """Remove a job, by name, if it is there."""
@@ -105,11 +124,26 @@
             self.backlog_core_ms = left_core_ms if self._order else 0.0
             left_core_ms = self.excess_core_ms - item.excess_core_ms
             self.excess_core_ms = left_core_ms if self._order else 0.0
+            self._count_work(item, -1)
+
+    def _count_work(self, item, sign):
+        customer = item.job.spec.customer
+        if not customer:
+            return
+        self._jobs_by_customer[customer] += sign
+        if not self._jobs_by_customer[customer]:
+            del self._jobs_by_customer[customer], self.work_by_customer[customer]
+            return
+        self.work_by_customer.setdefault(customer, WaitingWork()).add(item.work, sign)
 
     def expired(self, wall_ms):
-        """Return the names of the jobs whose rank has to be evaluated again."""
-        return [
+        """Return the names of jobs whose rank has to be evaluated again.
+
+        They are EXPIRED_MAX at most, those first that were evaluated longest ago.
+        """
+        names = (
             name
             for name, item in self._by_name.items()
             if item.valid_until_ms <= wall_ms
-        ]
+        )
+        return list(islice(names, EXPIRED_MAX))
--- a/src/cardamomgrade/platform/configfile.py
+++ b/src/cardamomgrade/platform/configfile.py
@@ -187,6 +187,13 @@
                 allowed = f"1 to {KEY_LIMIT_CHARS} ASCII characters without spaces"
                 self.report(where, None, allowed, advice, Level.WARNING)
 
+    def weight(self, fields, path):
+        """Report a weight below 0, with which nodes take no configuration."""
+        value = fields.get("weight", 0)
+        if isinstance(value, _NUMBER) and value < 0:
+            advice = "the weight is the customer's share in jobs a second"
+            self.report((*path, "weight"), value, "0 or more", advice)
+
     def limits(self, fields, path):
         """Report limits below 0, which nodes take for 0, no limit."""
         limits = fields.get("maxCount")
@@ -264,6 +271,7 @@
     for path, item in checker.objects(fields, "tenants", _CUSTOMER):
         checker.nested(item, "maxCount", _LIMITS, path)
         checker.keys(item, path)
+        checker.weight(item, path)
         checker.limits(item, path)
     config = None
     if not any(item.level is Level.ERROR for item in checker.findings):
--- a/src/cardamomgrade/platform/records.py
+++ b/src/cardamomgrade/platform/records.py
@@ -10,6 +10,7 @@
 
 KEY_CONFIG = "config"
 SECRET_FIELDS = ("tenants", "apiKeys")  # their values hold keys, errors must not
+NUMBER_MAX = 1e9  # replaces integers that no float holds
 PREFIX_WAVE = "wave/"
 EXECUTOR_STATES = ("ready", "draining")
 STATUS_RUNNING = "running"
@@ -46,8 +47,8 @@
     value = _get(fields, name, (int, float), default)
     try:
         number = float(value)
-    except OverflowError:
-        number = math.inf
+    except OverflowError:  # an integer of hundreds of digits
+        return NUMBER_MAX if value > 0 else -NUMBER_MAX
     if not math.isfinite(number):
         raise RecordError(f"{name}: not a finite number")
     return number
@@ -87,30 +88,26 @@
 
 
 def _customer(fields):
-    keys = _get(fields, "apiKeys", list, [])
-    if not all(isinstance(key, str) and key for key in keys):
-        raise RecordError("apiKeys: a key is empty or no string")
+    keys = fields.get("apiKeys", [])
+    # The error shows no value: it contains keys.
+    if not isinstance(keys, list) or not all(isinstance(x, str) and x for x in keys):
+        raise RecordError("apiKeys: no list of strings, or a key is empty")
     limits = _get(fields, "maxCount", dict, {})
+    weight = _get_number(fields, "weight", 0)
+    if weight < 0:
+        raise RecordError(f"weight = {weight!r}; allowed: 0 or more")
     return Customer(
         name=_get(fields, "name", str),
-        weight=_get_number(fields, "weight", 0),
+        weight=weight,
         limits=Limits(
             cores_m=max(0, _get(limits, "cpu", int, 0)),
             memory_mb=max(0, _get(limits, "memMb", int, 0)),
             accelerators=max(0, _get(limits, "gpu", int, 0)),
         ),
-        key_digests=tuple(map(_digest, keys)),
+        key_digests=tuple(map(key_digest, keys)),
     )
 
 
-def _digest(key):
-    try:
-        return key_digest(key)
-    except UnicodeEncodeError:
-        # Without its cause, which holds the key.
-        raise RecordError("apiKeys: a key is not valid Unicode") from None
-
-
 def _advice(fields):
     return Advice(
         _get(fields, "decisionMs", int, 0),
