Reject what platform records and answers must not hold

Cause: deep nesting raised RecursionError, lists in place of a conflict's reason TypeError, other values AttributeError, OverflowError or UnicodeEncodeError, all of which end the process; an address, id, key or page token that cannot be sent raised later, in the client. Rows of wrong types in a report reached the scheduler.

Change: checks of JSON values in platform/checks.py, used by all decoders. A report with one malformed row is rejected as a whole; a checkpoint of null counts as none. Registrations need an IPv4 address, a sendable id and a capacity that can exist. The decoders read born, the start of an executor's incarnation, as Unix ms, or 0.

--- a/src/cardamomgrade/jobs/reports.py
+++ b/src/cardamomgrade/jobs/reports.py
@@ -1,7 +1,8 @@
 """Types of the answers and reports that executors and the platform send.
 
-A restart of an executor is a new incarnation with a new id. The field ``executor``
-holds that id.
+The field ``executor`` holds the id of an executor. A restart is a new incarnation: it
+has a new id, or the same id and a higher ``born``, the Unix ms of its start; 0 means
+that the sender gave none.
 """
 
 from enum import Enum, unique
@@ -54,6 +55,7 @@
 
     result: OrderResult
     clock_ms: int = 0
+    born: int = 0
 
 
 @attrs.frozen
@@ -95,6 +97,7 @@
     running: tuple
     ended: tuple
     more_ends: bool = False
+    born: int = 0
 
 
 @attrs.frozen
@@ -117,6 +120,7 @@
     rack: str
     clock_ms: int
     remaining_ms: int = -1
+    born: int = 0
 
 
 STATE_UP = "up"
--- a/src/cardamomgrade/platform/executor.py
+++ b/src/cardamomgrade/platform/executor.py
@@ -12,12 +12,14 @@
     RunningTask,
 )
 from ..wire import HttpRequest
+from .checks import born_ms, is_int, is_number, is_text, parse_object
 
 ORDER_TIMEOUT_S = 0.5  # a healthy executor answers within a few ms
 ORDER_CONNECTIONS = 4  # an order without an answer must not hold up the others
 ANSWER_SLACK_S = 0.7  # beyond the wait that a renewal requests
 ANSWER_LIMIT_BYTES = 4 * 1024 * 1024  # well above a report of 500 ends and all runs
 ENDS_PER_REPORT = 500  # a report with as many may leave out later ones
+TASK_LIMIT_CHARS = 100  # an id of a task has at most 16 digits and three numbers
 MS = 1000
 _CONFLICTS = {
     "fence": OrderResult.FENCED,
@@ -26,47 +28,76 @@
     "room": OrderResult.NO_ROOM,
     "ticket": OrderResult.BAD_TICKET,
 }
+_RESULTS = {
+    200: OrderResult.TAKEN,
+    400: OrderResult.REJECTED,
+    429: OrderResult.NOT_DONE,
+    503: OrderResult.NOT_DONE,
+}
 
 
 def _parse_object(body):
     try:
-        fields = json.loads(body)
+        return parse_object(body)
     except ValueError:
         return {}
-    return fields if isinstance(fields, dict) else {}
 
 
 def _clock_ms(fields):
     clock_ms = fields.get("clockMs", 0)
-    return clock_ms if isinstance(clock_ms, int) else 0
+    return clock_ms if is_int(clock_ms, low=0) else 0
 
 
 def _order_answer(res):
     if isinstance(res, Failure):
         return OrderAnswer(OrderResult.NO_ANSWER if res.sent else OrderResult.NOT_DONE)
     fields = _parse_object(res.body)
-    clock_ms = _clock_ms(fields)
-    if res.status == 200:
-        return OrderAnswer(OrderResult.TAKEN, clock_ms)
-    if res.status == 409:
-        reason = fields.get("reason")
-        return OrderAnswer(_CONFLICTS.get(reason, OrderResult.REJECTED), clock_ms)
     if res.status == 421:
         return OrderAnswer(OrderResult.WRONG_LIFE)
-    if res.status in (429, 503):
-        return OrderAnswer(OrderResult.NOT_DONE, clock_ms)
-    if res.status == 400:
-        return OrderAnswer(OrderResult.REJECTED, clock_ms)
-    return OrderAnswer(OrderResult.NO_ANSWER, clock_ms)
+    result = OrderResult.NO_ANSWER
+    if res.status == 409:
+        reason = fields.get("reason")
+        known = isinstance(reason, str)
+        result = _CONFLICTS.get(reason if known else "", OrderResult.REJECTED)
+    elif res.status in _RESULTS:
+        result = _RESULTS[res.status]
+    return OrderAnswer(result, _clock_ms(fields), born_ms(fields))
+
+
+def _check_run(task, run):
+    if not is_text(task) or len(task) > TASK_LIMIT_CHARS or not is_int(run, low=0):
+        raise ValueError("no task and run")
+
+
+def _checkpoint(value):
+    checkpoint = "" if value is None else value
+    if not is_text(checkpoint):
+        raise ValueError("the checkpoint is no text")
+    return checkpoint
 
 
 def _running_task(row):
-    load = row[4] if len(row) > 4 else 0
-    return RunningTask(row[0], row[1], row[2], row[3], load)
+    task, run, checkpoint, percent, *others = row
+    load = others[0] if others else 0
+    _check_run(task, run)
+    if not (is_number(percent) and is_number(load)):
+        raise ValueError("percent or load is no number")
+    return RunningTask(task, run, _checkpoint(checkpoint), percent, load)
 
 
 def _ended_task(row):
-    return EndedTask(row[0], row[1], row[2], Outcome(row[3]), row[4])
+    number, task, run, outcome, checkpoint, *_ = row
+    _check_run(task, run)
+    if not is_int(number, low=1):
+        raise ValueError("an end has no number")
+    return EndedTask(number, task, run, Outcome(outcome), _checkpoint(checkpoint))
+
+
+def _rows(fields, name):
+    rows = fields[name]
+    if not isinstance(rows, list) or not all(isinstance(row, list) for row in rows):
+        raise ValueError(f"{name} is no list of rows")
+    return rows
 
 
 def _lease_report(res):
@@ -75,12 +106,13 @@
         return answer
     fields = _parse_object(res.body)
     try:
-        running = tuple(_running_task(row) for row in fields["running"])
-        ended = tuple(_ended_task(row) for row in fields["finished"])
-    except (ValueError, TypeError, KeyError, IndexError):
-        return OrderAnswer(OrderResult.REJECTED, answer.clock_ms)
+        running = tuple(_running_task(row) for row in _rows(fields, "running"))
+        ended = tuple(_ended_task(row) for row in _rows(fields, "finished"))
+    except (ValueError, KeyError):
+        # One malformed row makes the others doubtful: runs may seem to be missing.
+        return OrderAnswer(OrderResult.REJECTED, answer.clock_ms, answer.born)
     more_ends = len(ended) >= ENDS_PER_REPORT
-    return LeaseReport(answer.clock_ms, running, ended, more_ends)
+    return LeaseReport(answer.clock_ms, running, ended, more_ends, answer.born)
 
 
 class ExecutorClient:
--- a/src/cardamomgrade/platform/ingress.py
+++ b/src/cardamomgrade/platform/ingress.py
@@ -10,11 +10,13 @@
 from ..jobs.spec import Step
 from ..ops import JSON_HEADER
 from ..wire import HttpResponse
+from .checks import is_int, is_text, parse_json, shown
 
 TEXT_LIMIT_BYTES = 4000  # limit of the field ``spec``, the job's text
 STEPS_LIMIT = 64
 TASKS_LIMIT = 4096
 ID_DIGITS = 16
+DEADLINE_DIGITS = 15
 READY_PATH = "/api/ready"
 KEY_SCHEME = "bearer"
 KEY_LIMIT_CHARS = 512
@@ -31,6 +33,7 @@
     "GET": CallKind.STATUS,
     "DELETE": CallKind.CANCEL,
 }
+_CHECKS = {int: lambda value: is_int(value, low=0), str: is_text}
 _STATUSES = {
     AnswerKind.DONE: 200,
     AnswerKind.NO_QUEUE: 404,
@@ -94,7 +97,8 @@
     """
     rest = path_after_prefix(queue, req.path)
     deadline = req.header("x-deadline-ms", "0")
-    deadline_ms = int(deadline) if deadline.isdecimal() else 0
+    is_time = deadline.isdecimal() and len(deadline) <= DEADLINE_DIGITS
+    deadline_ms = int(deadline) if is_time else 0
     if rest == "" and req.method == "GET":
         return JobCall(CallKind.COUNT, queue.name, "", deadline_ms)
     kind = _METHODS.get(req.method)
@@ -108,13 +112,13 @@
 
 def _decode_job(call, body):
     try:
-        fields = json.loads(body)
+        fields = parse_json(body)
     except ValueError as exc:
         raise RecordError(f"the body is no JSON: {exc}") from exc
     if not isinstance(fields, dict) or not isinstance(fields.get("steps"), list):
         raise RecordError("the body has no steps")
     text = fields.get("spec", "")
-    if not isinstance(text, str) or len(text.encode()) > TEXT_LIMIT_BYTES:
+    if not is_text(text) or len(text.encode()) > TEXT_LIMIT_BYTES:
         raise RecordError("spec is no text of at most 4000 bytes")
     steps = tuple(
         _decode_step(item, number) for number, item in enumerate(fields["steps"])
@@ -124,8 +128,8 @@
     if sum(step.tasks for step in steps) > TASKS_LIMIT:
         raise RecordError("too many tasks")
     times = [fields.get(name, 0) for name in ("repeatCount", "startAtMs", "intervalMs")]
-    if not all(isinstance(item, int) and item >= 0 for item in times):
-        raise RecordError(f"times = {times!r}")
+    if not all(is_int(item, low=0) for item in times):
+        raise RecordError(f"times = {shown(times)}")
     return attrs.evolve(
         call,
         text=text,
@@ -144,14 +148,12 @@
         if name not in fields:
             continue
         value = fields[name]
-        wrong_bool = isinstance(value, bool) and kind is not bool
-        if not isinstance(value, kind) or wrong_bool:
-            raise RecordError(f"step {number}: {name} = {value!r}")
-        if kind is int and value < 0:
-            raise RecordError(f"step {number}: {name} = {value!r}")
+        check = _CHECKS.get(kind)
+        if not (check(value) if check is not None else isinstance(value, kind)):
+            raise RecordError(f"step {number}: {name} = {shown(value)}")
         values[field] = value
     step = Step(**{"tasks": 1, **values})
-    earlier = all(isinstance(item, int) and 0 <= item < number for item in step.after)
+    earlier = all(is_int(item, 0, number - 1) for item in step.after)
     if step.tasks < 1 or not earlier:
         raise RecordError(f"step {number}: tasks or after")
     return step
--- a/src/cardamomgrade/platform/records.py
+++ b/src/cardamomgrade/platform/records.py
@@ -6,29 +6,50 @@
 from ..jobs.customers import Customer, key_digest, Limits
 from ..jobs.queues import Advice, Queue, QueueConfig, Service
 from ..jobs.reports import ExecutorEntry, WaveRequest
+from .checks import (
+    born_ms,
+    INT_LIMIT,
+    is_address,
+    is_header_name,
+    is_int,
+    is_name,
+    is_number,
+    is_text,
+    parse_object,
+    shown,
+)
 
 KEY_CONFIG = "config"
 PREFIX_WAVE = "wave/"
 EXECUTOR_STATES = ("ready", "draining")
 STATUS_RUNNING = "running"
 STATUS_COMPLETED = "completed"
+CAPACITY_MAX = 10**9  # thousandths of a core, or MB; no machine has a tenth of it
+_NUMBER = (int, float)
+_CHECKS = {int: is_int, _NUMBER: is_number, str: is_text}
 
 
 def _parse_object(data):
     try:
-        fields = json.loads(data)
+        return parse_object(data)
     except ValueError as exc:
         raise RecordError(f"not JSON: {exc}") from exc
-    if not isinstance(fields, dict):
-        raise RecordError("not a JSON object")
-    return fields
 
 
 def _get(fields, name, kind, default=None):
+    if not isinstance(fields, dict):
+        raise RecordError(f"{shown(fields)} in place of a table with {name}")
     value = fields.get(name, default)
-    wrong_bool = isinstance(value, bool) and kind is not bool
-    if not isinstance(value, kind) or wrong_bool:
-        raise RecordError(f"{name} = {value!r}: missing or of the wrong type")
+    check = _CHECKS.get(kind)
+    if not (check(value) if check is not None else isinstance(value, kind)):
+        raise RecordError(f"{name} = {shown(value)}: missing or not allowed")
+    return value
+
+
+def _get_count(fields, name, default=None, low=0, high=INT_LIMIT):
+    value = fields.get(name, default)
+    if not is_int(value, low, high):
+        raise RecordError(f"{name} = {shown(value)}; allowed: {low} to {high}")
     return value
 
 
@@ -49,15 +70,16 @@
 
 
 def _queue(fields):
+    name = _get(fields, "name", str)
     advice = fields.get("advice")
     return Queue(
-        name=_get(fields, "name", str),
+        name=name,
         host=_get(fields, "host", str),
         prefix=_get(fields, "pathPrefix", str),
         service=_get(fields, "service", str),
         priority=_get(fields, "priority", int, 0),
         max_attempts=_get(fields, "maxAttempts", int, 1),
-        stretch=float(_get(fields, "stretch", (int, float), 1.0)),
+        stretch=float(_get(fields, "stretch", _NUMBER, 1.0)),
         target_ms=_get(fields, "targetLatencyMs", int, 0),
         timeout_ms=_get(fields, "timeoutMs", int, 0),
         advice=_advice(advice) if isinstance(advice, dict) else None,
@@ -67,12 +89,12 @@
 
 def _customer(fields):
     keys = _get(fields, "apiKeys", list, [])
-    if not all(isinstance(key, str) and key for key in keys):
+    if not all(is_text(key) and key for key in keys):
         raise RecordError("apiKeys: a key is empty or no string")
     limits = _get(fields, "maxCount", dict, {})
     return Customer(
         name=_get(fields, "name", str),
-        weight=float(_get(fields, "weight", (int, float), 0)),
+        weight=float(_get(fields, "weight", _NUMBER, 0)),
         limits=Limits(
             cores_m=max(0, _get(limits, "cpu", int, 0)),
             memory_mb=max(0, _get(limits, "memMb", int, 0)),
@@ -100,27 +122,33 @@
 
 def decode_executor(executor, data):
     """Return the ExecutorEntry in an executor's registration; raise RecordError."""
+    if not is_header_name(executor):
+        raise RecordError(f"id = {shown(executor)}; allowed: printable ASCII")
     fields = _parse_object(data)
     state = _get(fields, "state", str)
     if state not in EXECUTOR_STATES:
-        raise RecordError(f"state = {state!r}; allowed: ready, draining")
+        raise RecordError(f"state = {shown(state)}; allowed: ready, draining")
+    address = _get(fields, "address", str)
+    if not is_address(address):
+        raise RecordError(f"address = {shown(address)}; allowed: ip:port")
     capacity = _get(fields, "capacity", dict)
     labels = _get(fields, "labels", list, [])
-    if not all(isinstance(label, str) for label in labels):
-        raise RecordError(f"labels = {labels!r}; allowed: strings")
+    if not all(is_text(label) for label in labels):
+        raise RecordError(f"labels = {shown(labels)}; allowed: strings")
     return ExecutorEntry(
         executor=executor,
         service=_get(fields, "service", str),
-        address=_get(fields, "address", str),
+        address=address,
         zone=_get(fields, "zone", str, ""),
         draining=state == "draining",
-        cores_m=_get(capacity, "cpu", int),
-        memory_mb=_get(capacity, "memMb", int),
-        accelerators=_get(capacity, "gpu", int, 0),
+        cores_m=_get_count(capacity, "cpu", high=CAPACITY_MAX),
+        memory_mb=_get_count(capacity, "memMb", high=CAPACITY_MAX),
+        accelerators=_get_count(capacity, "gpu", 0, high=CAPACITY_MAX),
         labels=tuple(labels),
         rack=labels[1] if len(labels) > 1 else "",
-        clock_ms=_get(fields, "clockMs", int, 0),
+        clock_ms=_get_count(fields, "clockMs", 0),
         remaining_ms=_get(fields, "remainingMs", int, -1),
+        born=born_ms(fields),
     )
 
 
@@ -128,12 +156,12 @@
     """Return the WaveRequest in a ``wave/N`` record; raise RecordError."""
     fields = _parse_object(data)
     vms = _get(fields, "machines", list)
-    if not all(isinstance(vm, str) for vm in vms):
-        raise RecordError(f"machines = {vms!r}; allowed: strings")
+    if not all(is_name(vm) for vm in vms):
+        raise RecordError(f"machines = {shown(vms)}; allowed: strings")
     return WaveRequest(
         _get(fields, "wave", int),
         tuple(vms),
-        float(_get(fields, "durationS", (int, float), 0)),
+        float(_get(fields, "durationS", _NUMBER, 0)),
         max(1, _get(fields, "maxCount", int, 1)),
     )
 
--- a/src/cardamomgrade/platform/store.py
+++ b/src/cardamomgrade/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's store: appends, reads and the newest record of each key."""
 
 import base64
-import json
 import struct
 from urllib.parse import quote
 
@@ -18,6 +17,7 @@
     Trimmed,
 )
 from ..wire import HttpRequest
+from .checks import is_int, is_text, parse_object
 
 TOPIC_JOBS = "keyed.jobs"
 TOPIC_OPERATOR = "keyed.op"
@@ -66,28 +66,39 @@
 
 def _decode_entry(offset, record):
     size = record[0] if record else 0
+    if 1 + size > len(record):
+        return Entry(offset, "", b"")  # no key of ours; a reader must get past it
     key = record[1 : 1 + size].decode("utf-8", "replace")
     return Entry(offset, key, record[1 + size :])
 
 
 def _decode_page(body):
     try:
-        fields = json.loads(body)
-        entries = tuple(
-            Entry(item["offset"], item["key"], base64.b64decode(item["value"]))
-            for item in fields["items"]
-        )
-        return Page(entries, bool(fields.get("morePages")), fields["end"])
-    except (ValueError, TypeError, KeyError, AttributeError) as exc:
-        raise FeedError(f"newest: {exc!r}") from exc
+        fields = parse_object(body)
+        items, end = fields.get("items"), fields.get("end")
+        if not isinstance(items, list) or not is_int(end, low=0):
+            raise ValueError("no items or no end")
+        entries = tuple(_newest_entry(item) for item in items)
+    except ValueError as exc:
+        raise FeedError(f"newest: {exc}") from exc
+    return Page(entries, bool(fields.get("morePages")), end)
+
+
+def _newest_entry(item):
+    if not isinstance(item, dict):
+        raise ValueError("an item is no table")
+    offset, key, value = item.get("offset"), item.get("key"), item.get("value")
+    if not (is_int(offset, low=0) and is_text(key) and is_text(value)):
+        raise ValueError("an item lacks a field or has one of the wrong type")
+    return Entry(offset, key, base64.b64decode(value))
 
 
 def _int_field(body, name):
     try:
-        value = json.loads(body)[name]
-    except (ValueError, TypeError, KeyError):
+        value = parse_object(body).get(name)
+    except ValueError:
         return None
-    return value if isinstance(value, int) else None
+    return value if is_int(value, low=0) else None
 
 
 class TopicClient:
