Tell incarnations of an executor under one id apart by born

Cause: state was kept by executor id, which was taken for one incarnation. After a restart under the id, runs were reported missing or kept by late reports, a late registration was taken, the new incarnation got acknowledgements of the earlier one's ends and lease deadlines of its clock, and the earlier one's quarantine.

Change: jobs/incarnations.py compares born. A later incarnation ends the runs that the earlier one certainly had, and gets an agent of its own; runs whose start it may have received are asked for, and barred by a stop before their task starts again. Ends are acknowledged and leases granted only where no later incarnation can receive it. A start is repeated only while the scheduler holds its term, since a new incarnation knows no fencing token. A late answer to an order for a VM no longer ends the next incarnation. The emulated executor can start again under its id.

--- a/src/cardamomgrade/client.py
+++ b/src/cardamomgrade/client.py
@@ -176,6 +176,14 @@
         """The number of requests that are queued or in flight."""
         return len(self._queue) + (self._current is not None)
 
+    @property
+    def connected(self):
+        """Whether the next request goes over a connection that has answered before.
+
+        It reaches the same process as the requests before it, or none.
+        """
+        return self._has_conn() and self._conn.received_bytes > 0
+
     def _has_conn(self):
         return self._conn is not None and self._conn.usable
 
--- a/src/cardamomgrade/emulator/executor.py
+++ b/src/cardamomgrade/emulator/executor.py
@@ -30,7 +30,8 @@
     ``trace(kind, executor, task, run)`` is called for every start and end. ``token``
     is the highest fencing token received. ``highest_ended_run`` maps a task to the
     highest number of a run that ended or was stopped. ``percent`` is the progress that
-    is reported for every run.
+    is reported for every run. ``born`` is the start of this incarnation in Unix ms, or
+    0 where executors tell none.
     """
 
     name: str
@@ -43,6 +44,7 @@
     ends: list = attrs.field(factory=list)
     next_end: int = 1
     percent: int = 100
+    born: int = 0
 
     def end_due_runs(self, now_ms):
         """End the runs that are due, and all runs once the lease has lapsed."""
--- a/src/cardamomgrade/emulator/server.py
+++ b/src/cardamomgrade/emulator/server.py
@@ -18,6 +18,9 @@
 MS = 1000
 POLL_S = 0.01
 CLOCK_OFFSET_MS = 480_000  # executors' clocks differ from the scheduler's
+MAX_LEASE_MS = 10_000  # a deadline further ahead is refused
+FIRST_CLOCK_MS = 1000  # of an executor that starts again
+SERVERS = "keyed.servers"
 _LENGTH = struct.Struct(">I")
 
 
@@ -37,13 +40,20 @@
 
 @attrs.define(eq=False)
 class _Instance:
-    """An executor with its server; a ``silent`` one answers no request."""
+    """An executor with its server; a ``silent`` one answers no request.
+
+    ``clock_offset_ms`` is that of its clock to the loop's, and ``entry`` its
+    registration. ``requests`` has the path and fields of every call.
+    """
 
     executor: EmulatedExecutor
     server: object
     port: int
     silent: bool = False
     calls: int = 0
+    clock_offset_ms: float = CLOCK_OFFSET_MS
+    entry: dict = attrs.field(factory=dict)
+    requests: list = attrs.field(factory=list)
 
 
 class EmulatedPlatform:
@@ -152,9 +162,9 @@
 
     # Executors
 
-    def add_executor(self, name, service, cores_m, memory_mb, rack="r1", vm=""):
+    def add_executor(self, name, service, cores_m, memory_mb, rack="r1", vm="", born=0):
         """Start an executor and register it, and add its VM."""
-        executor = EmulatedExecutor(name, self._plan, self._record_run)
+        executor = EmulatedExecutor(name, self._plan, self._record_run, born=born)
         instance = _Instance(executor, None, 0)
         instance.server = HttpServer(
             self.loop, self.net, lambda exchange: self._on_executor(instance, exchange)
@@ -173,8 +183,10 @@
             "labels": ["a", rack],
             "clockMs": int(self.now_ms()),
             "sequence": 1,
+            **({"born": born} if born else {}),
         }
-        self.put("keyed.servers", name, fields)
+        instance.entry = fields
+        self.put(SERVERS, name, fields)
         vm = vm or f"m-{name}"
         self.machines[vm] = {
             "machine": vm,
@@ -185,6 +197,40 @@
             "id": name,
         }
 
+    def restart_executor(self, name, born, same_port=True, register=True):
+        """Start an executor again under its id, without any state; its runs are gone.
+
+        Its clock starts anew, and its connections are closed. Unless ``register`` is
+        set, its registration stays as it is until ``register_executor`` is called.
+        """
+        instance = self.instances[name]
+        instance.executor.shut_down()
+        instance.executor = EmulatedExecutor(
+            name, self._plan, self._record_run, born=born
+        )
+        instance.clock_offset_ms = FIRST_CLOCK_MS - self.loop.now() * MS
+        instance.server.close_all_except(None)
+        if not same_port:
+            instance.port = instance.server.listen(HOST, 0)
+        if register:
+            self.register_executor(name)
+
+    def register_executor(self, name):
+        """Write the registration of an executor's current incarnation."""
+        instance = self.instances[name]
+        instance.entry = {
+            **instance.entry,
+            "address": f"{HOST}:{instance.port}",
+            "clockMs": int(self._clock_ms(instance)),
+            "sequence": 1,
+        }
+        if instance.executor.born:
+            instance.entry["born"] = instance.executor.born
+        self.put(SERVERS, name, instance.entry)
+
+    def _clock_ms(self, instance):
+        return self.loop.now() * MS + instance.clock_offset_ms
+
     def _record_run(self, kind, executor, task, run):
         self.trace.append((kind, executor, task, run))
 
@@ -197,11 +243,15 @@
             exchange.respond(HttpResponse(421))
             return
         fields = json.loads(req.body)
+        instance.requests.append((req.path, fields))
+        now_ms, token = self._clock_ms(instance), fields["fencingToken"]
+        if (fields.get("deadlineMs") or 0) > now_ms + MAX_LEASE_MS:
+            exchange.respond(HttpResponse(400))
+            return
         if req.path == "/api/hold":
             end_s = self.loop.now() + fields.get("waitMs", 0) / MS
-            self._hold(instance, exchange, fields, end_s, True)
+            self._hold(instance, instance.executor, exchange, fields, end_s, True)
             return
-        now_ms, token = self.now_ms(), fields["fencingToken"]
         if req.path == "/api/run-start":
             reason = instance.executor.start(
                 fields["task"], fields["run"], fields["deadlineMs"], token, now_ms
@@ -213,29 +263,36 @@
         else:
             self.paces.append((fields["task"], fields["run"], fields["percent"]))
             reason = ""
-        self._respond(exchange, reason, {})
+        self._respond(instance, exchange, reason, {})
 
-    def _respond(self, exchange, reason, fields):
-        body = {"clockMs": int(self.now_ms()), **fields}
+    def _respond(self, instance, exchange, reason, fields):
+        body = {"clockMs": int(self._clock_ms(instance)), **fields}
         if reason:
             body["reason"] = reason
         exchange.respond(json_response(409 if reason else 200, body))
 
-    def _hold(self, instance, exchange, fields, end_s, first):
-        if exchange.answered or instance.silent:
+    def _hold(self, instance, executor, exchange, fields, end_s, first):
+        is_over = executor is not instance.executor
+        if exchange.answered or instance.silent or is_over:
             return
         deadline = fields.get("deadlineMs") if first else None
-        executor = instance.executor
         reason = executor.renew(
-            deadline, fields["ackIndex"], fields["fencingToken"], self.now_ms()
+            deadline,
+            fields["ackIndex"],
+            fields["fencingToken"],
+            self._clock_ms(instance),
         )
         if not reason and not executor.ends and self.loop.now() < end_s:
-            self.loop.call_later(
-                POLL_S, lambda: self._hold(instance, exchange, fields, end_s, False)
-            )
+
+            def hold_on():
+                self._hold(instance, executor, exchange, fields, end_s, False)
+
+            self.loop.call_later(POLL_S, hold_on)
             return
         lists = {"running": executor.rows(), "finished": executor.ends[:500]}
-        self._respond(exchange, reason, {} if reason else lists)
+        if executor.born:
+            lists["born"] = executor.born
+        self._respond(instance, exchange, reason, {} if reason else lists)
 
     # VMs
 
--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -1,17 +1,21 @@
 """Scheduler side of one executor: renews its lease, sends orders, reads reports.
 
-A restart of an executor is a new incarnation, which registers under a new id.
+An agent belongs to one incarnation of its executor. A restart is a new incarnation,
+under a new id or under the same id with a higher ``born``, and gets a new agent.
 """
 
 import attrs
 
 from ..journal import event, log_event
+from .incarnations import is_earlier, is_later
 from .lease import lapse_bound_s, Lease
-from .reports import LeaseReport, OrderResult
+from .reports import LeaseReport, OrderAnswer, OrderResult
 
 RENEW_WAIT_MS = 1000  # a quarter of the lease, so that three renewals may fail
 WATCHED_WAIT_MS = 250  # while a task starts or is paced; executors measure every 500 ms
 WITHHELD_WAIT_MS = 500  # so that the lease is granted soon after the store is back
+SETTLING_WAIT_MS = 50  # while it is not known whether a start reached an incarnation
+JUST_ANSWERED_S = 0.05  # no executor starts again and ends a run in this time
 UNSTORED_ENDS_WAIT_S = 1.0  # renew then, even if ends are not stored yet
 RENEW_RETRY_S = 0.2
 START_RETRY_S = 0.1
@@ -73,12 +77,14 @@
     by when it has taken effect if at all; ``order`` is None for one of another agent;
     ``deadline_ms`` is the lease deadline sent with it, or 0 to take a new one;
     ``maybe_received`` is set when an attempt had no answer and may have arrived.
+    ``confirmed`` is set when the agent's incarnation itself showed that it got it.
     """
 
     order: object
     accepted_at: float | None = None
     deadline_ms: int = 0
     maybe_received: bool = False
+    confirmed: bool = False
 
 
 class ExecutorAgent:
@@ -86,10 +92,11 @@
 
     ``driver`` has the callbacks ``on_runs_ended``, ``on_executor_gone``,
     ``on_lease_lapsed``, ``on_run_withdrawn``, ``on_run_missing``,
-    ``on_start_refused``, ``on_reachable`` and ``on_fenced``, and ``on_running``, which
-    returns whether to request reports more often. Leases are granted only while its
-    ``may_grant()`` is true, since a successor that cannot reach an executor counts its
-    lease from the start of its own term. ``inherited`` is whether an earlier
+    ``on_start_refused``, ``on_reachable``, ``on_incarnation`` and ``on_fenced``, and
+    ``on_running``, which returns whether to request reports more often. Leases are
+    granted and starts sent only while its ``may_grant()`` is true, since a successor
+    that cannot reach an executor counts its lease from the start of its own term, and
+    an executor that starts again accepts any epoch. ``inherited`` is whether an earlier
     scheduler placed the runs that are on the executor now. While ``silences``
     (SilentExecutors) may have a record of the executor, no request grants the lease.
 
@@ -122,6 +129,7 @@
         self._retry = None
         self._wait_ms = RENEW_WAIT_MS
         self._answered = False
+        self._proven_at = self._reported_at = float("-inf")
         self._closed = False
         if self._has_silence_record():
             self._mark_unreachable("it was silent before")
@@ -139,9 +147,48 @@
             self.stop(task, run)
         self.renew_if_needed()
 
+    def unsettled_runs(self):
+        """Return the runs, (task, run), that a later incarnation may have received.
+
+        Runs that an earlier scheduler placed are among them, as their records do not
+        tell on which incarnation.
+        """
+        return self._inherited | {
+            run
+            for run, pending in self._starts.items()
+            if not self._is_settled(pending)
+        }
+
+    def _is_settled(self, pending):
+        """Return whether this incarnation got a start and no later one can get it."""
+        accepted_at = pending.accepted_at
+        is_proven = accepted_at is not None and accepted_at < self._proven_at
+        return pending.confirmed or (is_proven and not pending.maybe_received)
+
+    def succeed(self, other, max_lease_ms):
+        """Take over the unsettled runs of the closed agent of an earlier incarnation.
+
+        The other runs must be over. The next report settles those that were accepted;
+        of the others, those that it lacks are stopped first, as they may still arrive.
+        ``max_lease_ms`` is the longest lease that an executor accepts.
+        """
+        placed = {(task, item.run) for task, item in self._executor.allocations.items()}
+        self._inherited = other._inherited & placed
+        for run in placed - self._inherited:
+            pending = other._starts[run]
+            accepted_at = None if pending.maybe_received else pending.accepted_at
+            self._starts[run] = _PendingStart(None, accepted_at)
+        if self._starts:
+            now = self._loop.now()
+            self._lease.expect_until(now + lapse_bound_s(max_lease_ms))
+        for task, run in other._stopping:
+            if (task, run) in placed:
+                self.stop(task, run)
+        self.renew_if_needed()
+
     @property
     def name(self):
-        """The id of the executor's incarnation."""
+        """The id of the executor."""
         return self._executor.name
 
     def close(self):
@@ -200,21 +247,27 @@
     def _renew(self):
         self._renewing = True
         now = self._renewed_at = self._loop.now()
-        stored_end = self._stored_end
+        is_same = self._reaches_same_incarnation(now)
+        stored_end = self._stored_end if is_same else 0
         may_wait = (
             self._executor.allocations
+            and is_same
             and not self._executor.unreachable
             and not self._inherited
             and self._lease.knows_clock(now)
         )
         to_grant = self._executor.allocations and not self._executor.unreachable
-        deadline = self._lease.grant(now) if to_grant and self._may_grant() else None
+        may_grant = to_grant and is_same and self._may_grant()
+        deadline = self._lease.grant(now) if may_grant else None
         wait_ms = self._wait_ms if may_wait else 0
+        if any(map(_is_unanswered, self._starts.values())):
+            wait_ms = min(wait_ms, SETTLING_WAIT_MS)
         if to_grant and deadline is None:
             wait_ms = min(wait_ms, WITHHELD_WAIT_MS)
 
         def done(report):
             self._renewing = False
+            report = self._check_incarnation(report)
             if isinstance(report, LeaseReport):
                 self._acknowledged_end = max(self._acknowledged_end, stored_end)
             if not self._closed:
@@ -222,11 +275,43 @@
 
         self._client.renew(deadline, stored_end, wait_ms, done)
 
+    def _reaches_same_incarnation(self, now):
+        """Return whether a renewal sent now can reach no later incarnation.
+
+        That one would take the acknowledgement for its own ends, and forget them
+        before anyone has read them, and the deadline for a time of its own clock. A
+        server may close each connection after its answer, so a recent answer is enough.
+        """
+        return (
+            not self._executor.entry.born
+            or self._client.reaches_same_process
+            or now - self._reported_at < JUST_ANSWERED_S
+        )
+
+    def _check_incarnation(self, answer):
+        """Return an answer, or one of NO_ANSWER in place of an earlier incarnation's.
+
+        An answer of a later incarnation makes the driver close this agent.
+        """
+        known = self._executor.entry.born
+        if self._closed or answer.born in (0, known):
+            return answer
+        if is_earlier(answer.born, known):
+            is_fenced = getattr(answer, "result", None) is OrderResult.FENCED
+            return answer if is_fenced else OrderAnswer(OrderResult.NO_ANSWER)
+        if is_later(answer.born, known):
+            self._driver.on_incarnation(self.name, answer.born, answer.clock_ms)
+        else:
+            entry = self._executor.entry
+            self._executor.entry = attrs.evolve(entry, born=answer.born)
+        return answer
+
     def _on_report(self, report, sent_at):
         now = self._loop.now()
         if isinstance(report, LeaseReport):
             self._lease.update_clock(now, report.clock_ms)
             self._answered = True
+            self._proven_at, self._reported_at = sent_at, now
             if self._executor.unreachable or self._has_silence_record():
                 self._silences.clear(self.name, self._on_silence_cleared)
             self._process_ends(report)
@@ -242,7 +327,10 @@
         if report.result is OrderResult.FENCED:
             self._driver.on_fenced(self.name)
             return
-        if report.result is OrderResult.WRONG_LIFE:
+        # Where ids outlive incarnations, the address of the registration may be older
+        # than the incarnation that an earlier scheduler placed runs on.
+        may_be_elsewhere = self._executor.entry.born and self._inherited
+        if report.result is OrderResult.WRONG_LIFE and not may_be_elsewhere:
             self._report_gone("another incarnation answers at its address")
             return
         was_unreachable = self._executor.unreachable
@@ -336,10 +424,14 @@
                 if is_inherited:
                     accepted = _PendingStart(None, sent_at)
                     self._starts[task, allocation.run] = accepted
+                self._confirm(task, allocation.run, sent_at)
                 continue
             pending = self._starts.get((task, allocation.run))
             if is_inherited:
                 self._driver.on_run_withdrawn(self.name, task, allocation.run)
+            elif pending is not None and _is_unanswered(pending):
+                # It may still arrive, until the executor has taken an order to stop it.
+                self.stop(task, allocation.run)
             elif (
                 pending is not None
                 and pending.accepted_at
@@ -351,6 +443,14 @@
         watch_closely = self._driver.on_running(self.name, report.running)
         self._wait_ms = WATCHED_WAIT_MS if watch_closely else RENEW_WAIT_MS
 
+    def _confirm(self, task, run, sent_at):
+        """Note that this incarnation reports a run."""
+        pending = self._starts.get((task, run))
+        if pending is not None:
+            pending.confirmed = True
+            if _is_unanswered(pending):
+                pending.accepted_at = sent_at
+
     # Orders
 
     def start(self, order):
@@ -373,13 +473,22 @@
             return
         if run in self._stopping:
             return  # the stop settles whether it runs
-        if not pending.deadline_ms:
-            if not self._may_grant():
-                self._loop.call_later(START_RETRY_S, lambda: self._send_start(pending))
-                return
+        is_repeated = bool(pending.deadline_ms)
+        if not (self._driver.may_grant() if is_repeated else self._may_grant()):
+            self._loop.call_later(START_RETRY_S, lambda: self._send_start(pending))
+            return
+        if not is_repeated:
             pending.deadline_ms = self._lease.grant(self._loop.now())
 
         def done(answer):
+            if self._closed:
+                return
+            born = self._executor.entry.born
+            if answer.result is OrderResult.TAKEN and answer.born >= born > 0:
+                # By a later incarnation too, which is asked for its runs then.
+                pending.accepted_at = self._loop.now()
+                pending.confirmed = answer.born == born
+            answer = self._check_incarnation(answer)
             if not self._closed:
                 self._on_started(pending, answer)
 
@@ -425,6 +534,9 @@
             return
 
         def done(answer):
+            answer = self._check_incarnation(answer)
+            if self._closed:
+                return
             self._lease.update_clock(self._loop.now(), answer.clock_ms)
             allocation = self._executor.allocations.get(task)
             if allocation is None or allocation.run != run:
@@ -455,7 +567,16 @@
 
     def pace(self, order, on_done):
         """Send a Pace order; ``on_done`` gets the OrderAnswer."""
-        self._client.pace(order, on_done)
+
+        def done(answer):
+            on_done(self._check_incarnation(answer))
+
+        self._client.pace(order, done)
+
+
+def _is_unanswered(pending):
+    """Return whether a start of another agent may or may not have arrived."""
+    return pending.order is None and pending.accepted_at is None
 
 
 @attrs.frozen
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -4,11 +4,11 @@
 
 import attrs
 
-from ..errors import RecordError
 from ..journal import event, log_event
 from .agent import ExecutorAgent
 from .availability import Availability
 from .follow import TopicFollower
+from .incarnations import Registrations
 from .lease import lapse_bound_s, LEASE_MS
 from .pace import Pacer
 from .records import (
@@ -35,14 +35,6 @@
 MS = 1000
 
 
-@event(613)
-class EntryUnreadable:
-    """An executor's registration cannot be decoded and is ignored."""
-
-    executor: str
-    detail: str
-
-
 @event(612)
 class PaceOrdered:
     """A fill task was ordered to run at ``percent`` of full speed.
@@ -106,6 +98,14 @@
         self._jobs_topic = platform.jobs_topic()
         self._writer = Writer(loop, self._jobs_topic, term, self.depose, metrics)
         self._silences = SilentExecutors(loop, self._writer, view.silent)
+        self._registrations = Registrations(
+            loop,
+            platform.decode_executor,
+            self._scheduler,
+            self._agents,
+            self._add_agent,
+            cfg.max_lease_ms,
+        )
         settled_at = loop.now() + cfg.stop_ms / MS + EPOCH_SPREAD_S
         self._availability = Availability(self._step_state_of, settled_at)
         deps = VmDependencies(self._scheduler, self._writer, self._availability)
@@ -199,23 +199,8 @@
         self.request_plan()
 
     def _on_executor(self, entry):
-        prefix, _, name = entry.key.rpartition("/")
-        if not entry.value:
-            self._scheduler.unlist_executor(name)
-            self.request_plan()
-            return
-        try:
-            decoded = self._platform.decode_executor(name, entry.value)
-        except RecordError as exc:
-            log_event(EntryUnreadable(name, str(exc)))
-            return
-        known = self._scheduler.executors.get(name)
-        was_listed = known is not None and known.listed
-        self._scheduler.put_executor(decoded)
-        if known is None:
-            self._add_agent(name)
-        if not was_listed:
-            self._agents[name].renew_if_needed()
+        _, _, name = entry.key.rpartition("/")
+        self._registrations.apply(name, entry.value)
         self.request_plan()
 
     def _on_executors_read(self):
@@ -251,10 +236,8 @@
         self._writer.store(dirty, stored)
 
     def _send(self, starts, stops, end_numbers):
-        for name, number in end_numbers.items():
-            agent = self._agents.get(name)
-            if agent is not None:
-                agent.acknowledge_ends(number)
+        for agent, number in end_numbers.items():
+            agent.acknowledge_ends(number)
         for order in starts:
             if self._scheduler.is_valid_start(order):
                 self._agents[order.executor].start(order)
@@ -380,7 +363,10 @@
                 item.checkpoint,
                 self._loop.now() * MS,
             )
-            self._end_numbers[name] = max(self._end_numbers.get(name, 0), item.number)
+        # By agent, since the numbers begin anew with each incarnation.
+        agent = self._agents[name]
+        newest = max(item.number for item in ends)
+        self._end_numbers[agent] = max(self._end_numbers.get(agent, 0), newest)
         self.request_plan()
 
     def on_run_withdrawn(self, name, task, run):
@@ -414,6 +400,11 @@
         self._forget_executor(name)
         self.request_plan()
 
+    def on_incarnation(self, name, born, clock_ms):
+        """Give up the known incarnation of an executor, as a later one answered."""
+        self._registrations.on_answer(name, born, clock_ms)
+        self.request_plan()
+
     def on_fenced(self, name):
         """End the term, as an executor has received a newer epoch."""
         self.depose(f"executor {name} has received a newer epoch")
--- a/src/cardamomgrade/jobs/lease.py
+++ b/src/cardamomgrade/jobs/lease.py
@@ -35,6 +35,15 @@
         self._clock_ms = clock_ms
         self._answered_at = float("-inf")
         self.granted_at = now if granted_at is None else granted_at
+        self._lapses_after = float("-inf")
+
+    def expect_until(self, time_s):
+        """Count the lease as granted until ``time_s`` at least.
+
+        An executor that started again may have received a deadline of its earlier
+        incarnation, whose clock may have been ahead of its own.
+        """
+        self._lapses_after = time_s
 
     def update_clock(self, now, clock_ms):
         """Set the executor's clock from an answer just received; 0 is no value."""
@@ -61,7 +70,8 @@
 
     def lapses_in(self, now):
         """Return the seconds until every lease granted so far has certainly lapsed."""
-        return self.granted_at + lapse_bound_s(self._lease_ms) - now
+        lapses_at = self.granted_at + lapse_bound_s(self._lease_ms)
+        return max(lapses_at, self._lapses_after) - now
 
     def has_lapsed(self, now):
         """Return whether every lease granted so far has certainly lapsed."""
--- a/src/cardamomgrade/jobs/probes.py
+++ b/src/cardamomgrade/jobs/probes.py
@@ -41,6 +41,11 @@
             del self._runs[name]
         return was_probe
 
+    def forget(self, name):
+        """Forget the runs and the pause of an executor that has started again."""
+        self._runs.pop(name, None)
+        self._rest_until_ms.pop(name, None)
+
     def rest(self, name, now_ms):
         """Start no probe on an executor for PROBE_REST_MS, since a run failed there."""
         self._rest_until_ms[name] = now_ms + PROBE_REST_MS
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -262,6 +262,12 @@
         if executor is not None:
             self._pools[executor.entry.service].pop(name, None)
 
+    def reset_executor(self, name):
+        """Forget the pause and the failures of an executor that has started again."""
+        self._paused_until_ms.pop(name, None)
+        self._health.reopen(name)
+        self._probes.forget(name)
+
     def pool(self, service):
         """Return the executors of a service."""
         return list(self._pools.get(service, {}).values())
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -1,6 +1,7 @@
 """Sends the scheduler's orders for VMs: upkeep in waves, and moves between pools."""
 
 from ..journal import event, log_event
+from .incarnations import is_later
 from .load import LoadPublisher
 from .pools import PoolPlanner
 from .records import (
@@ -115,6 +116,7 @@
         self._listing = False
         self._upkeep_in_flight = {}
         self._ending_by_move = {}
+        self._born_by_move = {}
         self._newest_orders = {}
         self._announced = set()
         self._moves_per_s = cfg.vm_orders_per_s * MOVE_ORDERS_FRACTION
@@ -277,6 +279,7 @@
             self._pools.record_ordered(move, now)
             if move.executor:
                 self._ending_by_move[move.vm] = move.executor
+                self._born_by_move[move.vm] = self._born(move.executor)
             self._order_move(move)
         self._load.log_pools(loads, len(self._ending_by_move), now)
         self._load.publish(loads, self._pools.shares, now)
@@ -326,8 +329,9 @@
             return
         log_event(MoveOrdered(move.vm, move.pool, move.executor, result.value))
         self._ending_by_move.pop(move.vm, None)
+        born = self._born_by_move.pop(move.vm, 0)
         if result in (VmOrderResult.DONE, VmOrderResult.NO_ANSWER):
-            self._driver.on_executor_gone(move.executor)
+            self._on_ended(move.executor, born)
         elif result is VmOrderResult.FENCED:
             self._driver.depose("the platform has received a newer epoch")
         elif result is VmOrderResult.NOT_DONE:
@@ -335,8 +339,18 @@
         else:
             self._pools.record_refused(move, self._loop.now())
 
+    def _born(self, name):
+        executor = self._scheduler.executors.get(name)
+        return executor.entry.born if executor is not None else 0
+
+    def _on_ended(self, name, born):
+        """Report the end of an incarnation, unless a later one has its id already."""
+        if not is_later(self._born(name), born):
+            self._driver.on_executor_gone(name)
+
     def _order_upkeep(self, vm, wave, executor):
         self._upkeep_in_flight[vm] = executor
+        born = self._born(executor)
         state = self._upkeep.waves[wave]
         state.ordered[vm] = OrderedUpkeep(executor, self._loop.now())
         record = UpkeepRecord(wave, executor, self._epoch)
@@ -351,7 +365,7 @@
                 self._store_begun(wave, vm, executor)
                 self._announce(wave, state)
                 if vm not in state.unconfirmed:
-                    self._driver.on_executor_gone(executor)
+                    self._on_ended(executor, born)
             elif result in (VmOrderResult.BUSY, VmOrderResult.NOT_DONE):
                 if vm not in state.unconfirmed:
                     state.ordered.pop(vm, None)
--- a/src/cardamomgrade/platform/executor.py
+++ b/src/cardamomgrade/platform/executor.py
@@ -136,6 +136,11 @@
         self._renewals.close()
         self._orders.close()
 
+    @property
+    def reaches_same_process(self):
+        """Whether a renewal reaches the process that answered the last one, or none."""
+        return self._renewals.connected
+
     def _send(self, requester, path, fields, on_done, timeout):
         body = json.dumps({**fields, "fencingToken": self._epoch}).encode()
         req = HttpRequest("POST", path, self._headers, body)
