--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -10,6 +10,7 @@
 from .incarnations import is_earlier, is_later
 from .lease import lapse_bound_s, Lease
 from .reports import LeaseReport, OrderAnswer, OrderResult
+from .starts import PendingStart
 
 RENEW_WAIT_MS = 1000  # a quarter of the lease, so that three renewals may fail
 WATCHED_WAIT_MS = 250  # while a task starts or is paced; executors measure every 500 ms
@@ -69,24 +70,6 @@
     run: int
 
 
-@attrs.define(eq=False)
-class _PendingStart:
-    """A start order until the run ends.
-
-    ``accepted_at`` is when the executor confirmed it (monotonic seconds), or None, or
-    by when it has taken effect if at all; ``order`` is None for one of another agent;
-    ``deadline_ms`` is the lease deadline sent with it, or 0 to take a new one;
-    ``maybe_received`` is set when an attempt had no answer and may have arrived.
-    ``confirmed`` is set when the agent's incarnation itself showed that it got it.
-    """
-
-    order: object
-    accepted_at: float | None = None
-    deadline_ms: int = 0
-    maybe_received: bool = False
-    confirmed: bool = False
-
-
 class ExecutorAgent:
     """Sends orders to one executor and renews its lease while it has runs.
 
@@ -94,11 +77,13 @@
     ``on_lease_lapsed``, ``on_run_withdrawn``, ``on_run_missing``,
     ``on_start_refused``, ``on_reachable``, ``on_incarnation`` and ``on_fenced``, and
     ``on_running``, which returns whether to request reports more often. Leases are
-    granted and starts sent only while its ``may_grant()`` is true, since a successor
-    that cannot reach an executor counts its lease from the start of its own term, and
-    an executor that starts again accepts any epoch. ``inherited`` is whether an earlier
-    scheduler placed the runs that are on the executor now. While ``silences``
-    (SilentExecutors) may have a record of the executor, no request grants the lease.
+    granted only while its ``may_grant()`` is true, since a successor that cannot reach
+    an executor counts its lease from the start of its own term. ``inherited`` is
+    whether an earlier scheduler placed the runs that are on the executor now. While
+    ``silences`` (SilentExecutors) may have a record of the executor, no request grants
+    the lease. ``client`` has ``reaches_same_process``, whether a renewal sent now
+    reaches the process that answered the last one, or none; it is read only for
+    executors whose ``born`` is known.
 
     Ends of runs are numbered. They are acknowledged to the executor once stored:
     ``_received_end`` >= ``_stored_end`` >= ``_acknowledged_end``.
@@ -141,7 +126,7 @@
         """
         started_by = self._loop.now() + lapse_bound_s(self._lease_ms)
         for run in other._inherited.union(other._starts):
-            self._starts[run] = _PendingStart(None, started_by)
+            self._starts[run] = PendingStart(None, started_by)
         self._inherited.clear()
         for task, run in other._stopping:
             self.stop(task, run)
@@ -156,15 +141,9 @@
         return self._inherited | {
             run
             for run, pending in self._starts.items()
-            if not self._is_settled(pending)
+            if not pending.is_settled(self._proven_at)
         }
 
-    def _is_settled(self, pending):
-        """Return whether this incarnation got a start and no later one can get it."""
-        accepted_at = pending.accepted_at
-        is_proven = accepted_at is not None and accepted_at < self._proven_at
-        return pending.confirmed or (is_proven and not pending.maybe_received)
-
     def succeed(self, other, max_lease_ms):
         """Take over the unsettled runs of the closed agent of an earlier incarnation.
 
@@ -175,9 +154,7 @@
         placed = {(task, item.run) for task, item in self._executor.allocations.items()}
         self._inherited = other._inherited & placed
         for run in placed - self._inherited:
-            pending = other._starts[run]
-            accepted_at = None if pending.maybe_received else pending.accepted_at
-            self._starts[run] = _PendingStart(None, accepted_at)
+            self._starts[run] = other._starts[run].handed_over()
         if self._starts:
             now = self._loop.now()
             self._lease.expect_until(now + lapse_bound_s(max_lease_ms))
@@ -260,7 +237,7 @@
         may_grant = to_grant and is_same and self._may_grant()
         deadline = self._lease.grant(now) if may_grant else None
         wait_ms = self._wait_ms if may_wait else 0
-        if any(map(_is_unanswered, self._starts.values())):
+        if any(pending.is_unanswered for pending in self._starts.values()):
             wait_ms = min(wait_ms, SETTLING_WAIT_MS)
         if to_grant and deadline is None:
             wait_ms = min(wait_ms, WITHHELD_WAIT_MS)
@@ -422,14 +399,15 @@
             is_inherited = (task, allocation.run) in self._inherited
             if (task, allocation.run) in reported:
                 if is_inherited:
-                    accepted = _PendingStart(None, sent_at)
+                    accepted = PendingStart(None, sent_at)
                     self._starts[task, allocation.run] = accepted
-                self._confirm(task, allocation.run, sent_at)
+                if (task, allocation.run) in self._starts:
+                    self._starts[task, allocation.run].confirm(sent_at)
                 continue
             pending = self._starts.get((task, allocation.run))
             if is_inherited:
                 self._driver.on_run_withdrawn(self.name, task, allocation.run)
-            elif pending is not None and _is_unanswered(pending):
+            elif pending is not None and pending.is_unanswered:
                 # It may still arrive, until the executor has taken an order to stop it.
                 self.stop(task, allocation.run)
             elif (
@@ -443,14 +421,6 @@
         watch_closely = self._driver.on_running(self.name, report.running)
         self._wait_ms = WATCHED_WAIT_MS if watch_closely else RENEW_WAIT_MS
 
-    def _confirm(self, task, run, sent_at):
-        """Note that this incarnation reports a run."""
-        pending = self._starts.get((task, run))
-        if pending is not None:
-            pending.confirmed = True
-            if _is_unanswered(pending):
-                pending.accepted_at = sent_at
-
     # Orders
 
     def start(self, order):
@@ -461,7 +431,7 @@
         if self._has_silence_record():
             self._driver.on_run_withdrawn(self.name, order.task, order.run)
             return
-        pending = _PendingStart(order)
+        pending = PendingStart(order)
         self._starts[order.task, order.run] = pending
         self._send_start(pending)
         self.renew_if_needed()
@@ -473,11 +443,10 @@
             return
         if run in self._stopping:
             return  # the stop settles whether it runs
-        is_repeated = bool(pending.deadline_ms)
-        if not (self._driver.may_grant() if is_repeated else self._may_grant()):
+        if not self._may_send_start(pending):
             self._loop.call_later(START_RETRY_S, lambda: self._send_start(pending))
             return
-        if not is_repeated:
+        if not pending.deadline_ms:
             pending.deadline_ms = self._lease.grant(self._loop.now())
 
         def done(answer):
@@ -494,6 +463,16 @@
 
         self._client.start(order, pending.deadline_ms, done)
 
+    def _may_send_start(self, pending):
+        """Return whether a start may be sent now, for the first time or again.
+
+        An incarnation that has just begun knows no successor's epoch, so that it would
+        accept a start that is repeated after the successor gave the run up.
+        """
+        if not pending.deadline_ms:
+            return self._may_grant()
+        return not self._executor.entry.born or self._driver.may_grant()
+
     def _on_started(self, pending, answer):
         order, result = pending.order, answer.result
         now = self._loop.now()
@@ -574,11 +553,6 @@
         self._client.pace(order, done)
 
 
-def _is_unanswered(pending):
-    """Return whether a start of another agent may or may not have arrived."""
-    return pending.order is None and pending.accepted_at is None
-
-
 @attrs.frozen
 class _RunId:
     task: str
--- a/src/cardamomgrade/platform/checks.py
+++ b/src/cardamomgrade/platform/checks.py
@@ -11,6 +11,7 @@
 NAME_LIMIT_BYTES = 200  # a key of the store has 255, with a prefix before the name
 TEXT_SHOWN_CHARS = 80
 PORT_MAX = 65_535
+BORN_MAX_MS = 10**13  # year 2286; a foreign value above would outrank all true ones
 
 
 def parse_json(data):
@@ -102,4 +103,4 @@
     0 stands for a missing value and for one that is no such time.
     """
     value = fields.get("born")
-    return value if is_int(value, low=1) else 0
+    return value if is_int(value, low=1, high=BORN_MAX_MS) else 0
--- a/tests/jobs/incarnations.feature
+++ b/tests/jobs/incarnations.feature
@@ -241,3 +241,16 @@
     When a job of 4 tasks of 1 s runs on it
     And the node that schedules is killed, and the executor starts again with born 2000
     Then the job is completed at the other node, and no task ever ran twice at a time
+
+  Scenario Outline: the end of a run on an incarnation not yet known is read, not forgotten
+    Given 1 nodes on an emulated platform with an executor born at 1000
+    When a job of 4 tasks of 1 s runs on it
+    And it is idle and starts again with born 2000, registering <when>
+    And a job of 3 tasks of <ms> ms comes
+    Then that job is completed, and each of its 3 tasks ended done once
+
+    Examples:
+      | when    | ms  |
+      | late    | 5   |
+      | late    | 150 |
+      | at once | 5   |
--- a/tests/platform/decoders.feature
+++ b/tests/platform/decoders.feature
@@ -116,4 +116,5 @@
       | true          | 0             |
       | null          | 0             |
       | -5            | 0             |
+      | 9000000000000000 | 0          |
       | []            | 0             |
--- a/tests/steps/jobs_restarts.py
+++ b/tests/steps/jobs_restarts.py
@@ -142,3 +142,31 @@
     for job in world.jobs:
         world.wait_state("completed", job=job)
     check_runs(world)
+
+
+@when("it is idle and starts again with born {born:d}, registering {when}")
+def step_idle_restart(context, born, when):
+    world = context.nodes
+    world.wait_state("completed")
+    executor = world.platform.instances[NAME].executor
+    world.rig.run_until(lambda: executor.next_end == 5 and not executor.ends)
+    restart(world, NAME, born, register=when == "at once")
+
+
+@when("a job of {tasks:d} tasks of {ms:d} ms comes")
+def step_short_job(context, tasks, ms):
+    world = context.nodes
+    world.task_ms = ms
+    world.second = "00000000000000b1"
+    assert world.submit([step_fields(tasks)], job=world.second).status == 200
+    world.rig.run_for(1.0)
+    world.platform.register_executor(NAME)
+
+
+@then("that job is completed, and each of its {tasks:d} tasks ended done once")
+def step_short_done(context, tasks):
+    world = context.nodes
+    world.wait_state("completed", job=world.second)
+    check_runs(world)
+    done = world.done(world.second)
+    assert len(done) == len(set(done)) == tasks, done
