Keep a repeated start from reaching the next incarnation unnoticed

Cause: a run that a report listed counted as settled although its start, whose answer was lost, was repeated. When the executor started again, the repetition in flight reached the new incarnation, which ran the task while it was started again elsewhere.

Change: such a run is settled once the last attempt had ended before a request that the incarnation answered; a start is not repeated once its run was reported.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -126,7 +126,9 @@
         """
         started_by = self._loop.now() + lapse_bound_s(self._lease_ms)
         for run in other._inherited.union(other._starts):
-            self._starts[run] = PendingStart(None, started_by)
+            self._starts[run] = PendingStart(
+                None, started_by, attempt_ended_at=self._loop.now()
+            )
         self._inherited.clear()
         for task, run in other._stopping:
             self.stop(task, run)
@@ -151,12 +153,12 @@
         of the others, those that it lacks are stopped first, as they may still arrive.
         ``max_lease_ms`` is the longest lease that an executor accepts.
         """
+        now = self._loop.now()
         placed = {(task, item.run) for task, item in self._executor.allocations.items()}
         self._inherited = other._inherited & placed
         for run in placed - self._inherited:
-            self._starts[run] = other._starts[run].handed_over()
+            self._starts[run] = other._starts[run].handed_over(now)
         if self._starts:
-            now = self._loop.now()
             self._lease.expect_until(now + lapse_bound_s(max_lease_ms))
         for task, run in other._stopping:
             if (task, run) in placed:
@@ -399,10 +401,10 @@
             is_inherited = (task, allocation.run) in self._inherited
             if (task, allocation.run) in reported:
                 if is_inherited:
-                    accepted = PendingStart(None, sent_at)
+                    accepted = PendingStart(None, sent_at, attempt_ended_at=sent_at)
                     self._starts[task, allocation.run] = accepted
                 if (task, allocation.run) in self._starts:
-                    self._starts[task, allocation.run].confirm(sent_at)
+                    self._starts[task, allocation.run].report(sent_at)
                 continue
             pending = self._starts.get((task, allocation.run))
             if is_inherited:
@@ -441,8 +443,8 @@
         run = (order.task, order.run)
         if self._closed or self._starts.get(run) is not pending:
             return
-        if run in self._stopping:
-            return  # the stop settles whether it runs
+        if run in self._stopping or pending.reported:
+            return  # the stop settles whether it runs, or it does
         if not self._may_send_start(pending):
             self._loop.call_later(START_RETRY_S, lambda: self._send_start(pending))
             return
@@ -453,14 +455,16 @@
             if self._closed:
                 return
             born = self._executor.entry.born
+            pending.attempt_ended_at = self._loop.now()
             if answer.result is OrderResult.TAKEN and answer.born >= born > 0:
                 # By a later incarnation too, which is asked for its runs then.
-                pending.accepted_at = self._loop.now()
-                pending.confirmed = answer.born == born
+                pending.accept(self._loop.now())
+                pending.settled = answer.born == born
             answer = self._check_incarnation(answer)
             if not self._closed:
                 self._on_started(pending, answer)
 
+        pending.attempt_ended_at = None
         self._client.start(order, pending.deadline_ms, done)
 
     def _may_send_start(self, pending):
@@ -478,7 +482,7 @@
         now = self._loop.now()
         self._lease.update_clock(now, answer.clock_ms)
         if result is OrderResult.TAKEN:
-            pending.accepted_at = now
+            pending.accept(now)
             return
         log_event(
             OrderAnswered(self.name, "start", order.task, order.run, result.value)
@@ -488,7 +492,9 @@
         elif result is OrderResult.WRONG_LIFE:
             self._report_gone("another incarnation answers at its address")
         elif result is OrderResult.OUTDATED:
-            pending.accepted_at = now
+            pending.accept(now)
+        elif pending.reported:
+            pass  # a repetition could only reach the next incarnation
         elif pending.maybe_received or result in (
             OrderResult.NO_ANSWER,
             OrderResult.LATE,
@@ -541,8 +547,8 @@
         The executor refuses the start from now on if it has not arrived yet.
         """
         pending = self._starts.get((task, run))
-        if pending is not None and pending.accepted_at is None:
-            pending.accepted_at = self._loop.now()
+        if pending is not None:
+            pending.assume(self._loop.now())
 
     def pace(self, order, on_done):
         """Send a Pace order; ``on_done`` gets the OrderAnswer."""
--- a/src/cardamomgrade/jobs/executors.py
+++ b/src/cardamomgrade/jobs/executors.py
@@ -16,15 +16,16 @@
 
 
 class Executor:
-    """One incarnation of an executor, with the capacity allocated to runs on it.
-
-    A restart of the executor process is a new incarnation with a new id. ``listed`` is
-    set while the platform lists the executor, ``cordoned`` while it gets no new runs
-    because its VM is due for upkeep or a move, and ``unreachable`` if the last request
-    to it was not answered. ``allocations`` maps the name of a task to its Allocation.
-    ``cores_m`` (thousandths of a core), ``memory_mb`` and ``accelerators`` are the sums
-    of the allocations; ``lasting_cores_m`` is the part of ``cores_m`` of lasting tasks,
-    of which there are ``lasting_runs``.
+    """An executor, with the capacity allocated to runs on it.
+
+    A restart of its process is a new incarnation, with a new id or a higher
+    ``entry.born``; in the latter case this object stays. ``listed`` is set while the
+    platform lists the executor, ``cordoned`` while it gets no new runs because its VM
+    is due for upkeep or a move, and ``unreachable`` if the last request to it was not
+    answered. ``allocations`` maps the name of a task to its Allocation. ``cores_m``
+    (thousandths of a core), ``memory_mb`` and ``accelerators`` are the sums of the
+    allocations; ``lasting_cores_m`` is the part of ``cores_m`` of lasting tasks, of
+    which there are ``lasting_runs``.
     """
 
     def __init__(self, entry):
@@ -41,7 +42,7 @@
 
     @property
     def name(self):
-        """The id of this incarnation."""
+        """The id of the executor."""
         return self.entry.executor
 
     @property
--- a/src/cardamomgrade/jobs/starts.py
+++ b/src/cardamomgrade/jobs/starts.py
@@ -11,14 +11,20 @@
     by when it has taken effect if at all; ``order`` is None for one of another agent;
     ``deadline_ms`` is the lease deadline sent with it, or 0 to take a new one;
     ``maybe_received`` is set when an attempt had no answer and may have arrived.
-    ``confirmed`` is set when the agent's incarnation itself showed that it got it.
+    ``reported`` is set when the agent's incarnation listed the run, ``settled`` when it
+    said itself that it accepted the order. ``attempt_ended_at`` is when the latest
+    attempt had an answer or was given up, or None while it is in flight. ``assumed`` is
+    set while ``accepted_at`` is no answer to the latest attempt, which may yet arrive.
     """
 
     order: object
     accepted_at: float | None = None
     deadline_ms: int = 0
     maybe_received: bool = False
-    confirmed: bool = False
+    reported: bool = False
+    settled: bool = False
+    attempt_ended_at: float | None = None
+    assumed: bool = False
 
     @property
     def is_unanswered(self):
@@ -28,17 +34,32 @@
     def is_settled(self, proven_at):
         """Return whether the agent's incarnation got it and no later one can.
 
-        ``proven_at`` is when a request was sent that this incarnation answered.
+        ``proven_at`` is when a request was sent that this incarnation answered: an
+        attempt that had ended by then cannot reach the next one.
         """
-        is_proven = self.accepted_at is not None and self.accepted_at < proven_at
-        return self.confirmed or (is_proven and not self.maybe_received)
+        if self.settled:
+            return True
+        ended_at = self.attempt_ended_at
+        is_ended = ended_at is not None and ended_at <= proven_at
+        return is_ended and self.accepted_at is not None
 
-    def handed_over(self):
+    def handed_over(self, now):
         """Return what the agent of the next incarnation knows about the order."""
-        return PendingStart(None, None if self.maybe_received else self.accepted_at)
+        accepted_at = None if self.assumed else self.accepted_at
+        return PendingStart(None, accepted_at, attempt_ended_at=now)
 
-    def confirm(self, sent_at):
+    def accept(self, now):
+        """Note that the executor accepted the latest attempt."""
+        self.accepted_at = now
+        self.assumed = False
+
+    def assume(self, accepted_at):
+        """Note that the order has taken effect by now, unless that is known already."""
+        if self.accepted_at is None:
+            self.accepted_at = accepted_at
+            self.assumed = True
+
+    def report(self, sent_at):
         """Note that the incarnation lists the run, asked at ``sent_at``."""
-        self.confirmed = True
-        if self.is_unanswered:
-            self.accepted_at = sent_at
+        self.reported = True
+        self.assume(sent_at)
--- a/tests/jobs/incarnations.feature
+++ b/tests/jobs/incarnations.feature
@@ -77,6 +77,27 @@
     And born 2000 reports its runs
     Then run 1 is over, and run 2 is started at port 2
 
+  Scenario: a repetition of a start that was reported may reach the new incarnation
+    Given a scheduler and an executor born at 1000 with a start of run 1 without an answer
+    When born 1000 reports its runs: run 1
+    And the executor registers with born 2000 and port 2
+    And born 2000 reports its runs
+    Then run 1 is not over, and is to be stopped at port 2
+    When born 2000 accepts the stop
+    And born 2000 reports its runs
+    And born 2000 reports its runs
+    Then run 1 is over, and run 2 is started at port 2
+
+  Scenario: a start without an answer is not sent again once its run was reported
+    Given a scheduler and an executor born at 1000 with a start of run 1 without an answer
+    When born 1000 reports its runs: run 1
+    And the start of run 1 gets no answer
+    Then run 1 is not sent again within 1 s
+    When born 1000 reports its runs: run 1
+    And born 1000 reports its runs: run 1
+    And the executor registers with born 2000 and port 2
+    Then run 1 is over, and run 2 is started at port 2
+
   Scenario: a start that the new incarnation received and ended counts once
     Given a scheduler and an executor born at 1000 with a start of run 1 without an answer
     When the executor registers with born 2000 and port 2
@@ -254,3 +275,7 @@
       | late    | 5   |
       | late    | 150 |
       | at once | 5   |
+
+  Scenario: restarts beside lost and late messages and changes of scheduler
+    When days with seeds 180 to 189 are replayed
+    Then no task ran twice at a time, and all jobs are completed
