--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -1,17 +1,22 @@
 """Scheduler side of one executor: renews its lease, sends orders, reads reports.
 
-A restart of an executor is a new incarnation, which registers under a new id.
+An agent belongs to one incarnation of its executor. A restart is a new incarnation,
+under a new id or under the same id with a higher ``born``, and gets a new agent.
 """
 
 import attrs
 
 from ..journal import event, log_event
+from .incarnations import is_earlier, is_later
 from .lease import lapse_bound_s, Lease
-from .reports import LeaseReport, OrderResult
+from .reports import LeaseReport, OrderAnswer, OrderResult
+from .starts import PendingStart
 
 RENEW_WAIT_MS = 1000  # a quarter of the lease, so that three renewals may fail
 WATCHED_WAIT_MS = 250  # while a task starts or is paced; executors measure every 500 ms
 WITHHELD_WAIT_MS = 500  # so that the lease is granted soon after the store is back
+SETTLING_WAIT_MS = 50  # while it is not known whether a start reached an incarnation
+JUST_ANSWERED_S = 0.05  # no executor starts again and ends a run in this time
 UNSTORED_ENDS_WAIT_S = 1.0  # renew then, even if ends are not stored yet
 RENEW_RETRY_S = 0.2
 START_RETRY_S = 0.1
@@ -65,33 +70,20 @@
     run: int
 
 
-@attrs.define(eq=False)
-class _PendingStart:
-    """A start order until the run ends.
-
-    ``accepted_at`` is when the executor confirmed it (monotonic seconds), or None, or
-    by when it has taken effect if at all; ``order`` is None for one of another agent;
-    ``deadline_ms`` is the lease deadline sent with it, or 0 to take a new one;
-    ``maybe_received`` is set when an attempt had no answer and may have arrived.
-    """
-
-    order: object
-    accepted_at: float | None = None
-    deadline_ms: int = 0
-    maybe_received: bool = False
-
-
 class ExecutorAgent:
     """Sends orders to one executor and renews its lease while it has runs.
 
     ``driver`` has the callbacks ``on_runs_ended``, ``on_executor_gone``,
     ``on_lease_lapsed``, ``on_run_withdrawn``, ``on_run_missing``,
-    ``on_start_refused``, ``on_reachable`` and ``on_fenced``, and ``on_running``, which
-    returns whether to request reports more often. Leases are granted only while its
-    ``may_grant()`` is true, since a successor that cannot reach an executor counts its
-    lease from the start of its own term. ``inherited`` is whether an earlier
-    scheduler placed the runs that are on the executor now. While ``silences``
-    (SilentExecutors) may have a record of the executor, no request grants the lease.
+    ``on_start_refused``, ``on_reachable``, ``on_incarnation`` and ``on_fenced``, and
+    ``on_running``, which returns whether to request reports more often. Leases are
+    granted only while its ``may_grant()`` is true, since a successor that cannot reach
+    an executor counts its lease from the start of its own term. ``inherited`` is
+    whether an earlier scheduler placed the runs that are on the executor now. While
+    ``silences`` (SilentExecutors) may have a record of the executor, no request grants
+    the lease. ``client`` has ``reaches_same_process``, whether a renewal sent now
+    reaches the process that answered the last one, or none; it is read only for
+    executors whose ``born`` is known.
 
     Ends of runs are numbered. They are acknowledged to the executor once stored:
     ``_received_end`` >= ``_stored_end`` >= ``_acknowledged_end``.
@@ -122,6 +114,7 @@
         self._retry = None
         self._wait_ms = RENEW_WAIT_MS
         self._answered = False
+        self._proven_at = self._reported_at = float("-inf")
         self._closed = False
         if self._has_silence_record():
             self._mark_unreachable("it was silent before")
@@ -133,15 +126,48 @@
         """
         started_by = self._loop.now() + lapse_bound_s(self._lease_ms)
         for run in other._inherited.union(other._starts):
-            self._starts[run] = _PendingStart(None, started_by)
+            self._starts[run] = PendingStart(
+                None, started_by, attempt_ended_at=self._loop.now()
+            )
         self._inherited.clear()
         for task, run in other._stopping:
             self.stop(task, run)
         self.renew_if_needed()
 
+    def unsettled_runs(self):
+        """Return the runs, (task, run), that a later incarnation may have received.
+
+        Runs that an earlier scheduler placed are among them, as their records do not
+        tell on which incarnation.
+        """
+        return self._inherited | {
+            run
+            for run, pending in self._starts.items()
+            if not pending.is_settled(self._proven_at)
+        }
+
+    def succeed(self, other, max_lease_ms):
+        """Take over the unsettled runs of the closed agent of an earlier incarnation.
+
+        The other runs must be over. The next report settles those that were accepted;
+        of the others, those that it lacks are stopped first, as they may still arrive.
+        ``max_lease_ms`` is the longest lease that an executor accepts.
+        """
+        now = self._loop.now()
+        placed = {(task, item.run) for task, item in self._executor.allocations.items()}
+        self._inherited = other._inherited & placed
+        for run in placed - self._inherited:
+            self._starts[run] = other._starts[run].handed_over(now)
+        if self._starts:
+            self._lease.expect_until(now + lapse_bound_s(max_lease_ms))
+        for task, run in other._stopping:
+            if (task, run) in placed:
+                self.stop(task, run)
+        self.renew_if_needed()
+
     @property
     def name(self):
-        """The id of the executor's incarnation."""
+        """The id of the executor."""
         return self._executor.name
 
     def close(self):
@@ -200,21 +226,27 @@
     def _renew(self):
         self._renewing = True
         now = self._renewed_at = self._loop.now()
-        stored_end = self._stored_end
+        is_same = self._reaches_same_incarnation(now)
+        stored_end = self._stored_end if is_same else 0
         may_wait = (
             self._executor.allocations
+            and is_same
             and not self._executor.unreachable
             and not self._inherited
             and self._lease.knows_clock(now)
         )
         to_grant = self._executor.allocations and not self._executor.unreachable
-        deadline = self._lease.grant(now) if to_grant and self._may_grant() else None
+        may_grant = to_grant and is_same and self._may_grant()
+        deadline = self._lease.grant(now) if may_grant else None
         wait_ms = self._wait_ms if may_wait else 0
+        if any(pending.is_unanswered for pending in self._starts.values()):
+            wait_ms = min(wait_ms, SETTLING_WAIT_MS)
         if to_grant and deadline is None:
             wait_ms = min(wait_ms, WITHHELD_WAIT_MS)
 
         def done(report):
             self._renewing = False
+            report = self._check_incarnation(report)
             if isinstance(report, LeaseReport):
                 self._acknowledged_end = max(self._acknowledged_end, stored_end)
             if not self._closed:
@@ -222,11 +254,43 @@
 
         self._client.renew(deadline, stored_end, wait_ms, done)
 
+    def _reaches_same_incarnation(self, now):
+        """Return whether a renewal sent now can reach no later incarnation.
+
+        That one would take the acknowledgement for its own ends, and forget them
+        before anyone has read them, and the deadline for a time of its own clock. A
+        server may close each connection after its answer, so a recent answer is enough.
+        """
+        return (
+            not self._executor.entry.born
+            or self._client.reaches_same_process
+            or now - self._reported_at < JUST_ANSWERED_S
+        )
+
+    def _check_incarnation(self, answer):
+        """Return an answer, or one of NO_ANSWER in place of an earlier incarnation's.
+
+        An answer of a later incarnation makes the driver close this agent.
+        """
+        known = self._executor.entry.born
+        if self._closed or answer.born in (0, known):
+            return answer
+        if is_earlier(answer.born, known):
+            is_fenced = getattr(answer, "result", None) is OrderResult.FENCED
+            return answer if is_fenced else OrderAnswer(OrderResult.NO_ANSWER)
+        if is_later(answer.born, known):
+            self._driver.on_incarnation(self.name, answer.born, answer.clock_ms)
+        else:
+            entry = self._executor.entry
+            self._executor.entry = attrs.evolve(entry, born=answer.born)
+        return answer
+
     def _on_report(self, report, sent_at):
         now = self._loop.now()
         if isinstance(report, LeaseReport):
             self._lease.update_clock(now, report.clock_ms)
             self._answered = True
+            self._proven_at, self._reported_at = sent_at, now
             if self._executor.unreachable or self._has_silence_record():
                 self._silences.clear(self.name, self._on_silence_cleared)
             self._process_ends(report)
@@ -242,7 +306,10 @@
         if report.result is OrderResult.FENCED:
             self._driver.on_fenced(self.name)
             return
-        if report.result is OrderResult.WRONG_LIFE:
+        # Where ids outlive incarnations, the address of the registration may be older
+        # than the incarnation that an earlier scheduler placed runs on.
+        may_be_elsewhere = self._executor.entry.born and self._inherited
+        if report.result is OrderResult.WRONG_LIFE and not may_be_elsewhere:
             self._report_gone("another incarnation answers at its address")
             return
         was_unreachable = self._executor.unreachable
@@ -334,12 +401,17 @@
             is_inherited = (task, allocation.run) in self._inherited
             if (task, allocation.run) in reported:
                 if is_inherited:
-                    accepted = _PendingStart(None, sent_at)
+                    accepted = PendingStart(None, sent_at, attempt_ended_at=sent_at)
                     self._starts[task, allocation.run] = accepted
+                if (task, allocation.run) in self._starts:
+                    self._starts[task, allocation.run].report(sent_at)
                 continue
             pending = self._starts.get((task, allocation.run))
             if is_inherited:
                 self._driver.on_run_withdrawn(self.name, task, allocation.run)
+            elif pending is not None and pending.is_unanswered:
+                # It may still arrive, until the executor has taken an order to stop it.
+                self.stop(task, allocation.run)
             elif (
                 pending is not None
                 and pending.accepted_at
@@ -361,7 +433,7 @@
         if self._has_silence_record():
             self._driver.on_run_withdrawn(self.name, order.task, order.run)
             return
-        pending = _PendingStart(order)
+        pending = PendingStart(order)
         self._starts[order.task, order.run] = pending
         self._send_start(pending)
         self.renew_if_needed()
@@ -371,26 +443,46 @@
         run = (order.task, order.run)
         if self._closed or self._starts.get(run) is not pending:
             return
-        if run in self._stopping:
-            return  # the stop settles whether it runs
+        if run in self._stopping or pending.reported:
+            return  # the stop settles whether it runs, or it does
+        if not self._may_send_start(pending):
+            self._loop.call_later(START_RETRY_S, lambda: self._send_start(pending))
+            return
         if not pending.deadline_ms:
-            if not self._may_grant():
-                self._loop.call_later(START_RETRY_S, lambda: self._send_start(pending))
-                return
             pending.deadline_ms = self._lease.grant(self._loop.now())
 
         def done(answer):
+            if self._closed:
+                return
+            born = self._executor.entry.born
+            pending.attempt_ended_at = self._loop.now()
+            if answer.result is OrderResult.TAKEN and answer.born >= born > 0:
+                # By a later incarnation too, which is asked for its runs then.
+                pending.accept(self._loop.now())
+                pending.settled = answer.born == born
+            answer = self._check_incarnation(answer)
             if not self._closed:
                 self._on_started(pending, answer)
 
+        pending.attempt_ended_at = None
         self._client.start(order, pending.deadline_ms, done)
 
+    def _may_send_start(self, pending):
+        """Return whether a start may be sent now, for the first time or again.
+
+        An incarnation that has just begun knows no successor's epoch, so that it would
+        accept a start that is repeated after the successor gave the run up.
+        """
+        if not pending.deadline_ms:
+            return self._may_grant()
+        return not self._executor.entry.born or self._driver.may_grant()
+
     def _on_started(self, pending, answer):
         order, result = pending.order, answer.result
         now = self._loop.now()
         self._lease.update_clock(now, answer.clock_ms)
         if result is OrderResult.TAKEN:
-            pending.accepted_at = now
+            pending.accept(now)
             return
         log_event(
             OrderAnswered(self.name, "start", order.task, order.run, result.value)
@@ -400,7 +492,9 @@
         elif result is OrderResult.WRONG_LIFE:
             self._report_gone("another incarnation answers at its address")
         elif result is OrderResult.OUTDATED:
-            pending.accepted_at = now
+            pending.accept(now)
+        elif pending.reported:
+            pass  # a repetition could only reach the next incarnation
         elif pending.maybe_received or result in (
             OrderResult.NO_ANSWER,
             OrderResult.LATE,
@@ -425,6 +519,9 @@
             return
 
         def done(answer):
+            answer = self._check_incarnation(answer)
+            if self._closed:
+                return
             self._lease.update_clock(self._loop.now(), answer.clock_ms)
             allocation = self._executor.allocations.get(task)
             if allocation is None or allocation.run != run:
@@ -450,12 +547,16 @@
         The executor refuses the start from now on if it has not arrived yet.
         """
         pending = self._starts.get((task, run))
-        if pending is not None and pending.accepted_at is None:
-            pending.accepted_at = self._loop.now()
+        if pending is not None:
+            pending.assume(self._loop.now())
 
     def pace(self, order, on_done):
         """Send a Pace order; ``on_done`` gets the OrderAnswer."""
-        self._client.pace(order, on_done)
+
+        def done(answer):
+            on_done(self._check_incarnation(answer))
+
+        self._client.pace(order, done)
 
 
 @attrs.frozen
--- a/src/cardamomgrade/jobs/customers.py
+++ b/src/cardamomgrade/jobs/customers.py
@@ -45,8 +45,7 @@
 
 def key_digest(key):
     """Return the digest under which a key is kept."""
-    # JSON may contain lone surrogates, which have no plain UTF-8 form.
-    return hashlib.sha256(key.encode(errors="surrogatepass")).digest()
+    return hashlib.sha256(key.encode()).digest()
 
 
 def index_keys(customers):
