Place tasks on slow executors last

A tenth of a pool's executors may run 5 to 8 times slower than the others, or leave their tasks standing still, while they report healthy. Most steps of 8 tasks then had a task there and were late.

The scheduler estimates for each executor how long runs take in comparison with their siblings elsewhere, from runs that ended and from those that have taken twice as long already. Above 2 it is placed last, and gangs avoid it, until the estimate is within 1.3 or nothing is known for 10 s. If more than half of a pool seem slow, none is treated so.

--- a/src/cardamomgrade/jobs/durations.py
+++ b/src/cardamomgrade/jobs/durations.py
@@ -14,6 +14,7 @@
 NEWEST_WEIGHT = 0.1  # moving average dominated by the last two dozen runs
 DEFAULT_MS = 1000.0
 MIN_MS = 20.0
+RELIABLE_ERROR = 0.5  # a mean error of a factor of 1.6; slow runs raise it by 0.2
 
 
 @attrs.define
@@ -55,6 +56,16 @@
         for name, mean_ms, estimate_error, mean_error in record.queues:
             self._queues[name] = _QueueStats(mean_ms, estimate_error, mean_error)
 
+    def is_reliable(self, queue, estimate_ms):
+        """Return whether single runs are usually close to the expected run time."""
+        stats = self._queues.get(queue)
+        if stats is None:
+            return False
+        errors = [stats.mean_error]
+        if estimate_ms:
+            errors.append(stats.estimate_error)
+        return min(errors) < RELIABLE_ERROR
+
     def expected_ms(self, queue, estimate_ms):
         """Return the expected run time of a task, in ms."""
         stats = self._queues.get(queue)
--- a/src/cardamomgrade/jobs/executors.py
+++ b/src/cardamomgrade/jobs/executors.py
@@ -21,7 +21,8 @@
     A restart of the executor process is a new incarnation with a new id. ``listed`` is
     set while the platform lists the executor, ``cordoned`` while it gets no new runs
     because its VM is due for upkeep or a move, and ``unreachable`` if the last request
-    to it was not answered. ``allocations`` maps the name of a task to its Allocation.
+    to it was not answered. ``slow`` is set while tasks take much longer on it than on
+    others of its service. ``allocations`` maps the name of a task to its Allocation.
     ``cores_m`` (thousandths of a core), ``memory_mb`` and ``accelerators`` are the sums
     of the allocations; ``lasting_cores_m`` is the part of ``cores_m`` of lasting tasks,
     of which there are ``lasting_runs``.
@@ -32,6 +33,7 @@
         self.listed = True
         self.cordoned = False
         self.unreachable = False
+        self.slow = False
         self.allocations = {}
         self.cores_m = 0
         self.memory_mb = 0
--- a/src/cardamomgrade/jobs/placing.py
+++ b/src/cardamomgrade/jobs/placing.py
@@ -4,8 +4,10 @@
 shared with lasting tasks. Executors that already run tasks are preferred, then the one
 with the largest free fraction of its cores, so that idle VMs can be switched off or
 moved to another pool. The rack that holds the step's data is preferred over both.
+Executors that are ``slow`` are used where no other has room.
 """
 
+from copy import copy
 from heapq import heapify, heappop, heapreplace
 
 
@@ -34,6 +36,12 @@
         """Count one more task of the step on an executor."""
         self._counts[name] = self._counts.get(name, 0) + 1
 
+    def copy(self):
+        """Return a copy that counts for itself."""
+        limits = copy(self)
+        limits._counts = dict(self._counts)
+        return limits
+
     def allows(self, name):
         """Return whether an executor may run one more task of the step."""
         return not self._limit or self._counts.get(name, 0) < self._limit
@@ -72,6 +80,7 @@
         return (
             not self._spread.allows(executor.name),
             executor.name in avoid,
+            executor.slow,
             bool(rack) and executor.entry.rack != rack,
             not executor.allocations,
             -executor.free_fraction,
@@ -113,8 +122,15 @@
     """Return one executor per task of a gang, or None if the gang does not fit.
 
     For a step with ``rack_local`` or ``rack``, tries to fit the gang into each single
-    rack, the step's own rack first, before using executors of several racks.
+    rack, the step's own rack first, before using executors of several racks. Slow
+    executors are used only if the gang does not fit on the others.
     """
+    sound = [item for item in executors if not item.slow]
+    if len(sound) < len(executors):
+        # The slowest member of a gang determines when it ends.
+        chosen = choose_gang_executors(sound, step, limits.copy())
+        if chosen is not None:
+            return chosen
     racks = [""]
     if step.rack_local or step.rack:
         names = sorted({item.entry.rack for item in executors})
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -17,7 +17,8 @@
 
     ``name`` is the text of its id. ``run`` counts its runs, ``failures`` those that
     failed. A waiting task keeps the name of the executor of its latest run until the
-    end of that run is confirmed.
+    end of that run is confirmed. ``run_ms`` is how long the run that is done took, 0 if
+    another scheduler placed it.
     """
 
     id: TaskId
@@ -28,6 +29,7 @@
     checkpoint: str = ""
     failed_on: list = attrs.field(factory=list)
     placed_ms: float = 0.0
+    run_ms: float = 0.0
     name: str = attrs.field(init=False)
 
     @name.default
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -32,6 +32,7 @@
     TaskStarted,
 )
 from .spec import parse_task
+from .speeds import Speeds
 from .stalls import count_executor_states, SERVICE_LINES_MAX, stall_event, StallWatch
 from .urgency import Forecast
 
@@ -85,6 +86,7 @@
         self._pool_needs = PoolNeeds()
         self._stalls = StallWatch()
         self._probes = Probes()
+        self._speeds = Speeds()
         self._health = Health(
             FAILURE_STREAK_JOBS,
             QUARANTINE_MIN_MS,
@@ -259,6 +261,7 @@
     def forget_executor(self, name):
         """Remove an executor that is known to run nothing."""
         executor = self.executors.pop(name, None)
+        self._speeds.forget(name)
         if executor is not None:
             self._pools[executor.entry.service].pop(name, None)
 
@@ -298,6 +301,9 @@
         were marked lapsed, that one of them had ended before: its task then need not
         start again.
         """
+        if outcome is Outcome.DONE:
+            self._speeds.done(task_name, run, now_ms)
+        self._speeds.drop(task_name, run)
         executor = self.executors.get(name)
         was_probe = False
         if executor is not None and executor.release(task_name, run):
@@ -316,6 +322,7 @@
             duration_ms = now_ms - task.placed_ms
             self.durations.observe(job.spec.queue, step.estimate_ms, duration_ms)
             job.step_state(task.id).observe(duration_ms)
+            task.run_ms = duration_ms
         job.end(task, outcome, checkpoint, confirmed)
         self._record_health(executor, task, outcome, now_ms, was_probe)
         self._mark_dirty(job)
@@ -379,6 +386,7 @@
 
     def withdraw(self, name, task_name, run):
         """Cancel the placement of a run that the executor can no longer begin."""
+        self._speeds.drop(task_name, run)
         executor = self.executors.get(name)
         if executor is not None and executor.release(task_name, run):
             self._services_to_plan.add(executor.entry.service)
@@ -426,6 +434,8 @@
             self.replan_executor(name)
         for name in (*self._health.due(now_ms), *self._probes.rested(now_ms)):
             self.replan_executor(name)
+        for item in self._speeds.update(self.executors, self._pools, now_ms):
+            log_event(item)
         changed, self._changed = self._changed, {}
         for job in changed.values():
             self._evaluate(job, wall_ms)
@@ -621,6 +631,7 @@
         name = task.name
         task.placed_ms = now_ms
         executor.allocate(name, run, job.spec.steps[task.id.step])
+        self._speeds.begin(executor.name, job, task, self.durations, now_ms)
         free = executor.entry.cores_m - executor.cores_m
         log_event(
             TaskStarted(job.spec.job, name, run, executor.name, job.spec.queue, free)
