--- a/src/cardamomgrade/jobs/speeds.py
+++ b/src/cardamomgrade/jobs/speeds.py
@@ -11,6 +11,9 @@
 long counts from then on. Each run counts once, at the earlier of its end and that
 moment: if all long runs that are still going were counted at once, a sound executor
 would seem slow, because long runs are going for a longer time than others.
+
+Slow executors are used last. A task that only they have room for waits a little for
+another one: in a nearly full pool, they have room more often than the others.
 """
 
 import math
