--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -86,7 +86,7 @@
         self._pool_needs = PoolNeeds()
         self._stalls = StallWatch()
         self._probes = Probes()
-        self._speeds = Speeds(self.durations)
+        self._speeds = Speeds()
         self._health = Health(
             FAILURE_STREAK_JOBS,
             QUARANTINE_MIN_MS,
@@ -489,7 +489,7 @@
                 else:
                     limits = PlacementLimits(step, executors)
                     starts.extend(self._place_tasks(job, step, roomy, limits, now_ms))
-                if (step.is_restricted and not self._speeds.is_held(step)) and any(
+                if step.is_restricted and any(
                     item.fits(step.step) for item in executors
                 ):
                     blocked_vms += -(-step.waiting // (step.step.per_executor or 1))
@@ -500,8 +500,6 @@
                 if not begun:
                     age_ms = wall_ms - job.spec.accepted_ms
                     self._start_delays_ms.append(max(0.0, age_ms))
-        if any(item.slow for item in executors):
-            self._services_to_plan.add(service)  # tasks may wait for the others
         self._pool_needs.record_waiting(service, ready, blocked_vms)
         starts.extend(self._place_probes(service, ready, executors, now_ms))
         return starts
@@ -609,10 +607,6 @@
             executor = placer.choose(task.failed_on)
             if executor is None:
                 break
-            if executor.slow and self._speeds.holds(
-                self.pool(executor.entry.service), job, step, now_ms
-            ):
-                break
             run = job.place(task, executor.name)
             starts.append(self._start(job, task, run, executor, now_ms))
         if starts:
@@ -637,7 +631,7 @@
         name = task.name
         task.placed_ms = now_ms
         executor.allocate(name, run, job.spec.steps[task.id.step])
-        self._speeds.begin(executor.name, job, task, now_ms)
+        self._speeds.begin(executor.name, job, task, self.durations, now_ms)
         free = executor.entry.cores_m - executor.cores_m
         log_event(
             TaskStarted(job.spec.job, name, run, executor.name, job.spec.queue, free)
