--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -94,7 +94,7 @@
         self._shares.set_customers(cfg.customers)
         self._stalls = StallWatch()
         self._probes = Probes()
-        self._speeds = Speeds()
+        self._speeds = Speeds(self.durations)
         self._health = Health(
             FAILURE_STREAK_JOBS,
             QUARANTINE_MIN_MS,
@@ -515,7 +515,7 @@
                 else:
                     limits = PlacementLimits(step, executors)
                     starts.extend(self._place_tasks(job, step, roomy, limits, now_ms))
-                if step.is_restricted and any(
+                if (step.is_restricted and not self._speeds.is_held(step)) and any(
                     item.fits(step.step) for item in executors
                 ):
                     startable = self._quota.startable(customer, step)
@@ -528,6 +528,8 @@
                     self._shares.on_begun(job.spec.job, service)
                     age_ms = wall_ms - job.spec.accepted_ms
                     self._start_delays_ms.append(max(0.0, age_ms))
+        if any(item.slow for item in executors):
+            self._services_to_plan.add(service)  # tasks may wait for the others
         self._pool_needs.record_waiting(service, ready, blocked_vms)
         starts.extend(self._place_probes(service, ready, executors, now_ms))
         return starts
@@ -658,6 +660,10 @@
             executor = placer.choose(task.failed_on)
             if executor is None:
                 break
+            if executor.slow and self._speeds.holds(
+                self.pool(executor.entry.service), job, step, now_ms
+            ):
+                break
             run = job.place(task, executor.name)
             starts.append(self._start(job, task, run, executor, now_ms))
         if starts:
@@ -686,7 +692,7 @@
         task.placed_ms = now_ms
         step = job.spec.steps[task.id.step]
         executor.allocate(name, run, step, job.spec.customer)
-        self._speeds.begin(executor.name, job, task, self.durations, now_ms)
+        self._speeds.begin(executor.name, job, task, now_ms)
         free = executor.entry.cores_m - executor.cores_m
         log_event(
             TaskStarted(job.spec.job, name, run, executor.name, job.spec.queue, free)
--- a/src/cardamomgrade/jobs/speeds.py
+++ b/src/cardamomgrade/jobs/speeds.py
@@ -20,10 +20,12 @@
 from collections import deque
 from heapq import heappop, heappush
 from statistics import median_high
+from weakref import WeakKeyDictionary, WeakSet
 
 import attrs
 
 from ..journal import event
+from .placing import may_run, PlacementLimits
 from .records import Phase
 
 SLOW_RATIO = 2.0  # above the spread of equal tasks, below the slowdowns seen (5 to 8)
@@ -36,6 +38,9 @@
 CHECK_MIN_MS = 50.0
 REFERENCE_MIN_MS = 200.0  # orders and reports of equal tasks differ by up to this
 PAUSE_MS = 1000.0  # between two updates; the run times include a pause of this process
+HOLD_FACTOR = 4.0  # times the run time; a run on a slow executor takes 5 to 8 times it
+HOLD_RUN_MIN_MS = 175.0  # jobs have 600 ms more than 1.6 times this: time for 5 times
+HOLD_MAX_MS = 1000.0  # 2000 gained nothing; no job may stand still for 3 s
 POOL_FRACTION = 0.5  # if more executors seem slow, the tasks or the platform are
 
 
@@ -115,11 +120,14 @@
 class Speeds:
     """Tracks the runs on executors, by the names of these, and which ones are slow.
 
-    Runs of lasting steps have no length, those of fill tasks depend on what runs beside
-    them, and the members of a gang wait for each other: none of these counts.
+    The Durations serve to judge a run only for lack of siblings, and only if they are
+    reliable. Runs of lasting steps have no length, those of fill tasks depend on what
+    runs beside them, and the members of a gang wait for each other: none of these
+    counts.
     """
 
-    def __init__(self):
+    def __init__(self, durations):
+        self._durations = durations
         self._live = {}
         self._due = []
         self._recent = {}
@@ -127,21 +135,22 @@
         self._slow = set()
         self._applied = set()
         self._ignored = set()
+        self._held = WeakSet()
+        self._held_since_ms = WeakKeyDictionary()
         self._updated_ms = None
 
-    def begin(self, executor, job, task, durations, now_ms):
+    def begin(self, executor, job, task, now_ms):
         """Track the run of a task that was placed on an executor.
 
-        ``job`` is its JobProgress and ``task`` its TaskState. The Durations serve to
-        judge the run only for lack of siblings, and only if they are reliable.
+        ``job`` is its JobProgress and ``task`` its TaskState.
         """
         state = job.step_state(task.id)
         step, queue = state.step, job.spec.queue
         if step.lasting or step.fills or step.gang:
             return
         key = (task.name, task.run)
-        expected_ms = durations.expected_ms(queue, step.estimate_ms)
-        is_learned = durations.is_reliable(queue, step.estimate_ms)
+        expected_ms = self._durations.expected_ms(queue, step.estimate_ms)
+        is_learned = self._durations.is_reliable(queue, step.estimate_ms)
         self._live[key] = _LiveRun(
             executor, task, state, now_ms, expected_ms, is_learned
         )
@@ -186,6 +195,37 @@
         recent = self._recent.get(executor)
         return recent.ratio if recent is not None else 1.0
 
+    def holds(self, pool, job, state, now_ms):
+        """Return whether a task is to wait rather than start on a slow executor.
+
+        ``pool`` are the Executors of its service. It waits for room on one that is not
+        slow, up to HOLD_FACTOR times its run time and HOLD_MAX_MS, as it ends sooner
+        there. It doesn't if such a one has room but is avoided for a better reason.
+        """
+        self._held.discard(state)
+        step = state.step
+        if step.lasting or step.fills:
+            return False
+        limits = PlacementLimits(state)
+        sound = [item for item in pool if item.open and not item.slow]
+        if any(may_run(item, step, limits) for item in sound) or not any(
+            _may_run_later(item, step, limits) for item in sound
+        ):
+            return False
+        expected_ms = self._durations.expected_ms(job.spec.queue, step.estimate_ms)
+        run_ms = state.mean_run_ms(expected_ms)
+        held_ms = now_ms - self._held_since_ms.setdefault(state, now_ms)
+        if run_ms < HOLD_RUN_MIN_MS or held_ms >= min(
+            HOLD_FACTOR * run_ms, HOLD_MAX_MS
+        ):
+            return False
+        self._held.add(state)
+        return True
+
+    def is_held(self, state):
+        """Return whether tasks of a StepState wait though a slow executor has room."""
+        return state in self._held
+
     def update(self, executors, pools, now_ms):
         """Set ``slow`` of the Executors; return the events to log.
 
@@ -326,3 +366,15 @@
             return
         self._ignored ^= {service}
         yield SlownessIgnored(service, ignored, len(slow), len(pool))
+
+
+def _may_run_later(executor, step, limits):
+    """Return whether an executor may run a task once its other tasks have ended."""
+    entry = executor.entry
+    return (
+        executor.lasting_cores_m + step.reserved_cores_m <= entry.cores_m
+        and step.memory_mb <= entry.memory_mb
+        and step.accelerators <= entry.accelerators
+        and limits.allows(executor.name)
+        and (not step.label or step.label in entry.labels)
+    )
--- a/tests/slowness.py
+++ b/tests/slowness.py
@@ -37,6 +37,12 @@
 
     done = drop = forget = begin
 
+    def holds(self, *args):
+        """Return False: no task waits for another executor."""
+        return False
+
+    is_held = holds
+
     def update(self, *args):
         """Return no events."""
         return ()
--- a/tests/steps/jobs_speeds.py
+++ b/tests/steps/jobs_speeds.py
@@ -181,12 +181,67 @@
         assert len(starts) == tasks or "drained" in context, starts
 
 
+@when("a gang of {tasks:d} tasks of 4 cores is placed")
+def step_place_gang(context, tasks):
+    starts = place(context, Step(tasks, cores_m=4000, gang=True))
+    assert len(starts) == tasks
+    context.placed = [{item.executor for item in starts}]
+
+
+@when("{tasks:d} tasks of 4 cores, expected to take {run_ms:d} ms, are placed {where}")
+def step_place_timed(context, tasks, run_ms, where):
+    world, fields = context.jobs, {}
+    if where == "on e1 only":
+        world.scheduler.cordon({"e3"})
+        fields["label"] = "a"
+    elif where != "anywhere":
+        fields["per_executor"] = int(where.split()[2])
+    world.add(Step(tasks, cores_m=4000, estimate_ms=run_ms, **fields))
+    context.since_ms, context.tasks = world.now_ms, tasks
+    begin_runs(context)
+
+
+def last_start(context):
+    """Let time pass until all tasks have started; return (ms, names of executors)."""
+    world, names = context.jobs, {}
+    while True:
+        names |= {item.task: item.executor for item in world.running}
+        if len(names) == context.tasks:
+            return world.now_ms - context.since_ms, list(names.values())
+        pass_time(context, TICK_MS)
+
+
+@then("the last of them starts after {wait_ms:d} ms, on e1")
+def step_last_slow(context, wait_ms):
+    waited_ms, names = last_start(context)
+    assert waited_ms == wait_ms and names[-1] == "e1", (waited_ms, names)
+
+
+@then("none of them is on e1, and the last one starts after {wait_ms:d} ms")
+def step_last_sound(context, wait_ms):
+    waited_ms, names = last_start(context)
+    assert waited_ms == wait_ms and "e1" not in names, (waited_ms, names)
+
+
+@then("the pool needs no VM for tasks that no executor may run")
+def step_not_blocked(context):
+    needs = context.jobs.scheduler._pool_needs
+    assert needs._blocked_vms["s"] == 0, needs._blocked_vms
+
+
 @when("a lasting step that may miss 1 of 4 tasks is placed")
 def step_place_budget(context):
     starts = place(context, Step(4, cores_m=1000, lasting=True, may_miss=1))
     context.placed = [{item.executor for item in starts}]
 
 
+@when("a lasting step of {tasks:d} tasks of 4 cores is placed")
+def step_place_lasting(context, tasks):
+    starts = place(context, Step(tasks, cores_m=4000, lasting=True))
+    assert len(starts) == tasks, starts
+    context.placed = [{item.executor for item in starts}]
+
+
 @when("a task that failed on all the others is placed")
 def step_place_failed(context):
     world = context.jobs
@@ -269,6 +324,11 @@
     context.load = Load(slow_factor=factor, jobs_per_s=25)
 
 
+@given("{rate:d} jobs a second instead of 25")
+def step_rate(context, rate):
+    context.load = attrs.evolve(context.load, jobs_per_s=rate)
+
+
 @given("jobs of 8 tasks on 30 executors, of which 3 stand still from second 2 to 8")
 def step_still_load(context):
     context.load = Load(slow_factor=math.inf, jobs_per_s=25)
