Start a copy of a run that takes much longer than its siblings

Change: jobs/speculation.py decides which task gets a copy, when and where; jobs/copies.py holds the state of a task with two runs. The first run that is done counts, the other one is stopped and stays allocated until its end is known. A late end done of a run that was given up counts while its task is not done, in steps that allow copies only. Tasks of other steps are handled as before.

--- a/src/cardamomgrade/jobs/placing.py
+++ b/src/cardamomgrade/jobs/placing.py
@@ -8,6 +8,8 @@
 
 from heapq import heapify, heappop, heapreplace
 
+from .copies import active_runs
+
 
 class PlacementLimits:
     """Limits the tasks of one step and occurrence per executor.
@@ -27,8 +29,8 @@
         self._counts = {}
         if self._limit:
             for task in step_state.tasks:
-                if task.phase.name == "PLACED":
-                    self.add(task.executor)
+                for _, name in active_runs(task):
+                    self.add(name)
 
     def add(self, name):
         """Count one more task of the step on an executor."""
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -6,6 +6,15 @@
 
 import attrs
 
+from .copies import (
+    active_runs,
+    adopt_run,
+    allows_copies,
+    newest_run,
+    resume_other,
+    select_ended,
+    stored_run,
+)
 from .records import JobState, Phase, ProgressRecord
 from .reports import Outcome
 from .spec import longest_chain_ms, TaskId
@@ -17,7 +26,8 @@
 
     ``name`` is the text of its id. ``run`` counts its runs, ``failures`` those that
     failed. A waiting task keeps the name of the executor of its latest run until the
-    end of that run is confirmed.
+    end of that run is confirmed. ``copies`` describes ``others`` and ``copy_run``;
+    ``copied`` is set once it has had a copy that was not lost.
     """
 
     id: TaskId
@@ -28,21 +38,29 @@
     checkpoint: str = ""
     failed_on: list = attrs.field(factory=list)
     placed_ms: float = 0.0
+    others: tuple = ()
+    copy_run: int = 0
+    copied: bool = False
     name: str = attrs.field(init=False)
 
     @name.default
     def _name(self):
         return str(self.id)
 
+    def active_runs(self):
+        """Return (run, executor) pairs of the runs that may go on."""
+        return active_runs(self)
+
     def row(self):
         """Return the fields of the TaskRecord to store."""
+        run, phase, executor = stored_run(self)
         return (
             self.id.occurrence,
             self.id.step,
             self.id.index,
-            self.run,
-            int(self.phase),
-            self.executor,
+            run,
+            int(phase),
+            executor,
             self.failures,
             self.checkpoint,
         )
@@ -136,7 +154,9 @@
 
     def placed(self):
         """Return the TaskState of every task whose run may be on an executor."""
-        return [task for task in self._tasks() if task.phase is Phase.PLACED]
+        return [
+            task for task in self._tasks() if task.phase is Phase.PLACED or task.others
+        ]
 
     def _open_occurrence(self):
         occurrence = self._occurrences
@@ -240,7 +260,7 @@
 
     def place(self, task, executor):
         """Start the next run of a task on an executor; return the run number."""
-        task.run += 1
+        task.run = newest_run(task) + 1
         task.executor = executor
         self._set_phase(task, Phase.PLACED)
         self._started = True
@@ -254,6 +274,30 @@
             self.place(task, executor)
         return run
 
+    def select_ended(self, task_id, run, executor):
+        """Make a run that ended the current run of its task, if it is another one."""
+        task = self._find(task_id)
+        if task is not None and task.others:
+            select_ended(task, run, executor)
+
+    def adopt_done_run(self, task_id, run, executor):
+        """Return the TaskState of a run that was given up and is done, else None.
+
+        The run becomes the current one. Returns None unless the step allows copies, or
+        if the task is done already or the job has ended.
+        """
+        task = self._find(task_id)
+        if (
+            task is None
+            or not allows_copies(self.spec.steps[task_id.step])
+            or not 1 <= run <= newest_run(task)
+            or task.phase not in (Phase.WAITING, Phase.PLACED)
+            or self.state.final
+        ):
+            return None
+        adopt_run(task, run, executor)
+        return task
+
     def running_task(self, task_id, run):
         """Return the TaskState if ``run`` is its current run, else None."""
         task = self._find(task_id)
@@ -277,11 +321,31 @@
 
     def withdraw(self, task):
         """Cancel the placement of a run that never began."""
+        self._forget_copy(task)
+        if self._needs_no_run(task):
+            return
         task.executor = ""
         self._set_phase(task, Phase.WAITING)
 
+    def _forget_copy(self, task):
+        """Allow a task another copy, if its current run is a copy that is lost."""
+        if task.run == task.copy_run:
+            task.copied = False
+
+    def _needs_no_run(self, task):
+        """Return whether a task whose current run ended must not start again now.
+
+        Its other run goes on, or the failures of both have used up its attempts.
+        """
+        if resume_other(task):
+            return True
+        if task.copy_run and task.failures >= self.max_attempts:
+            self._exhaust(task)
+            return True
+        return False
+
     def end(self, task, outcome, checkpoint="", confirmed=True):
-        """Record the end of the latest run.
+        """Record the end of the current run.
 
         ``confirmed`` means that the end is known from the executor itself. A gang is
         done when one of its tasks is.
@@ -296,6 +360,10 @@
             return
         if outcome is Outcome.FAILED:
             self._count_failure(task, step)
+        if outcome is Outcome.LAPSED:
+            self._forget_copy(task)
+        if task.phase is Phase.PLACED and self._needs_no_run(task):
+            return
         if task.phase is Phase.PLACED:
             self._set_phase(task, Phase.WAITING)
         if confirmed and task.phase is Phase.WAITING:
@@ -307,6 +375,10 @@
         members = step.tasks if step.step.gang else [task]
         for member in members:
             member.failures = failures
-        if not step.step.lasting and failures >= self.max_attempts:
-            self.failed = True
-            self._set_phase(task, Phase.EXHAUSTED)
+        # The other run of a task may still be done, whatever the number of failures.
+        if not (step.step.lasting or task.others) and failures >= self.max_attempts:
+            self._exhaust(task)
+
+    def _exhaust(self, task):
+        self.failed = True
+        self._set_phase(task, Phase.EXHAUSTED)
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -10,11 +10,13 @@
 """
 
 from collections import Counter
+from functools import partial
 
 import attrs
 
 from ..health import Health
 from ..journal import log_event
+from .copies import active_runs, place_copy
 from .durations import Durations
 from .executors import Executor, LargestRoom
 from .needs import PoolNeeds
@@ -25,6 +27,7 @@
 from .records import encode, Phase, PREFIX_PROGRESS
 from .reports import Outcome
 from .scheduler_events import (
+    CopyStarted,
     ExecutorAside,
     ExecutorSeen,
     JobChanged,
@@ -32,8 +35,9 @@
     TaskStarted,
 )
 from .spec import parse_task
+from .speculation import choose_copies, Speculation
 from .stalls import count_executor_states, SERVICE_LINES_MAX, stall_event, StallWatch
-from .urgency import Forecast
+from .urgency import Forecast, Rank, rank_of
 
 FAILURE_STREAK_JOBS = 2  # a healthy executor rarely fails two jobs' tasks in a row
 QUARANTINE_MIN_MS = 4000  # each retry of a faulty executor costs one task
@@ -85,6 +89,7 @@
         self._pool_needs = PoolNeeds()
         self._stalls = StallWatch()
         self._probes = Probes()
+        self._speculation = Speculation()
         self._health = Health(
             FAILURE_STREAK_JOBS,
             QUARANTINE_MIN_MS,
@@ -136,10 +141,10 @@
     def _duration_estimator(self, spec):
         """Return a function mapping a step to the expected run time of a task."""
 
-        def expected_ms(step):
-            return self.durations.expected_ms(spec.queue, step.estimate_ms)
+        return partial(self._expected_ms, spec)
 
-        return expected_ms
+    def _expected_ms(self, spec, step):
+        return self.durations.expected_ms(spec.queue, step.estimate_ms)
 
     def _allocate(self, job, task):
         executor = self.executors.get(task.executor)
@@ -149,6 +154,7 @@
         else:
             runs = self._orphaned_runs.setdefault(task.executor, {})
             runs[task.name] = (task.run, step)
+        self._speculation.watch(job, task)
 
     def cancel(self, name):
         """Cancel a job and order its runs stopped."""
@@ -179,9 +185,10 @@
                 self.stop(task)
 
     def stop(self, task):
-        """Order the current run of a task stopped."""
+        """Order the active runs of a task stopped."""
         name = task.name
-        self._pending_stops[name, task.run] = Stop(task.executor, name, task.run)
+        for run, executor in active_runs(task):
+            self._pending_stops[name, run] = Stop(executor, name, run)
 
     def stop_run(self, task_name):
         """Order the current run of a task stopped, given the name of the task."""
@@ -305,9 +312,12 @@
             was_probe = self._probes.end(name, task_name, run)
             if was_probe and outcome is Outcome.DONE:
                 self._health.reopen(name)
-        job, task = self._find_run(task_name, run)
+        job, task = self._find_run(task_name, run, name)
         if task is None and job is not None:
-            task = job.lapsed_task(parse_task(task_name), run, name)
+            task_id = parse_task(task_name)
+            task = job.lapsed_task(task_id, run, name)
+            if task is None and outcome is Outcome.DONE:
+                task = job.adopt_done_run(task_id, run, name)
         if task is None or task.executor != name:
             return False
         log_event(TaskEnded(job.spec.job, task_name, run, name, outcome.value))
@@ -324,6 +334,8 @@
             self._stop_all(job)
         elif job.spec.steps[task.id.step].gang:
             self._stop_gang(job, task)
+        elif task.phase is Phase.DONE:
+            self.stop(task)
         return True
 
     def _stop_gang(self, job, ended):
@@ -354,9 +366,11 @@
             if until_ms is not None:
                 log_event(ExecutorAside(executor.name, service, int(until_ms - now_ms)))
 
-    def _find_run(self, task_name, run):
+    def _find_run(self, task_name, run, ended_on=""):
         task_id = parse_task(task_name)
         job = self.jobs.get(task_id.job) if task_id is not None else None
+        if job is not None and ended_on:
+            job.select_ended(task_id, run, ended_on)
         task = job.running_task(task_id, run) if job is not None else None
         return job, task
 
@@ -383,12 +397,14 @@
         if executor is not None and executor.release(task_name, run):
             self._services_to_plan.add(executor.entry.service)
             self._probes.end(name, task_name, run)
-        job, task = self._find_run(task_name, run)
+        job, task = self._find_run(task_name, run, name)
         if task is not None and task.executor == name:
             job.withdraw(task)
             self._mark_dirty(job)
             self._services_to_plan.add(self.service_of(job.spec))
-            if job.spec.steps[task.id.step].gang:
+            if job.state.final:
+                self._stop_all(job)
+            elif job.spec.steps[task.id.step].gang:
                 self._stop_gang(job, task)
 
     # Placement
@@ -433,6 +449,7 @@
         services, self._services_to_plan = self._services_to_plan, set()
         for service in services:
             starts.extend(self._plan_service(service, now_ms, wall_ms))
+        starts.extend(self._place_copies(now_ms, wall_ms))
         return starts
 
     def _evaluate(self, job, wall_ms):
@@ -453,13 +470,7 @@
         ready = self._ready.setdefault(service, ReadyJobs())
         for name in ready.expired(wall_ms):
             self._evaluate(self.jobs[name], wall_ms)
-        executors = [
-            item
-            for item in self.pool(service)
-            if item.open
-            and not self._health.is_quarantined(item.name)
-            and item.name not in self._paused_until_ms
-        ]
+        executors = self._usable_executors(service)
         least_cores_m = ready.least_cores_m()
 
         def with_room():
@@ -494,6 +505,34 @@
         starts.extend(self._place_probes(service, ready, executors, now_ms))
         return starts
 
+    def _usable_executors(self, service):
+        return [
+            item
+            for item in self.pool(service)
+            if item.open
+            and not self._health.is_quarantined(item.name)
+            and item.name not in self._paused_until_ms
+        ]
+
+    def _place_copies(self, now_ms, wall_ms):
+        """Place copies of overdue runs where no waiting task wants the room."""
+        by_service = {}
+        for late in self._speculation.check(now_ms, self._expected_ms, self.stop):
+            if rank_of(self._forecast(late.job, wall_ms)) is not Rank.HOPELESS:
+                by_service.setdefault(self.service_of(late.job.spec), []).append(late)
+        starts = []
+        for service, overdue in by_service.items():
+            ready = self._ready.get(service, ())
+            usable = self._usable_executors(service)
+            for late, executor in choose_copies(overdue, ready, usable, self.executors):
+                job, task = late.job, late.task
+                run = place_copy(task, executor.name)
+                self._mark_dirty(job)
+                figures = int(late.age_ms), int(late.expected_ms)
+                log_event(CopyStarted(task.name, run, executor.name, *figures))
+                starts.append(self._start(job, task, run, executor, now_ms))
+        return starts
+
     def _place_probes(self, service, ready, executors, now_ms):
         """Place tasks that the open ``executors`` do not take on quarantined ones."""
         quarantined = [
@@ -621,6 +660,7 @@
         name = task.name
         task.placed_ms = now_ms
         executor.allocate(name, run, job.spec.steps[task.id.step])
+        self._speculation.watch(job, task)
         free = executor.entry.cores_m - executor.cores_m
         log_event(
             TaskStarted(job.spec.job, name, run, executor.name, job.spec.queue, free)
--- a/src/cardamomgrade/jobs/scheduler_events.py
+++ b/src/cardamomgrade/jobs/scheduler_events.py
@@ -26,6 +26,20 @@
     outcome: str
 
 
+@event(645)
+class CopyStarted:
+    """The scheduler placed a second run of a task whose first one is overdue.
+
+    The first run has taken ``age_ms``, although ``expected_ms`` is usual.
+    """
+
+    task: str
+    run: int
+    executor: str
+    age_ms: int
+    expected_ms: int
+
+
 @event(602)
 class JobChanged:
     """A job changed its state."""
