--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -10,11 +10,13 @@
 """
 
 from collections import Counter
+from functools import partial
 
 import attrs
 
 from ..health import Health
 from ..journal import log_event
+from .copies import active_runs, place_copy
 from .durations import Durations
 from .executors import Executor, LargestRoom
 from .fairness import Shares
@@ -28,6 +30,7 @@
 from .records import encode, Phase, PREFIX_PROGRESS
 from .reports import Outcome
 from .scheduler_events import (
+    CopyStarted,
     ExecutorAside,
     ExecutorSeen,
     JobChanged,
@@ -35,6 +38,7 @@
     TaskStarted,
 )
 from .spec import parse_task
+from .speculation import choose_copies, Speculation
 from .speeds import Speeds
 from .stalls import count_executor_states, SERVICE_LINES_MAX, stall_event, StallWatch
 from .urgency import Forecast, Rank, rank_of
@@ -95,6 +99,7 @@
         self._stalls = StallWatch()
         self._probes = Probes()
         self._speeds = Speeds(self.durations)
+        self._speculation = Speculation()
         self._health = Health(
             FAILURE_STREAK_JOBS,
             QUARANTINE_MIN_MS,
@@ -152,10 +157,10 @@
     def _duration_estimator(self, spec):
         """Return a function mapping a step to the expected run time of a task."""
 
-        def expected_ms(step):
-            return self.durations.expected_ms(spec.queue, step.estimate_ms)
+        return partial(self._expected_ms, spec)
 
-        return expected_ms
+    def _expected_ms(self, spec, step):
+        return self.durations.expected_ms(spec.queue, step.estimate_ms)
 
     def _allocate(self, job, task):
         executor = self.executors.get(task.executor)
@@ -165,6 +170,7 @@
         else:
             orphan = OrphanedRun(task.run, step, customer)
             self._orphans.add(task.executor, task.name, orphan)
+        self._speculation.watch(job, task)
 
     def cancel(self, name):
         """Cancel a job and order its runs stopped."""
@@ -195,9 +201,10 @@
                 self.stop(task)
 
     def stop(self, task):
-        """Order the current run of a task stopped."""
+        """Order the active runs of a task stopped."""
         name = task.name
-        self._pending_stops[name, task.run] = Stop(task.executor, name, task.run)
+        for run, executor in active_runs(task):
+            self._pending_stops[name, run] = Stop(executor, name, run)
 
     def stop_run(self, task_name):
         """Order the current run of a task stopped, given the name of the task."""
@@ -330,9 +337,12 @@
             if was_probe and outcome is Outcome.DONE:
                 self._health.reopen(name)
         self._orphans.release(name, task_name, run)
-        job, task = self._find_run(task_name, run)
+        job, task = self._find_run(task_name, run, name)
         if task is None and job is not None:
-            task = job.lapsed_task(parse_task(task_name), run, name)
+            task_id = parse_task(task_name)
+            task = job.lapsed_task(task_id, run, name)
+            if task is None and outcome is Outcome.DONE:
+                task = job.adopt_done_run(task_id, run, name)
         if task is None or task.executor != name:
             return False
         log_event(TaskEnded(job.spec.job, task_name, run, name, outcome.value))
@@ -350,6 +360,8 @@
             self._stop_all(job)
         elif job.spec.steps[task.id.step].gang:
             self._stop_gang(job, task)
+        elif task.phase is Phase.DONE:
+            self.stop(task)
         return True
 
     def _stop_gang(self, job, ended):
@@ -380,9 +392,11 @@
             if until_ms is not None:
                 log_event(ExecutorAside(executor.name, service, int(until_ms - now_ms)))
 
-    def _find_run(self, task_name, run):
+    def _find_run(self, task_name, run, ended_on=""):
         task_id = parse_task(task_name)
         job = self.jobs.get(task_id.job) if task_id is not None else None
+        if job is not None and ended_on:
+            job.select_ended(task_id, run, ended_on)
         task = job.running_task(task_id, run) if job is not None else None
         return job, task
 
@@ -411,12 +425,14 @@
             self._services_to_plan.add(executor.entry.service)
             self._probes.end(name, task_name, run)
         self._orphans.release(name, task_name, run)
-        job, task = self._find_run(task_name, run)
+        job, task = self._find_run(task_name, run, name)
         if task is not None and task.executor == name:
             job.withdraw(task)
             self._mark_dirty(job)
             self._services_to_plan.add(self.service_of(job.spec))
-            if job.spec.steps[task.id.step].gang:
+            if task.phase is Phase.EXHAUSTED:
+                self._stop_all(job)
+            elif job.spec.steps[task.id.step].gang:
                 self._stop_gang(job, task)
 
     # Placement
@@ -464,6 +480,7 @@
         self._services_to_plan = set()
         for service in services:
             starts.extend(self._plan_service(service, now_ms, wall_ms))
+        starts.extend(self._place_copies(now_ms, wall_ms))
         return starts
 
     def _evaluate(self, job, wall_ms):
@@ -486,13 +503,7 @@
         ready = self._ready.setdefault(service, ReadyJobs())
         for name in ready.expired(wall_ms):
             self._evaluate(self.jobs[name], wall_ms)
-        executors = [
-            item
-            for item in self.pool(service)
-            if item.open
-            and not self._health.is_quarantined(item.name)
-            and item.name not in self._paused_until_ms
-        ]
+        executors = self._usable_executors(service)
         least_cores_m = ready.least_cores_m()
 
         def with_room():
@@ -534,6 +545,37 @@
         starts.extend(self._place_probes(service, ready, executors, now_ms))
         return starts
 
+    def _usable_executors(self, service):
+        return [
+            item
+            for item in self.pool(service)
+            if item.open
+            and not self._health.is_quarantined(item.name)
+            and item.name not in self._paused_until_ms
+        ]
+
+    def _place_copies(self, now_ms, wall_ms):
+        """Place copies of overdue runs where no waiting task wants the room."""
+        by_service = {}
+        for late in self._speculation.check(now_ms, self._expected_ms, self.stop):
+            by_service.setdefault(self.service_of(late.job.spec), []).append(late)
+        starts = []
+        for service, overdue in by_service.items():
+            ready = self._ready.get(service, ())
+            usable = self._usable_executors(service)
+            for late, executor in choose_copies(overdue, ready, usable, self.executors):
+                job, task = late.job, late.task
+                if rank_of(self._forecast(job, wall_ms)) >= Rank.EXCESS:
+                    continue
+                if not self._quota.allows(job.spec.customer, late.state.step):
+                    continue
+                run = place_copy(task, executor.name)
+                self._mark_dirty(job)
+                figures = int(late.age_ms), int(late.expected_ms)
+                log_event(CopyStarted(task.name, run, executor.name, *figures))
+                starts.append(self._start(job, task, run, executor, now_ms))
+        return starts
+
     def _place_probes(self, service, ready, executors, now_ms):
         """Place tasks that the open ``executors`` do not take on quarantined ones."""
         quarantined = [
@@ -693,6 +735,7 @@
         step = job.spec.steps[task.id.step]
         executor.allocate(name, run, step, job.spec.customer)
         self._speeds.begin(executor.name, job, task, now_ms)
+        self._speculation.watch(job, task)
         free = executor.entry.cores_m - executor.cores_m
         log_event(
             TaskStarted(job.spec.job, name, run, executor.name, job.spec.queue, free)
