Bound the copies of one check and the cost of overdue runs without room

Cause: with the run time of a queue wrong by far, 2000 tasks got copies in one round of 0.38 s; with 2000 overdue runs and no room, each check took 12.5 ms.

Change: a check starts at most 32 copies for a service, and a step with an overdue run that got no copy is evaluated again after 300 ms.

Tests: a scenario counts the copies of one plan; without the bound it fails.

--- a/src/cardamomgrade/jobs/speculation.py
+++ b/src/cardamomgrade/jobs/speculation.py
@@ -22,6 +22,8 @@
 UNPROVEN_FACTOR = 2.0  # of the learned run time, while no sibling is done
 MARGIN_MS = 50.0  # times of starts and reports vary by this, also with short tasks
 CHECK_MS = 100
+RETRY_MS = 300.0  # until an overdue run that got no copy is evaluated again
+COPIES_MAX = 32  # of a service in one check; wrong run times affect whole queues
 REFRESH_MS = 1000.0  # expected run times are learned while a step runs
 RESTOP_MS = 1000  # a stop is not sent while its executor is not registered
 
@@ -125,6 +127,8 @@
         if now_ms >= placed_ms + limit_ms:
             age_ms = now_ms - placed_ms
             overdue.append(Overdue(item.job, state, task, age_ms, usual_ms))
+    if overdue:
+        item.next_ms = now_ms + RETRY_MS
     return overdue
 
 
@@ -133,8 +137,9 @@
 
     ``overdue`` are those of one service, ``ready`` its ReadyJobs and ``executors``
     those of its Executors that take new runs. ``known_executors`` maps all names to
-    Executors.
+    Executors. Yields at most COPIES_MAX.
     """
+    left = COPIES_MAX
     usable = _unwanted(executors, ready)
     slow = {name for late in overdue for _, name in active_runs(late.task)}
     for late in overdue if usable else ():
@@ -165,6 +170,9 @@
         best = min(allowed, key=rank, default=None)
         if best is not None:
             yield late, best
+            left -= 1
+        if not left:
+            break
 
 
 def _unwanted(executors, ready):
--- a/tests/jobs/speculation.feature
+++ b/tests/jobs/speculation.feature
@@ -212,6 +212,11 @@
     And the stop is lost
     Then its earlier run is stopped again
 
+  Scenario: a wrong run time of a queue does not start copies of all its tasks at once
+    Given a pool of 4 executors with 64 cores each
+    When a queue's tasks have taken 100 ms and 10 speculative steps take longer
+    Then at most 32 copies start in one plan, and all tasks have one in the end
+
   Scenario: steps that may not have copies, or have no runs, cost a check nothing
     Given a pool of 4 executors with 16 cores each
     When plain and speculative steps have run
--- a/tests/steps/jobs_speculation.py
+++ b/tests/steps/jobs_speculation.py
@@ -390,6 +390,22 @@
     assert found == [key(context.late)], found
 
 
+@when("a queue's tasks have taken 100 ms and {steps:d} speculative steps take longer")
+def step_wrong_time(context, steps):
+    world = context.jobs
+    run_all_but(context, 0)
+    context.tasks = steps * TASKS
+    for _ in range(steps):
+        world.add(Step(TASKS, **SIZE, speculative=True))
+    assert len(world.plan()) == context.tasks
+
+
+@then("at most {most:d} copies start in one plan, and all tasks have one in the end")
+def step_few_at_once(context, most):
+    counts = [len(advance(context.jobs, ROUND_MS)) for _ in range(150)]
+    assert max(counts) == most and sum(counts) == context.tasks, counts
+
+
 @when("plain and speculative steps have run")
 def step_both_kinds(context):
     world, context.sizes = context.jobs, []
