Make shares relative: excess is what a customer's share cannot serve in time

A customer's wait for its share is worked out from the jobs that a service begins; jobs whose wait is longer than callers wait are excess, and entries refuse them by the waits that the scheduler publishes by customer.

--- a/src/cardamomgrade/jobs/entry.py
+++ b/src/cardamomgrade/jobs/entry.py
@@ -15,7 +15,6 @@
 from .calls import Answer, AnswerKind, CallKind
 from .customers import NO_LIMITS
 from .durations import Durations
-from .fairness import Entitlements
 from .quotas import excess_over
 from .records import (
     AppendRecord,
@@ -161,8 +160,7 @@
     """Serves checked calls; ``on_done(Answer)`` is called once for each.
 
     ``sync(on_done)`` brings the view up to date before a job is reported as unknown.
-    ``wall_ms()`` returns the wall clock in ms. ``entitlements`` are the Entitlements of
-    customers by the jobs that this node has read.
+    ``wall_ms()`` returns the wall clock in ms.
     """
 
     def __init__(self, loop, view, follower, batcher, sync, metrics, wall_ms=None):
@@ -174,8 +172,6 @@
         self._batcher = batcher
         self._sync = sync
         self._wall_ms = wall_ms or (lambda: int(time.time() * MS))
-        self.entitlements = Entitlements()
-        self._view.on_accepted = self._on_accepted
 
     @property
     def fresh(self):
@@ -259,17 +255,10 @@
         durations = Durations()
         if self._view.learned is not None:
             durations.restore(self._view.learned)
-        wall_ms = self._wall_ms()
-        load, share_wait_ms = self._view.load, 0.0
-        if call.customer:
-            share_wait_ms = self.entitlements.wait_ms(call.customer, wall_ms)
-        if share_wait_ms:
-            load = self._view.excess_load
-        return retry_after_s(call, queue, durations, load, wall_ms, share_wait_ms)
-
-    def _on_accepted(self, spec):
-        if spec.customer and not spec.lasting and not spec.repeat:
-            self.entitlements.record(spec.customer, spec.accepted_ms)
+        view = self._view
+        return retry_after_s(
+            call, queue, durations, view.load, view.share_load, self._wall_ms()
+        )
 
     def _refuse(self, call, refusal, answer):
         """Refuse a job, unless an earlier request that had no answer has stored it."""
--- a/src/cardamomgrade/jobs/load.py
+++ b/src/cardamomgrade/jobs/load.py
@@ -7,10 +7,11 @@
 import time
 
 from ..journal import event, log_event
-from .records import encode, KEY_EXCESS_LOAD, KEY_LOAD, LoadRecord
+from .records import encode, KEY_LOAD, KEY_SHARE_LOAD, LoadRecord, ShareLoadRecord
 
 PUBLISH_INTERVAL_S = 0.4  # well within the age at which entries ignore the record
 POOL_LOG_S = 1.0
+SHARE_WAIT_MIN_MS = 500  # shorter ones never turn a job away
 MS = 1000
 
 
@@ -33,11 +34,10 @@
     waits: dict
 
 
-def expected_wait_ms(load, vms, with_excess=False):
+def expected_wait_ms(load, vms):
     """Return in how many ms ``vms`` VMs finish the waiting work of a PoolLoad."""
     cores_m = vms * load.usable_vm_cores_m - load.lasting_cores_m
-    core_ms = load.backlog_core_ms + (load.excess_core_ms if with_excess else 0.0)
-    return core_ms * MS / max(cores_m, load.usable_vm_cores_m, 1)
+    return load.backlog_core_ms * MS / max(cores_m, load.usable_vm_cores_m, 1)
 
 
 class LoadPublisher:
@@ -47,7 +47,7 @@
         self._writer = writer
         self._logged_at = self._published_at = float("-inf")
         self._waits = {}
-        self._excess_waits = {}
+        self._share_waits = {}
 
     def log_pools(self, loads, moves, now):
         """Log PoolLoads by service, if that is due, and how many ``moves`` go on."""
@@ -67,11 +67,12 @@
         ]
         log_event(PoolsSized(rows, moves))
 
-    def publish(self, loads, shares, now, with_excess=False):
+    def publish(self, loads, shares, now, share_waits_ms=None):
         """Store the waits of PoolLoads by service, if that is due.
 
         ``shares`` maps a service to the VMs that it may have; its pool may not have all
-        of them yet. ``with_excess`` is set where customers have shares.
+        of them yet. ``share_waits_ms`` maps (service, customer) to a wait, or is None
+        where customers have no shares.
         """
         if now - self._published_at < PUBLISH_INTERVAL_S:
             return
@@ -89,16 +90,18 @@
         if waits or self._waits:
             self._store(KEY_LOAD, waits)
         self._waits = waits
-        if not with_excess:
+        if share_waits_ms is None:
             return
-        excess_waits = {
-            name: int(expected_wait_ms(load, vms[name], with_excess=True))
-            for name, load in loads.items()
-            if not load.standby and load.backlog_core_ms + load.excess_core_ms
+        share_waits = {
+            names: wait_ms
+            for names, wait_ms in share_waits_ms.items()
+            if wait_ms >= SHARE_WAIT_MIN_MS
         }
-        if excess_waits or self._excess_waits:
-            self._store(KEY_EXCESS_LOAD, excess_waits)
-        self._excess_waits = excess_waits
+        if share_waits or self._share_waits:
+            rows = ((*names, int(wait_ms)) for names, wait_ms in share_waits.items())
+            record = ShareLoadRecord(int(time.time() * MS), tuple(rows))
+            self._writer.store([(KEY_SHARE_LOAD, encode(record))])
+        self._share_waits = share_waits
 
     def _store(self, key, waits):
         record = LoadRecord(int(time.time() * MS), tuple(waits.items()))
--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -95,5 +95,4 @@
             backlog_core_ms=ready.backlog_core_ms * startable.backlog,
             lasting_cores_m=lasting_cores_m,
             usable_vm_cores_m=int(self._largest_vm_cores_m / HEADROOM_FACTOR),
-            excess_core_ms=ready.excess_core_ms,
         )
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -318,7 +318,6 @@
         if self._queue_cfg is not None and queue_cfg.version < self._queue_cfg.version:
             return
         self._queue_cfg = queue_cfg
-        self._entry.entitlements.set_customers(queue_cfg.customers)
         log_event(
             ConfigInForce(
                 queue_cfg.version,
--- a/src/cardamomgrade/jobs/pools.py
+++ b/src/cardamomgrade/jobs/pools.py
@@ -31,10 +31,9 @@
     names of its executors without runs. ``closable`` are those that run only tasks that
     end, the least busy first. ``waiting_cores_m`` is what its waiting tasks need, in
     thousandths of a core, and ``backlog_core_ms`` the work of the jobs that wait,
-    without hopeless ones and without ``excess_core_ms``, that of jobs beyond the shares
-    of their customers. ``lasting_cores_m`` is what lasting tasks have, and
-    ``usable_vm_cores_m`` the cores of a VM that tasks use on average. The VMs of a
-    ``standby`` pool are switched off.
+    without hopeless ones and without those beyond the shares of their customers.
+    ``lasting_cores_m`` is what lasting tasks have, and ``usable_vm_cores_m`` the cores
+    of a VM that tasks use on average. The VMs of a ``standby`` pool are switched off.
     """
 
     service: str
@@ -48,7 +47,6 @@
     backlog_core_ms: float = 0.0
     lasting_cores_m: int = 0
     usable_vm_cores_m: int = 0
-    excess_core_ms: float = 0.0
 
 
 @attrs.frozen
--- a/src/cardamomgrade/jobs/ready.py
+++ b/src/cardamomgrade/jobs/ready.py
@@ -34,8 +34,8 @@
     again. ``urgent_cores_m`` is the need of its waiting tasks, in thousandths of a
     core, if the job can be in time, ``late_cores_m`` if it is late or excess; the other
     is 0, and both are if it is hopeless. ``backlog_core_ms`` is the work that it has
-    left, 0 if it is lasting, excess or hopeless, and ``excess_core_ms`` that of an
-    excess job. ``work`` is the same of a job with a customer, else None.
+    left, 0 if it is lasting, excess or hopeless. ``work`` is the same of a job with a
+    customer, else None.
     """
 
     job: object
@@ -45,7 +45,6 @@
     urgent_cores_m: int
     late_cores_m: int
     backlog_core_ms: float
-    excess_core_ms: float = 0.0
     work: object = None
 
 
@@ -61,7 +60,6 @@
         cores_m if rank < Rank.LATE else 0,
         cores_m if rank in (Rank.LATE, Rank.EXCESS) else 0,
         forecast.core_ms if rank in ENTITLED_RANKS else 0.0,
-        forecast.core_ms if rank is Rank.EXCESS else 0.0,
     )
     work = _waiting_work(steps, counts, rank) if job.spec.customer else None
     return ReadyJob(job, steps, key, valid_until_ms, *counts, work)
@@ -89,7 +87,6 @@
         self.urgent_cores_m = 0
         self.late_cores_m = 0
         self.backlog_core_ms = 0.0
-        self.excess_core_ms = 0.0
 
     def __iter__(self):
         """Iterate over a copy of the ReadyJobs, the first to get capacity first."""
@@ -115,7 +112,6 @@
         self.urgent_cores_m += item.urgent_cores_m
         self.late_cores_m += item.late_cores_m
         self.backlog_core_ms += item.backlog_core_ms
-        self.excess_core_ms += item.excess_core_ms
         self._count_work(item, 1)
 
     def discard(self, name):
@@ -128,8 +124,6 @@
             # The rounding errors of removed items must not add up.
             left_core_ms = self.backlog_core_ms - item.backlog_core_ms
             self.backlog_core_ms = left_core_ms if self._order else 0.0
-            left_core_ms = self.excess_core_ms - item.excess_core_ms
-            self.excess_core_ms = left_core_ms if self._order else 0.0
             self._count_work(item, -1)
 
     def _count_work(self, item, sign):
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -11,7 +11,7 @@
 | ``silent/EXECUTOR`` | SilentRecord | the scheduler; deleted before its next grant |
 | ``learned`` | LearnedRecord | the scheduler |
 | ``load`` | LoadRecord | the scheduler |
-| ``excess-load`` | LoadRecord | the scheduler, where customers have shares |
+| ``share-load`` | ShareLoadRecord | the scheduler, where customers have shares |
 | ``term`` | TermRecord | the scheduler and its candidates |
 
 A value is the CBOR array of the record's fields. Writing a record twice has no further
@@ -32,7 +32,7 @@
 KEY_TERM = "term"
 KEY_LEARNED = "learned"
 KEY_LOAD = "load"
-KEY_EXCESS_LOAD = "excess-load"
+KEY_SHARE_LOAD = "share-load"
 PREFIX_JOB = "job/"
 PREFIX_CANCEL = "cancel/"
 PREFIX_PROGRESS = "progress/"
@@ -167,8 +167,18 @@
     """Expected waits at ``at_ms`` of the scheduler's wall clock, as (service, wait_ms).
 
     ``wait_ms`` is how long a service takes to finish the work that waits and that is
-    not given up, in ms. Work beyond the shares of customers counts only under the key
-    of excess loads.
+    not given up, in ms. Work beyond the shares of customers does not count.
+    """
+
+    at_ms: int
+    waits: tuple
+
+
+@attrs.frozen
+class ShareLoadRecord:
+    """Waits of customers for their shares, as (service, customer, wait_ms).
+
+    ``at_ms`` is the scheduler's wall clock. Customers without a wait are left out.
     """
 
     at_ms: int
@@ -302,12 +312,25 @@
 
 def decode_load(data):
     """Return the LoadRecord of the ``load`` key; raise RecordError."""
-    record = _load(LoadRecord, data)
+    return _load_waits(LoadRecord, data, 1)
+
+
+def decode_share_load(data):
+    """Return the ShareLoadRecord of the ``share-load`` key; raise RecordError."""
+    return _load_waits(ShareLoadRecord, data, 2)
+
+
+def _load_waits(cls, data, names):
+    """Return a record whose waits have ``names`` names and a time in ms each."""
+    record = _load(cls, data)
     try:
-        waits = tuple((str(name), float(wait_ms)) for name, wait_ms in record.waits)
-        load = LoadRecord(int(record.at_ms), waits)
-    except (TypeError, ValueError, OverflowError) as exc:
-        raise RecordError(f"LoadRecord: {exc}") from exc
-    if not all(0 <= wait_ms < math.inf for _, wait_ms in waits):
-        raise RecordError(f"LoadRecord: {waits!r} are no waits in ms")
+        waits = tuple(
+            (*map(str, row[:names]), float(row[names])) for row in record.waits
+        )
+        complete = all(len(row) == names + 1 for row in record.waits)
+        load = cls(int(record.at_ms), waits)
+    except (TypeError, ValueError, OverflowError, IndexError) as exc:
+        raise RecordError(f"{cls.__name__}: {exc}") from exc
+    if not complete or not all(0 <= row[-1] < math.inf for row in waits):
+        raise RecordError(f"{cls.__name__}: {waits!r} are no waits in ms")
     return load
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -41,7 +41,7 @@
 from .speculation import choose_copies, Speculation
 from .speeds import Speeds
 from .stalls import count_executor_states, SERVICE_LINES_MAX, stall_event, StallWatch
-from .urgency import Forecast, Rank, rank_of
+from .urgency import Forecast, HOPELESS_FACTOR, Rank, rank_of
 from .waiting import ALL_STARTABLE
 
 FAILURE_STREAK_JOBS = 2  # a healthy executor rarely fails two jobs' tasks in a row
@@ -145,7 +145,8 @@
         self._services_to_plan.add(self.service_of(spec))
         self._stop_unwanted(job)
         core_ms = job.core_ms(self._duration_estimator(spec))
-        self._shares.add(spec, self.service_of(spec), core_ms)
+        limit_ms = self._forecast(job, spec.accepted_ms).objective_ms * HOPELESS_FACTOR
+        self._shares.add(spec, self.service_of(spec), core_ms, limit_ms)
         if not job.state.final and not spec.lasting:
             core_ms *= self._quota.demand_share(
                 spec, self._duration_estimator(spec), now_ms
@@ -537,7 +538,7 @@
                 room = LargestRoom.of(roomy)
                 self._evaluate(job, wall_ms)
                 if not begun:
-                    self._shares.on_begun(job.spec.job, service)
+                    self._shares.on_begun(job.spec.job, service, wall_ms)
                     age_ms = wall_ms - job.spec.accepted_ms
                     self._start_delays_ms.append(max(0.0, age_ms))
         if any(item.slow for item in executors):
@@ -642,6 +643,10 @@
             tag=self._shares.tag(job.spec.job),
         )
 
+    def share_waits_ms(self, wall_ms):
+        """Return a dict of (service, customer) to its wait for its share, above 0."""
+        return self._shares.waits_ms(wall_ms)
+
     def log_stalls(self, now_ms):
         """Log the jobs that stand still, at most SERVICE_LINES_MAX of a service."""
         lines = Counter()
--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -13,13 +13,14 @@
     decode_load,
     decode_order,
     decode_progress,
+    decode_share_load,
     decode_silent,
     decode_term,
     decode_upkeep,
     JobState,
-    KEY_EXCESS_LOAD,
     KEY_LEARNED,
     KEY_LOAD,
+    KEY_SHARE_LOAD,
     KEY_TERM,
     PREFIX_APPEND,
     PREFIX_CANCEL,
@@ -70,9 +71,9 @@
     ``silent`` maps an executor with a SilentRecord to a time of ``now`` by which its
     lease was granted for the last time.
 
-    ``load`` and ``excess_load`` are LoadRecords, or None.
+    ``load`` is a LoadRecord and ``share_load`` a ShareLoadRecord, or None.
 
-    Optional callbacks: ``on_job(spec)``, ``on_accepted(spec)``, ``on_cancel(job)``,
+    Optional callbacks: ``on_job(spec)``, ``on_cancel(job)``,
     ``on_term(record, offset)``, ``on_stored(key)`` for every record of a ``job/`` or
     ``cancel/`` key that is read, but not for its deletion, and
     ``on_append(node, record)`` for every AppendRecord. ``on_cancel`` is also called
@@ -87,10 +88,9 @@
         self.silent = {}
         self.learned = None
         self.load = None
-        self.excess_load = None
+        self.share_load = None
         self.term = None
         self.on_job = None
-        self.on_accepted = None
         self.on_cancel = None
         self.on_term = None
         self.on_stored = None
@@ -132,8 +132,8 @@
             if entry.key == KEY_LOAD:
                 self.load = decode_load(entry.value)
                 return
-            if entry.key == KEY_EXCESS_LOAD:
-                self.excess_load = decode_load(entry.value)
+            if entry.key == KEY_SHARE_LOAD:
+                self.share_load = decode_share_load(entry.value)
                 return
             for prefix, fold in self._handlers:
                 if entry.key.startswith(prefix):
@@ -163,8 +163,6 @@
         row = self._row(name)
         if row.spec is None:
             row.spec = spec
-            if self.on_accepted is not None:
-                self.on_accepted(spec)
             if self.on_job is not None:
                 self.on_job(row.spec)
             # A repeated submission has a higher offset than the cancellation, and after
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -1,5 +1,7 @@
 """Sends the scheduler's orders for VMs: upkeep in waves, and moves between pools."""
 
+import time
+
 from ..journal import event, log_event
 from .incarnations import is_later
 from .load import LoadPublisher
@@ -282,8 +284,10 @@
                 self._born_by_move[move.vm] = self._born(move.executor)
             self._order_move(move)
         self._load.log_pools(loads, len(self._ending_by_move), now)
-        with_excess = self._scheduler.cfg.customers is not None
-        self._load.publish(loads, self._pools.shares, now, with_excess)
+        waits_ms = None
+        if self._scheduler.cfg.customers is not None:
+            waits_ms = self._scheduler.share_waits_ms(time.time() * MS)
+        self._load.publish(loads, self._pools.shares, now, waits_ms)
         return set(self._ending_by_move.values()) | set(self._pools.closed)
 
     def _order_move(self, move, unanswered_at=None):
--- a/src/cardamomgrade/jobs/waiting.py
+++ b/src/cardamomgrade/jobs/waiting.py
@@ -14,8 +14,6 @@
 class WaitingWork:
     """What waits of a customer in a service, as ReadyJob counts it.
 
-    ``excess_core_ms`` is not part of the backlog.
-
     ``amounts``, in the order of KINDS, are what its urgent and late tasks count towards
     the limit.
     """
@@ -23,7 +21,6 @@
     urgent_cores_m: int = 0
     late_cores_m: int = 0
     backlog_core_ms: float = 0.0
-    excess_core_ms: float = 0.0
     amounts: tuple = (0,) * len(KINDS)
 
     def add(self, other, sign):
@@ -31,7 +28,6 @@
         self.urgent_cores_m += sign * other.urgent_cores_m
         self.late_cores_m += sign * other.late_cores_m
         self.backlog_core_ms += sign * other.backlog_core_ms
-        self.excess_core_ms += sign * other.excess_core_ms
         self.amounts = tuple(
             mine + sign * its
             for mine, its in zip(self.amounts, other.amounts, strict=True)
