Find room for large tasks beside small ones: best fit and one reservation

Placement on the executor with the most free cores leaves a small free capacity on each one, so that tasks of over half an executor wait although the sum would suffice. While one waits, or did in the last 5 s, and unless over 0.4 s of work waits, steps are now placed by best fit of their dominant resource, and one executor is reserved for the first large task in order that fits nowhere (EASY backfill), for at most 2.5 s. Other services are placed as before.

--- a/src/cardamomgrade/jobs/executors.py
+++ b/src/cardamomgrade/jobs/executors.py
@@ -5,7 +5,10 @@
 
 @attrs.frozen
 class Allocation:
-    """Capacity allocated to one run on an executor until its end is known."""
+    """Capacity allocated to one run on an executor until its end is known.
+
+    ``ends_ms`` is the expected end on the monotonic clock, 0 if it is unknown.
+    """
 
     task: object
     run: int
@@ -13,6 +16,7 @@
     memory_mb: int
     accelerators: int
     lasting: bool
+    ends_ms: float = 0.0
 
 
 class Executor:
@@ -70,8 +74,8 @@
         """The fraction of the cores that is not allocated to runs."""
         return 1 - self.cores_m / max(1, self.entry.cores_m)
 
-    def allocate(self, task, run, step):
-        """Allocate capacity to a run of a task."""
+    def allocate(self, task, run, step, ends_ms=0.0):
+        """Allocate capacity to a run of a task that should end at ``ends_ms``."""
         allocation = Allocation(
             task,
             run,
@@ -79,6 +83,7 @@
             step.memory_mb,
             step.accelerators,
             step.lasting,
+            ends_ms,
         )
         self.allocations[task] = allocation
         self._adjust_usage(allocation, 1)
--- a/src/cardamomgrade/jobs/placing.py
+++ b/src/cardamomgrade/jobs/placing.py
@@ -53,20 +53,27 @@
 
     ``spread`` are the PlacementLimits that keep the step within its availability
     budget. They are exceeded only where the step could not start otherwise: two tasks
-    of a step on one VM delay its upkeep, but waiting is worse.
+    of a step on one VM delay its upkeep, but waiting is worse. ``gate`` is the StepGate
+    of the step where large tasks wait, which also puts the best fit first.
     """
 
-    def __init__(self, executors, step, limits, spread):
+    def __init__(self, executors, step, limits, spread, gate=None):
         self._step = step
+        self._gate = gate
         self._limits = limits
         self._spread = spread
         self._heap = [
             (self._rank(item), number, item)
             for number, item in enumerate(executors)
-            if may_run(item, step, limits)
+            if self._may_run(item)
         ]
         heapify(self._heap)
 
+    def _may_run(self, executor):
+        return may_run(executor, self._step, self._limits) and (
+            self._gate is None or self._gate.allows(executor)
+        )
+
     def _rank(self, executor, avoid=()):
         rack = self._step.rack
         return (
@@ -74,7 +81,9 @@
             executor.name in avoid,
             bool(rack) and executor.entry.rack != rack,
             not executor.allocations,
-            -executor.free_fraction,
+            -executor.free_fraction
+            if self._gate is None
+            else self._gate.slack(executor),
         )
 
     def choose(self, avoid=()):
@@ -87,13 +96,16 @@
         if best is not None:
             self._limits.add(best.name)
             self._spread.add(best.name)
+            if self._gate is not None:
+                self._gate.record_placed(best)
         return best
 
     def _choose_first(self):
-        # Only this step changes executors meanwhile, so that ranks only get worse.
+        # Only this step changes executors meanwhile, so that ranks only get worse; with
+        # a gate, that of the first executor may improve, and it stays the first.
         while self._heap:
             rank, number, executor = self._heap[0]
-            if not may_run(executor, self._step, self._limits):
+            if not self._may_run(executor):
                 heappop(self._heap)
                 continue
             current = self._rank(executor)
@@ -103,9 +115,7 @@
         return None
 
     def _choose_avoiding(self, avoid):
-        allowed = [
-            item for _, _, item in self._heap if may_run(item, self._step, self._limits)
-        ]
+        allowed = [item for _, _, item in self._heap if self._may_run(item)]
         return min(allowed, key=lambda item: self._rank(item, avoid), default=None)
 
 
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -17,6 +17,7 @@
 from ..journal import log_event
 from .durations import Durations
 from .executors import Executor, LargestRoom
+from .lookahead import LookAhead
 from .needs import PoolNeeds
 from .placing import choose_gang_executors, PlacementLimits, StepPlacer
 from .probes import choose_probe, Probes
@@ -85,6 +86,7 @@
         self._pool_needs = PoolNeeds()
         self._stalls = StallWatch()
         self._probes = Probes()
+        self.lookahead = LookAhead()
         self._health = Health(
             FAILURE_STREAK_JOBS,
             QUARANTINE_MIN_MS,
@@ -141,6 +143,9 @@
 
         return expected_ms
 
+    def _expected_ms(self, job, step):
+        return self.durations.expected_ms(job.spec.queue, step.estimate_ms)
+
     def _allocate(self, job, task):
         executor = self.executors.get(task.executor)
         step = job.spec.steps[task.id.step]
@@ -424,6 +429,7 @@
         for name in expired:
             del self._paused_until_ms[name]
             self.replan_executor(name)
+        self._services_to_plan.update(self.lookahead.due(now_ms))
         for name in (*self._health.due(now_ms), *self._probes.rested(now_ms)):
             self.replan_executor(name)
         changed, self._changed = self._changed, {}
@@ -460,6 +466,7 @@
             and not self._health.is_quarantined(item.name)
             and item.name not in self._paused_until_ms
         ]
+        ahead = self.lookahead.begin_round(service, ready, executors, now_ms)
         least_cores_m = ready.least_cores_m()
 
         def with_room():
@@ -474,11 +481,16 @@
             for step in item.steps:
                 if not room.may_fit(step.step):
                     continue
+                gate = ahead and ahead.gate(
+                    item, step, self._expected_ms(job, step.step)
+                )
                 if step.step.gang:
-                    starts.extend(self._place_gang(job, step, executors, now_ms))
+                    usable = [x for x in executors if gate is None or gate.allows(x)]
+                    starts.extend(self._place_gang(job, step, usable, now_ms))
                 else:
                     limits = PlacementLimits(step, executors)
-                    starts.extend(self._place_tasks(job, step, roomy, limits, now_ms))
+                    placed = self._place_tasks(job, step, roomy, limits, now_ms, gate)
+                    starts.extend(placed)
                 if step.is_restricted and any(
                     item.fits(step.step) for item in executors
                 ):
@@ -588,8 +600,9 @@
             )
         return loads
 
-    def _place_tasks(self, job, step, executors, spread_limits, now_ms):
-        placer = StepPlacer(executors, step.step, PlacementLimits(step), spread_limits)
+    def _place_tasks(self, job, step, executors, spread, now_ms, gate):
+        limits = PlacementLimits(step)
+        placer = StepPlacer(executors, step.step, limits, spread, gate)
         starts = []
         for task in step.tasks:
             if task.phase is not Phase.WAITING:
@@ -620,7 +633,9 @@
     def _start(self, job, task, run, executor, now_ms):
         name = task.name
         task.placed_ms = now_ms
-        executor.allocate(name, run, job.spec.steps[task.id.step])
+        step = job.spec.steps[task.id.step]
+        ends_ms = now_ms + self._expected_ms(job, step)
+        executor.allocate(name, run, step, ends_ms)
         free = executor.entry.cores_m - executor.cores_m
         log_event(
             TaskStarted(job.spec.job, name, run, executor.name, job.spec.queue, free)
--- a/src/cardamomgrade/jobs/scheduler_events.py
+++ b/src/cardamomgrade/jobs/scheduler_events.py
@@ -53,6 +53,32 @@
     state: str
 
 
+@event(640)
+class ReservationBegan:
+    """An executor is reserved for a large task that fits nowhere now.
+
+    It is expected to have room for the task in ``starts_in_ms``.
+    """
+
+    job: str
+    step: int
+    executor: str
+    service: str
+    starts_in_ms: int
+
+
+@event(641)
+class ReservationEnded:
+    """The reservation of an executor ended after ``held_ms``, by its start or not."""
+
+    job: str
+    step: int
+    executor: str
+    service: str
+    reason: str
+    held_ms: int
+
+
 @event(617)
 class JobStalled:
     """Tasks of a job have not been started for ``for_ms``, and none is known to run.
