Test that lasting steps and small pools are exempt from look-ahead

Two changes of lookahead.py, without the exemption of lasting steps and with half of the executors reserved, passed the feature.

--- a/tests/jobs/lookahead.feature
+++ b/tests/jobs/lookahead.feature
@@ -71,10 +71,15 @@
     Then the plan starts 4 tasks
     And the reservation was logged as begun, and as ended since "overload"
 
+  Scenario: lasting steps are placed as before
+    Guards against availability that gives way to the wait of a large task.
+    When a large task waits on an otherwise idle service
+    Then placement considers it for other steps, but not for lasting ones
+
   Scenario: a pool of three executors gets no reservation
     Given a full pool of 3 executors, and room for small tasks on one
     When a large task waits
-    And a job after in order with a task of 10 cores for 500 ms waits
+    And a job after in order with a task of 10 cores for 600 ms waits
     Then the plan starts it on the executor with room
 
   Scenario: the log lines of reservations are bounded
--- a/tests/steps/jobs_lookahead.py
+++ b/tests/steps/jobs_lookahead.py
@@ -277,6 +277,20 @@
     assert full.scheduler.lookahead.due(full.now_ms + 10_000) == ["s"]
 
 
+@when("a large task waits on an otherwise idle service")
+def step_idle_service(context):
+    context.round = lookahead.PlacementRound(None, "s", None, (*BIG, 0), 0.0)
+
+
+@then("placement considers it for other steps, but not for lasting ones")
+def step_gates(context):
+    gates = []
+    for lasting in (False, True):
+        state = mock.Mock(step=Step(1, 1000, 100, lasting=lasting))
+        gates.append(context.round.gate(mock.Mock(key=()), state, 100.0))
+    assert gates[0] is not None and gates[1] is None, gates
+
+
 @when("{count:d} services reserve an executor and lose it within one second")
 def step_many(context, count):
     pools = [FullPool(4) for _ in range(count)]
