--- a/src/cardamomgrade/jobs/executors.py
+++ b/src/cardamomgrade/jobs/executors.py
@@ -7,7 +7,10 @@
 
 @attrs.frozen
 class Allocation:
-    """Capacity allocated to one run on an executor until its end is known."""
+    """Capacity allocated to one run on an executor until its end is known.
+
+    ``ends_ms`` is the expected end on the monotonic clock, 0 if it is unknown.
+    """
 
     task: object
     run: int
@@ -15,6 +18,7 @@
     memory_mb: int
     accelerators: int
     lasting: bool
+    ends_ms: float = 0.0
 
 
 class Executor:
@@ -27,8 +31,8 @@
     answered. ``slow`` is set while tasks take much longer on it than on others of its
     service. ``allocations`` maps the name of a task to its Allocation. ``cores_m``
     (thousandths of a core), ``memory_mb`` and ``accelerators`` are the sums of the
-    allocations; ``lasting_cores_m`` is the part of ``cores_m`` of lasting tasks, of
-    which there are ``lasting_runs``. Runs are counted in ``usage``, a
+    allocations; ``lasting_cores_m`` and ``lasting_memory_mb`` are the parts of lasting
+    tasks, of which there are ``lasting_runs``. Runs are counted in ``usage``, a
     CustomerUsage, for as long as they are allocated.
     """
 
@@ -44,6 +48,7 @@
         self.memory_mb = 0
         self.accelerators = 0
         self.lasting_cores_m = 0
+        self.lasting_memory_mb = 0
         self.lasting_runs = 0
 
     @property
@@ -77,8 +82,8 @@
         """The fraction of the cores that is not allocated to runs."""
         return 1 - self.cores_m / max(1, self.entry.cores_m)
 
-    def allocate(self, task, run, step, customer=""):
-        """Allocate capacity to a run of a task of a customer."""
+    def allocate(self, task, run, step, customer="", ends_ms=0.0):
+        """Allocate capacity to a run of a customer's task, expected to end then."""
         allocation = Allocation(
             task,
             run,
@@ -86,6 +91,7 @@
             step.memory_mb,
             step.accelerators,
             step.lasting,
+            ends_ms,
         )
         self.allocations[task] = allocation
         self._adjust_usage(allocation, 1)
@@ -107,6 +113,7 @@
         self.accelerators += sign * allocation.accelerators
         if allocation.lasting:
             self.lasting_cores_m += sign * allocation.cores_m
+            self.lasting_memory_mb += sign * allocation.memory_mb
             self.lasting_runs += sign
 
 
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -20,6 +20,7 @@
 from .durations import Durations
 from .executors import Executor, LargestRoom
 from .fairness import Shares
+from .lookahead import LookAhead
 from .needs import PoolNeeds
 from .orphans import OrphanedRun, OrphanedRuns
 from .placing import choose_gang_executors, PlacementLimits, StepPlacer
@@ -100,6 +101,7 @@
         self._probes = Probes()
         self._speeds = Speeds(self.durations)
         self._speculation = Speculation()
+        self.lookahead = LookAhead()
         self._health = Health(
             FAILURE_STREAK_JOBS,
             QUARANTINE_MIN_MS,
@@ -470,6 +472,7 @@
         for name in expired:
             del self._paused_until_ms[name]
             self.replan_executor(name)
+        self._services_to_plan.update(self.lookahead.due(now_ms))
         for name in (*self._health.due(now_ms), *self._probes.rested(now_ms)):
             self.replan_executor(name)
         for item in self._speeds.update(self.executors, self._pools, now_ms):
@@ -506,6 +509,7 @@
         for name in ready.expired(wall_ms):
             self._evaluate(self.jobs[name], wall_ms)
         executors = self._usable_executors(service)
+        ahead = self.lookahead.begin_round(service, ready, executors, now_ms)
         least_cores_m = ready.least_cores_m()
 
         def with_room():
@@ -523,11 +527,15 @@
                     continue
                 if not self._quota.may_start(customer, step, service):
                     continue
+                expected_ms = self._expected_ms(job.spec, step.step)
+                gate = ahead and ahead.gate(item, step, expected_ms)
                 if step.step.gang:
-                    starts.extend(self._place_gang(job, step, executors, now_ms))
+                    usable = [x for x in executors if gate is None or gate.allows(x)]
+                    starts.extend(self._place_gang(job, step, usable, now_ms))
                 else:
                     limits = PlacementLimits(step, executors)
-                    starts.extend(self._place_tasks(job, step, roomy, limits, now_ms))
+                    placed = self._place_tasks(job, step, roomy, limits, now_ms, gate)
+                    starts.extend(placed)
                 if (step.is_restricted and not self._speeds.is_held(step)) and any(
                     item.fits(step.step) for item in executors
                 ):
@@ -696,9 +704,10 @@
             )
         return loads
 
-    def _place_tasks(self, job, step, executors, spread_limits, now_ms):
+    def _place_tasks(self, job, step, executors, spread, now_ms, gate):
         service = self.service_of(job.spec)
-        placer = StepPlacer(executors, step.step, PlacementLimits(step), spread_limits)
+        limits = PlacementLimits(step)
+        placer = StepPlacer(executors, step.step, limits, spread, gate)
         starts = []
         for task in step.tasks:
             if task.phase is not Phase.WAITING:
@@ -739,7 +748,8 @@
         name = task.name
         task.placed_ms = now_ms
         step = job.spec.steps[task.id.step]
-        executor.allocate(name, run, step, job.spec.customer)
+        ends_ms = now_ms + self._expected_ms(job.spec, step)
+        executor.allocate(name, run, step, job.spec.customer, ends_ms)
         self._speeds.begin(executor.name, job, task, now_ms)
         self._speculation.watch(job, task)
         free = executor.entry.cores_m - executor.cores_m
--- a/tests/steps/jobs_quota_search.py
+++ b/tests/steps/jobs_quota_search.py
@@ -154,7 +154,7 @@
 def _without_charge_of_starts():
     allocate = Executor.allocate
 
-    def allocate_uncharged(self, task, run, step, customer=""):
+    def allocate_uncharged(self, task, run, step, customer="", ends_ms=0.0):
         allocate(self, task, run, step)
 
     return mock.patch.object(Executor, "allocate", allocate_uncharged)
