--- a/src/cardamomgrade/platform/ingress.py
+++ b/src/cardamomgrade/platform/ingress.py
@@ -15,6 +15,7 @@
 TEXT_LIMIT_BYTES = 4000  # limit of the field ``spec``, the job's text
 STEPS_LIMIT = 64
 TASKS_LIMIT = 4096
+REPEATED_TASKS_LIMIT = 65_536  # of all occurrences, which may all be due at once
 ID_DIGITS = 16
 DEADLINE_DIGITS = 15
 READY_PATH = "/api/ready"
@@ -141,6 +142,8 @@
     times = [fields.get(name, 0) for name in ("repeatCount", "startAtMs", "intervalMs")]
     if not all(is_int(item, low=0) for item in times):
         raise RecordError(f"times = {shown(times)}")
+    if times[0] * sum(step.tasks for step in steps) > REPEATED_TASKS_LIMIT:
+        raise RecordError("too many tasks in all repetitions")
     return attrs.evolve(
         call,
         text=text,
--- a/tests/platform/decoders.feature
+++ b/tests/platform/decoders.feature
@@ -91,6 +91,7 @@
       | request       | an object with spec="\ud800"                           |
       | request       | an object with repeatCount=true                        |
       | request       | an object with a huge repeatCount                      |
+      | request       | an object with repeatCount=65537                       |
       | request       | an object with steps=[{"image":"\ud800"}]              |
       | request       | an object with steps=[{"cpu":9900000000000000000}]     |
 
