--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -146,13 +146,15 @@
             self._allocate(job, task)
         self._services_to_plan.add(self.service_of(spec))
         self._stop_unwanted(job)
-        core_ms = job.core_ms(self._duration_estimator(spec))
-        limit_ms = self._forecast(job, spec.accepted_ms).objective_ms * HOPELESS_FACTOR
-        self._shares.add(spec, self.service_of(spec), core_ms, limit_ms)
+        expected_ms = self._duration_estimator(spec)
+        if spec.customer:
+            forecast = self._forecast(job, spec.accepted_ms)
+            limit_ms = forecast.objective_ms * HOPELESS_FACTOR
+            service = self.service_of(spec)
+            self._shares.add(spec, service, forecast.core_ms, limit_ms)
         if not job.state.final and not spec.lasting:
-            core_ms *= self._quota.demand_share(
-                spec, self._duration_estimator(spec), now_ms
-            )
+            core_ms = job.core_ms(expected_ms)
+            core_ms *= self._quota.demand_share(spec, expected_ms, now_ms)
             self._pool_needs.demand.record_arrival(
                 self.service_of(spec), core_ms, now_ms
             )
