--- a/src/cardamomgrade/jobs/customer_summary.py
+++ b/src/cardamomgrade/jobs/customer_summary.py
@@ -17,10 +17,11 @@
 class CustomerSummary:
     """One customer with its share, its limit, what it uses and its jobs.
 
-    ``weight`` and ``accepted_per_s`` are in jobs a second, the latter the mean of the
-    last RATE_WINDOW_MS. Limits of 0 are no limit; ``at_limit`` names the resources of
-    which a limit is used up. ``configured`` is false for a customer that the
-    configuration does not have any more but whose jobs are not over.
+    ``accepted_per_s`` is in jobs a second, the mean of the last RATE_WINDOW_MS;
+    ``over_share`` is whether its part of all accepted jobs is larger than that of its
+    ``weight`` in all weights. Limits of 0 are no limit; ``at_limit`` names the
+    resources of which a limit is used up. ``configured`` is false for a customer that
+    the configuration does not have any more but whose jobs are not over.
     """
 
     customer: str
@@ -84,7 +85,7 @@
         customer is not None,
         weight,
         accepted_per_s,
-        accepted_per_s > weight,
+        False,
         limits,
         running,
         _at_limit(limits, running),
@@ -110,11 +111,22 @@
         for name, rows in rows_by_name.items()
         if config.customer(name) is None and not all(row.state.final for row in rows)
     )
+    summaries = [
+        _summarize(name, config.customer(name), rows_by_name.get(name, ()), now_ms)
+        for name in names + removed
+    ]
     return CustomersView(
-        config.version,
-        config.customers is not None,
-        [
-            _summarize(name, config.customer(name), rows_by_name.get(name, ()), now_ms)
-            for name in names + removed
-        ],
+        config.version, config.customers is not None, _compare_shares(summaries)
     )
+
+
+def _compare_shares(summaries):
+    """Return the CustomerSummaries with ``over_share`` set."""
+    accepted = sum(item.accepted_per_s for item in summaries)
+    weights = sum(item.weight for item in summaries)
+    return [
+        attrs.evolve(
+            item, over_share=item.accepted_per_s * weights > item.weight * accepted
+        )
+        for item in summaries
+    ]
