--- a/tests/steps/ctl.py
+++ b/tests/steps/ctl.py
@@ -141,7 +141,7 @@
 @then('every command\'s help has an example and "--json"')
 def step_help(context):
     commands = dict(_commands(ctl.main))
-    assert len(commands) == 14, list(commands)
+    assert len(commands) == 16, list(commands)
     for path, command in commands.items():
         text = CliRunner().invoke(ctl.main, [*path, "--help"]).output
         assert "Example: cardamomctl" in text and "--json" in text, text
