Store both kinds of load records by one function; a weight is a share

Found in the reading of the whole diff: a condition that followed from the one beside it, the storing of a record written twice, and a docstring that called the weight a rate. No behaviour changes.

--- a/src/cardamomgrade/jobs/customers.py
+++ b/src/cardamomgrade/jobs/customers.py
@@ -23,7 +23,7 @@
 
 @attrs.frozen
 class Customer:
-    """A customer; ``weight`` is its share, in jobs a second, when capacity is short."""
+    """A customer; ``weight`` is its share among others when capacity is short."""
 
     name: str
     weight: float = 0.0
--- a/src/cardamomgrade/jobs/load.py
+++ b/src/cardamomgrade/jobs/load.py
@@ -85,10 +85,10 @@
             for name, load in loads.items()
             if not load.standby and load.backlog_core_ms
         }
-        if (waits or self._waits) and bool(waits) != bool(self._waits):
+        if bool(waits) != bool(self._waits):
             log_event(LoadPublished(waits))
         if waits or self._waits:
-            self._store(KEY_LOAD, waits)
+            self._store(KEY_LOAD, LoadRecord, waits.items())
         self._waits = waits
         if share_waits_ms is None:
             return
@@ -99,10 +99,9 @@
         }
         if share_waits or self._share_waits:
             rows = ((*names, int(wait_ms)) for names, wait_ms in share_waits.items())
-            record = ShareLoadRecord(int(time.time() * MS), tuple(rows))
-            self._writer.store([(KEY_SHARE_LOAD, encode(record))])
+            self._store(KEY_SHARE_LOAD, ShareLoadRecord, rows)
         self._share_waits = share_waits
 
-    def _store(self, key, waits):
-        record = LoadRecord(int(time.time() * MS), tuple(waits.items()))
+    def _store(self, key, cls, rows):
+        record = cls(int(time.time() * MS), tuple(rows))
         self._writer.store([(key, encode(record))])
