--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -9,7 +9,7 @@
 from ..journal import event, log_event
 from .incarnations import is_earlier, is_later
 from .lease import lapse_bound_s, Lease
-from .reports import LeaseReport, OrderAnswer, OrderResult
+from .reports import LeaseReport, LossCause, OrderAnswer, OrderResult
 from .starts import PendingStart
 
 RENEW_WAIT_MS = 1000  # a quarter of the lease, so that three renewals may fail
@@ -375,7 +375,7 @@
     def _report_gone(self, why):
         if not self._closed:
             log_event(ExecutorOver(self.name, len(self._executor.allocations), why))
-            self._driver.on_executor_gone(self.name)
+            self._driver.on_executor_gone(self.name, LossCause.CRASHED)
 
     def _process_ends(self, report):
         new_ends = [item for item in report.ended if item.number > self._received_end]
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -18,7 +18,7 @@
     PREFIX_JOB,
     PREFIX_PROGRESS,
 )
-from .reports import OrderResult, Outcome
+from .reports import LossCause, OrderResult
 from .scheduler import Scheduler
 from .silence import SilentExecutors
 from .spec import parse_task
@@ -377,7 +377,7 @@
     def on_run_missing(self, name, task, run):
         """Mark as lapsed a run that is reported neither as running nor as ended."""
         now_ms = self._loop.now() * MS
-        self._scheduler.end(name, task, run, Outcome.LAPSED, "", now_ms)
+        self._scheduler.lose_runs(name, {task: run}, LossCause.MISSING, now_ms)
         self.request_plan()
 
     def on_start_refused(self, name):
@@ -394,9 +394,12 @@
         self._scheduler.mark_runs_lapsed(name, self._loop.now() * MS)
         self.request_plan()
 
-    def on_executor_gone(self, name):
-        """Mark the runs of an incarnation that no longer exists as lapsed; drop it."""
-        self._scheduler.mark_runs_lapsed(name, self._loop.now() * MS)
+    def on_executor_gone(self, name, cause):
+        """Mark the runs of an incarnation that no longer exists as lapsed; drop it.
+
+        ``cause`` is a LossCause.
+        """
+        self._scheduler.mark_runs_lapsed(name, self._loop.now() * MS, cause)
         self._forget_executor(name)
         self.request_plan()
 
--- a/src/cardamomgrade/jobs/incarnations.py
+++ b/src/cardamomgrade/jobs/incarnations.py
@@ -13,7 +13,7 @@
 
 from ..errors import RecordError
 from ..journal import event, log_event
-from .reports import Outcome
+from .reports import LossCause
 
 LINE_INTERVAL_S = 5.0  # a faulty writer may write hundreds of records a second
 MS = 1000
@@ -153,11 +153,8 @@
                 registered,
             )
         )
-        for task, run in over:
-            now_ms = self._loop.now() * MS
-            self._scheduler.end(
-                name, task, run, Outcome.LAPSED, "", now_ms, confirmed=False
-            )
+        now_ms = self._loop.now() * MS
+        self._scheduler.lose_runs(name, dict(over), LossCause.CRASHED, now_ms)
         executor.unreachable = False
         self._scheduler.reset_executor(name)
         self._scheduler.put_executor(entry)
--- a/src/cardamomgrade/jobs/reports.py
+++ b/src/cardamomgrade/jobs/reports.py
@@ -26,6 +26,22 @@
     ALONE = "alone"
 
 
+@unique
+class LossCause(Enum):
+    """Why the end of a run is not known from its executor.
+
+    ``CRASHED``: another incarnation has taken the executor's place; ``SILENT``: its
+    lease lapsed while it did not answer; ``MISSING``: it does not know the run, which
+    it may have had before it started again; ``LEFT``: it drained, or an order for its
+    VM ended it.
+    """
+
+    CRASHED = "crashed"
+    SILENT = "silent"
+    MISSING = "missing"
+    LEFT = "left"
+
+
 @unique
 class OrderResult(Enum):
     """Result of an order to an executor.
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -29,12 +29,13 @@
 from .quotas import CustomerUsage, Quota
 from .ready import ready_job, ReadyJobs
 from .records import encode, Phase, PREFIX_PROGRESS
-from .reports import Outcome
+from .reports import LossCause, Outcome
 from .scheduler_events import (
     CopyStarted,
     ExecutorAside,
     ExecutorSeen,
     JobChanged,
+    RunLost,
     TaskEnded,
     TaskStarted,
 )
@@ -92,6 +93,7 @@
         self._services_to_plan = set()
         self._paused_until_ms = {}
         self._cordoned = frozenset()
+        self._ending = frozenset()
         self._start_delays_ms = []
         self.durations = Durations()
         self._pool_needs = PoolNeeds()
@@ -314,14 +316,33 @@
 
     # Ends of runs
 
-    def mark_runs_lapsed(self, name, now_ms):
-        """Mark all runs of an executor that is known to run nothing as lapsed."""
+    def mark_runs_lapsed(self, name, now_ms, cause=LossCause.SILENT):
+        """Mark all runs of an executor that is known to run nothing as lapsed.
+
+        ``cause`` is a LossCause.
+        """
+        self.lose_runs(name, self._runs_on(name), cause, now_ms)
+
+    def _runs_on(self, name):
         executor = self.executors.get(name)
         allocations = executor.allocations if executor is not None else {}
         runs = {task: item.run for task, item in allocations.items()}
-        runs.update(self._orphans.runs_on(name))
+        return runs | self._orphans.runs_on(name)
+
+    def lose_runs(self, name, runs, cause, now_ms):
+        """Mark runs, by task, as lapsed since their executor was lost for a LossCause.
+
+        An executor that drains, or that an order for its VM may have ended, has left.
+        """
+        executor = self.executors.get(name)
+        is_draining = executor is not None and executor.entry.draining
+        if cause is not LossCause.MISSING and (is_draining or name in self._ending):
+            cause = LossCause.LEFT
+        beside = len(self._runs_on(name)) - 1
         for task, run in runs.items():
-            self.end(name, task, run, Outcome.LAPSED, "", now_ms, confirmed=False)
+            log_event(RunLost(task, run, name, cause.value, beside))
+            confirmed = cause is LossCause.MISSING
+            self.end(name, task, run, Outcome.LAPSED, "", now_ms, confirmed)
 
     def end(self, name, task_name, run, outcome, checkpoint, now_ms, confirmed=True):
         """Record the end of a run; return whether it was applied to its task.
@@ -453,9 +474,13 @@
         if executor is not None:
             self._services_to_plan.add(executor.entry.service)
 
-    def cordon(self, names):
-        """Close exactly the executors in ``names`` to new runs, and open the others."""
+    def cordon(self, names, ending=()):
+        """Close exactly the executors in ``names`` to new runs, and open the others.
+
+        Orders for their VMs may have ended those in ``ending``.
+        """
         self._cordoned = frozenset(names)
+        self._ending = frozenset(ending)
         for name, executor in self.executors.items():
             if executor.cordoned != (name in names):
                 executor.cordoned = name in names
--- a/src/cardamomgrade/jobs/scheduler_events.py
+++ b/src/cardamomgrade/jobs/scheduler_events.py
@@ -26,6 +26,20 @@
     outcome: str
 
 
+@event(653)
+class RunLost:
+    """A run was lost with its executor, which had ``beside`` other runs.
+
+    ``cause`` is a LossCause.
+    """
+
+    task: str
+    run: int
+    executor: str
+    cause: str
+    beside: int
+
+
 @event(652)
 class CopyStarted:
     """The scheduler placed a second run of a task whose first one is overdue.
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -14,7 +14,7 @@
     UpkeepRecord,
     VmOrderRecord,
 )
-from .reports import VmOrderResult
+from .reports import LossCause, VmOrderResult
 from .term import TERM_TIMEOUT_S
 from .upkeep import OrderedUpkeep, UNANSWERED_TIMEOUT_S, UpkeepPlanner
 
@@ -95,7 +95,7 @@
     After an order, the platform takes orders for that VM only from the same scheduler
     until a lease (``machine_lease_ms``) ends. Each order is stored before it is sent,
     so that the next scheduler knows these VMs. ``driver`` has ``request_plan()``,
-    ``on_executor_gone(executor)`` and ``depose(why)``.
+    ``on_executor_gone(executor, cause)`` and ``depose(why)``.
     """
 
     def __init__(self, loop, cfg, platform, term, view, deps, driver):
@@ -191,7 +191,10 @@
             if executor is not None:
                 self._stop_excess_tasks(executor, now)
         ending = self._plan_moves(now, plan.vms)
-        self._scheduler.cordon(plan.cordoned | ending | self._availability.ending)
+        self._scheduler.cordon(
+            plan.cordoned | ending | self._availability.ending,
+            self._availability.ending | set(self._ending_by_move.values()),
+        )
         self._driver.request_plan()
         for vm, wave, executor in plan.orders:
             if vm not in self._upkeep_in_flight:
@@ -351,7 +354,7 @@
     def _on_ended(self, name, born):
         """Report the end of an incarnation, unless a later one has its id already."""
         if not is_later(self._born(name), born):
-            self._driver.on_executor_gone(name)
+            self._driver.on_executor_gone(name, LossCause.LEFT)
 
     def _order_upkeep(self, vm, wave, executor):
         self._upkeep_in_flight[vm] = executor
--- a/tests/steps/jobs_vms.py
+++ b/tests/steps/jobs_vms.py
@@ -153,9 +153,9 @@
     def request_plan(self):
         pass
 
-    def on_executor_gone(self, name):
+    def on_executor_gone(self, name, cause):
         self.gone.append(name)
-        self.scheduler.mark_runs_lapsed(name, self.loop.now() * 1000)
+        self.scheduler.mark_runs_lapsed(name, self.loop.now() * 1000, cause)
         self.scheduler.forget_executor(name)
 
     def store(self, items, on_stored=None):
