--- /dev/null
+++ b/tests/jobs/losses.feature
@@ -0,0 +1,46 @@
+Feature: runs that are lost with their executor
+
+  Background:
+    Given 8 executors that crash under some tasks and are back after 3000 ms
+
+  Scenario: a task under which executors crash is given up, and the jobs beside it are not
+    When 5 jobs come each second for 10 s, every 10th with such a task
+    And 60 s pass
+    Then none of these tasks starts three times more after three crashes
+    And the jobs with such a task have failed
+    And the other jobs are completed
+
+  Scenario: executors that crash under a task are counted by the next schedulers too
+    When 5 jobs come each second for 10 s, every 10th with such a task
+    And another scheduler takes over every 3 s, for 30 s
+    And 90 s pass
+    Then none of these tasks starts three times more after three crashes
+    And the jobs with such a task have failed
+    And the other jobs are completed
+
+  Scenario Outline: a task <kind> under which executors crash is given up
+    When 3 jobs come each second for 5 s, none with such a task
+    And a job has such a task <kind>
+    And 60 s pass
+    Then none of these tasks starts three times more after three crashes
+    And the jobs with such a task have failed
+    And the other jobs are completed
+
+    Examples: kinds
+      | kind                       |
+      | whose runs may have copies |
+      | of a lasting step          |
+      | of a gang                  |
+
+  Scenario: executors that are cut off and answer again do not count as crashed
+    When these tasks cut their executors off instead
+    And 2 jobs come each second for 5 s, every 5th with such a task
+    And 40 s pass
+    Then no job has failed
+
+  Scenario: executors that crash by chance fail no job
+    When 5 jobs come each second for 30 s, none with such a task
+    And an executor crashes every 2 s, for 30 s
+    And 60 s pass
+    Then no job has failed
+    And the other jobs are completed
--- /dev/null
+++ b/tests/steps/jobs_losses.py
@@ -0,0 +1,90 @@
+"""Steps for runs that are lost with their executor."""
+
+from behave import given, then, when
+
+from cardamomgrade.jobs.records import JobState
+from cardamomgrade.jobs.spec import Step
+from crashes import CrashWorld
+
+STARTS_AFTER_CRASHES = 3  # a task must not start so often again
+CRASHES_ALLOWED = 3  # after so many executors have crashed under it
+STEPS = {
+    "whose runs may have copies": {"speculative": True},
+    "of a lasting step": {"lasting": True},
+    "of a gang": {"gang": True},
+}
+
+
+@given("{count:d} executors that crash under some tasks and are back after {ms:d} ms")
+def step_world(context, count, ms):
+    context.world = CrashWorld(count, ms)
+
+
+@when(
+    "{count:d} jobs come each second for {seconds:d} s, "
+    "every {nth:d}th with such a task"
+)
+def step_jobs(context, count, seconds, nth):
+    context.world.add_each(1000 / count, seconds * 1000, deadly_nth=nth)
+
+
+@when("{count:d} jobs come each second for {seconds:d} s, none with such a task")
+def step_sound_jobs(context, count, seconds):
+    context.world.add_each(1000 / count, seconds * 1000)
+
+
+@when("a job has such a task {kind}")
+def step_kind(context, kind):
+    step = Step(4, cores_m=900, memory_mb=100, **STEPS[kind])
+    context.world.at(500, lambda: context.world.add(step, deadly=True))
+
+
+@when("these tasks cut their executors off instead")
+def step_cut(context):
+    context.world.silent = True
+
+
+@when("an executor crashes every {seconds:d} s, for {total:d} s")
+def step_crashes(context, seconds, total):
+    for number in range(1, total // seconds + 1):
+        context.world.at(number * seconds * 1000, context.world.crash_one)
+
+
+@when("another scheduler takes over every {seconds:d} s, for {total:d} s")
+def step_take_over(context, seconds, total):
+    for number in range(1, total // seconds + 1):
+        context.world.at(number * seconds * 1000, context.world.take_over)
+
+
+@when("{seconds:d} s pass")
+def step_pass(context, seconds):
+    context.world.run_for(seconds * 1000)
+
+
+@then("none of these tasks starts three times more after three crashes")
+def step_bounded(context):
+    world = context.world
+    limit = CRASHES_ALLOWED + STARTS_AFTER_CRASHES
+    starts = {task: world.starts.get(task, 0) for task in world.deadly}
+    assert starts and all(0 < count < limit for count in starts.values()), starts
+
+
+@then("the jobs with such a task have failed")
+def step_failed(context):
+    world = context.world
+    assert world.states(world.deadly_jobs()) == {JobState.FAILED}
+
+
+@then("the other jobs are completed")
+def step_others(context):
+    world = context.world
+    others = set(world.specs) - world.deadly_jobs()
+    states = [world.scheduler.state_of(job) for job in others]
+    completed = states.count(JobState.COMPLETED)
+    assert states and completed == len(states), (completed, len(states))
+
+
+@then("no job has failed")
+def step_none_failed(context):
+    world = context.world
+    assert JobState.FAILED not in world.states(world.specs)
