Give up tasks under which executors crash

Cause: a run that is lost with its executor counts towards no limit; only ends failed count as attempts. Of the hypotheses the first holds: one scheduler, run numbers that rise by one with each crash. The class: retries that only bounded known failures, not unknown ends.

Losses are counted and stored with the progress; after two a task runs alone, at the third its job fails.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -407,7 +407,10 @@
                     self._starts[task, allocation.run].report(sent_at)
                 continue
             pending = self._starts.get((task, allocation.run))
-            if is_inherited:
+            if is_inherited and self._executor.entry.born:
+                # An earlier incarnation may have had it.
+                self._driver.on_run_missing(self.name, task, allocation.run)
+            elif is_inherited:
                 self._driver.on_run_withdrawn(self.name, task, allocation.run)
             elif pending is not None and pending.is_unanswered:
                 # It may still arrive, until the executor has taken an order to stop it.
--- a/src/cardamomgrade/jobs/probes.py
+++ b/src/cardamomgrade/jobs/probes.py
@@ -12,6 +12,7 @@
 ones, but as few as possible.
 """
 
+from .losses import runs_alone
 from .placing import may_run, PlacementLimits
 from .records import Phase
 
@@ -82,7 +83,7 @@
             continue
         runs_elsewhere = bool(job.placed())
         for task in state.tasks:
-            if task.phase is not Phase.WAITING:
+            if task.phase is not Phase.WAITING or runs_alone(task, step):
                 continue
             is_last_attempt = not step.lasting and task.failures + 1 >= job.max_attempts
             rank = (executor.name in task.failed_on, is_last_attempt, runs_elsewhere)
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -17,6 +17,7 @@
     stored_others,
     stored_run,
 )
+from .losses import charge, discharge, is_given_up, runs_alone
 from .records import JobState, Phase, ProgressRecord
 from .reports import Outcome
 from .spec import longest_chain_ms, TaskId
@@ -30,7 +31,8 @@
     failed. A waiting task keeps the name of the executor of its latest run until the
     end of that run is confirmed. ``run_ms`` is how long the run that is done took, 0 if
     another scheduler placed it. ``copies`` describes ``others`` and ``copy_run``;
-    ``copied`` is set once it has had a copy that was not lost.
+    ``copied`` is set once it has had a copy that was not lost. ``losses`` counts the
+    executors that were lost under it, the latest one under ``charged_run``.
     """
 
     id: TaskId
@@ -45,6 +47,8 @@
     others: tuple = ()
     copy_run: int = 0
     copied: bool = False
+    losses: int = 0
+    charged_run: int = 0
     name: str = attrs.field(init=False)
 
     @name.default
@@ -61,6 +65,7 @@
         Versions that know no copies read the last one.
         """
         others = [(run, Phase.PLACED, name) for run, name in stored_others(self)]
+        losses = (self.losses,) if self.losses else ()
         return [
             (
                 self.id.occurrence,
@@ -71,6 +76,7 @@
                 executor,
                 self.failures,
                 self.checkpoint,
+                *losses,
             )
             for run, phase, executor in (*others, stored_run(self))
         ]
@@ -135,6 +141,7 @@
                 restore_other(task)
             task.run, task.executor = item.run, item.executor
             task.failures, task.checkpoint = item.failures, item.checkpoint
+            task.losses = item.losses
             job._set_phase(task, Phase(item.phase))
             job._started = True
         for task in job._tasks():
@@ -336,6 +343,19 @@
                 return None
         return task if task.executor == executor else None
 
+    def discharge(self, task_id, run):
+        """Take back the loss of a run whose executor answers; return if it counted."""
+        task = self._find(task_id)
+        return task is not None and discharge(task, run)
+
+    def tasks_alone(self):
+        """Return whether any task must run alone, after losses."""
+        return any(
+            runs_alone(task, state.step)
+            for state in self._steps.values()
+            for task in state.tasks
+        )
+
     def withdraw(self, task):
         """Cancel the placement of a run that never began."""
         self._forget_copy(task)
@@ -361,11 +381,12 @@
             return True
         return False
 
-    def end(self, task, outcome, checkpoint="", confirmed=True):
+    def end(self, task, outcome, checkpoint="", confirmed=True, loss=None):
         """Record the end of the current run.
 
         ``confirmed`` means that the end is known from the executor itself. A gang is
-        done when one of its tasks is.
+        done when one of its tasks is. ``loss`` is the Loss of a run that was lost with
+        its executor, if that counts against the task.
         """
         step = self._steps[task.id.occurrence, task.id.step]
         if checkpoint:
@@ -377,6 +398,10 @@
             return
         if outcome is Outcome.FAILED:
             self._count_failure(task, step)
+        if loss is not None:
+            charge(task, loss)
+            if is_given_up(task, loss) and not task.others:
+                self._exhaust(task)
         if outcome is Outcome.LAPSED:
             self._forget_copy(task)
         if task.phase is Phase.PLACED and self._needs_no_run(task):
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -70,7 +70,10 @@
 
 @attrs.frozen
 class TaskRecord:
-    """One task that was started at least once; ``run`` is its latest run."""
+    """One task that was started at least once; ``run`` is its latest run.
+
+    ``losses`` counts the executors that were lost under it.
+    """
 
     occurrence: int
     step: int
@@ -80,6 +83,7 @@
     executor: str
     failures: int
     checkpoint: str
+    losses: int = 0
 
 
 TASK_FIELDS = len(attrs.fields(TaskRecord))
@@ -90,7 +94,8 @@
     """The scheduler's decisions about a job: a JobState and the tasks started so far.
 
     ``rows`` holds the fields of a TaskRecord each. Every node reads every record, but
-    only a new scheduler needs the tasks.
+    only a new scheduler needs the tasks. A row without losses lacks that field, so that
+    versions that do not know it can read the row.
     """
 
     state: int
@@ -261,11 +266,16 @@
     record = _load(ProgressRecord, data)
     try:
         JobState(record.state)
-        complete = all(len(row) == TASK_FIELDS for row in record.rows)
+        complete = all(
+            TASK_FIELDS - 1 <= len(row) <= TASK_FIELDS for row in record.rows
+        )
+        counts = [row[-1] for row in record.rows if len(row) == TASK_FIELDS]
     except (TypeError, ValueError) as exc:
         raise RecordError(f"ProgressRecord: {exc}") from exc
     if not complete:
         raise RecordError("ProgressRecord: a row has too few or too many fields")
+    if not all(isinstance(count, int) and count >= 0 for count in counts):
+        raise RecordError(f"ProgressRecord: {counts!r} are no counts of losses")
     return record
 
 
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -20,7 +20,9 @@
 from .durations import Durations
 from .executors import Executor, LargestRoom
 from .fairness import Shares
+from .isolation import Isolation
 from .lookahead import LookAhead
+from .losses import Loss, runs_alone, SETTLED_MS
 from .needs import PoolNeeds
 from .orphans import OrphanedRun, OrphanedRuns
 from .placing import choose_gang_executors, PlacementLimits, StepPlacer
@@ -37,6 +39,7 @@
     JobChanged,
     RunLost,
     TaskEnded,
+    TaskGivenUp,
     TaskStarted,
 )
 from .spec import parse_task
@@ -104,6 +107,7 @@
         self._speeds = Speeds(self.durations)
         self._speculation = Speculation()
         self.lookahead = LookAhead()
+        self._isolation = Isolation()
         self._health = Health(
             FAILURE_STREAK_JOBS,
             QUARANTINE_MIN_MS,
@@ -146,6 +150,8 @@
         self.jobs[spec.job] = self._changed[spec.job] = job
         for task in job.placed():
             self._allocate(job, task)
+        if job.tasks_alone():
+            self._isolation.watch(spec.job)
         self._services_to_plan.add(self.service_of(spec))
         self._stop_unwanted(job)
         expected_ms = self._duration_estimator(spec)
@@ -339,19 +345,54 @@
         if cause is not LossCause.MISSING and (is_draining or name in self._ending):
             cause = LossCause.LEFT
         beside = len(self._runs_on(name)) - 1
+        finite = self._finite_runs_on(name)
         for task, run in runs.items():
             log_event(RunLost(task, run, name, cause.value, beside))
+            loss = None
+            if cause is not LossCause.LEFT:
+                loss = self._loss(task, run, cause, finite, now_ms)
             confirmed = cause is LossCause.MISSING
-            self.end(name, task, run, Outcome.LAPSED, "", now_ms, confirmed)
+            self.end(name, task, run, Outcome.LAPSED, "", now_ms, confirmed, loss)
 
-    def end(self, name, task_name, run, outcome, checkpoint, now_ms, confirmed=True):
+    def _finite_runs_on(self, name):
+        executor = self.executors.get(name)
+        allocations = executor.allocations.values() if executor is not None else ()
+        steps = [item.lasting for item in allocations]
+        steps += [step.lasting for step in self._orphans.steps_on(name)]
+        return steps.count(False)
+
+    def _loss(self, task_name, run, cause, finite, now_ms):
+        """Return the Loss of a run from an executor with so many ``finite`` runs."""
+        job, task = self._find_run(task_name, run)
+        if task is None:
+            return None
+        step = job.spec.steps[task.id.step]
+        others = finite - (not step.lasting)
+        age_ms = now_ms - task.placed_ms if task.placed_ms else 0.0
+        return Loss(
+            crashed=cause is LossCause.CRASHED,
+            alone=step.gang or not others,
+            settled=step.lasting and age_ms >= SETTLED_MS,
+        )
+
+    def end(
+        self,
+        name,
+        task_name,
+        run,
+        outcome,
+        checkpoint,
+        now_ms,
+        confirmed=True,
+        loss=None,
+    ):
         """Record the end of a run; return whether it was applied to its task.
 
         It is not applied if the task is unknown or started again since, or if an end of
         the run was confirmed before. ``confirmed`` means that the end is known from the
         executor itself. An executor that was unreachable may report, after its runs
         were marked lapsed, that one of them had ended before: its task then need not
-        start again.
+        start again. ``loss`` is the Loss of a run that was lost with its executor.
         """
         if outcome is Outcome.DONE:
             self._speeds.done(task_name, run, now_ms)
@@ -365,8 +406,10 @@
                 self._health.reopen(name)
         self._orphans.release(name, task_name, run)
         job, task = self._find_run(task_name, run, name)
+        task_id = parse_task(task_name)
+        if job is not None and confirmed and loss is None:
+            job.discharge(task_id, run)
         if task is None and job is not None:
-            task_id = parse_task(task_name)
             task = job.lapsed_task(task_id, run, name)
             if task is None and outcome is Outcome.DONE:
                 task = job.adopt_done_run(task_id, run, name)
@@ -379,11 +422,14 @@
             self.durations.observe(job.spec.queue, step.estimate_ms, duration_ms)
             job.step_state(task.id).observe(duration_ms)
             task.run_ms = duration_ms
-        job.end(task, outcome, checkpoint, confirmed)
+        job.end(task, outcome, checkpoint, confirmed, loss)
         self._record_health(executor, task, outcome, now_ms, was_probe)
+        if loss is not None:
+            self._watch_losses(job, task, name)
         self._mark_dirty(job)
         self._services_to_plan.add(self.service_of(job.spec))
         if job.state.final:
+            self._isolation.forget(job.spec.job)
             self._stop_all(job)
         elif job.spec.steps[task.id.step].gang:
             self._stop_gang(job, task)
@@ -391,6 +437,12 @@
             self.stop(task)
         return True
 
+    def _watch_losses(self, job, task, executor):
+        if task.phase is Phase.EXHAUSTED:
+            log_event(TaskGivenUp(task.name, executor, task.losses))
+        elif runs_alone(task, job.spec.steps[task.id.step]):
+            self._isolation.watch(job.spec.job)
+
     def _stop_gang(self, job, ended):
         for task in job.placed():
             if (task.id.occurrence, task.id.step) == (
@@ -500,6 +552,7 @@
             del self._paused_until_ms[name]
             self.replan_executor(name)
         self._services_to_plan.update(self.lookahead.due(now_ms))
+        self._services_to_plan.update(self._isolation.due(now_ms))
         for name in (*self._health.due(now_ms), *self._probes.rested(now_ms)):
             self.replan_executor(name)
         for item in self._speeds.update(self.executors, self._pools, now_ms):
@@ -535,6 +588,7 @@
         ready = self._ready.setdefault(service, ReadyJobs())
         for name in ready.expired(wall_ms):
             self._evaluate(self.jobs[name], wall_ms)
+        starts = self._place_alone(service, ready, now_ms)
         executors = self._usable_executors(service)
         ahead = self.lookahead.begin_round(service, ready, executors, now_ms)
         least_cores_m = ready.least_cores_m()
@@ -544,8 +598,7 @@
 
         roomy = with_room()
         room = LargestRoom.of(roomy)
-        starts = []
-        blocked_vms = 0
+        blocked_vms = self._isolation.count(service)
         for item in ready:
             job, begun, count = item.job, item.job.begun, len(starts)
             customer = job.spec.customer
@@ -583,6 +636,13 @@
         return starts
 
     def _usable_executors(self, service):
+        return [
+            item
+            for item in self._open_executors(service)
+            if not self._isolation.holds(item.name)
+        ]
+
+    def _open_executors(self, service):
         return [
             item
             for item in self.pool(service)
@@ -591,6 +651,28 @@
             and item.name not in self._paused_until_ms
         ]
 
+    def _place_alone(self, service, ready, now_ms):
+        """Place tasks that run alone; hold executors for those that find none idle."""
+        if not self._isolation.active:
+            return []
+        waiting = self._isolation.waiting(ready)
+        usable = self._open_executors(service)
+        self._isolation.release(service, self.executors, usable, bool(waiting))
+        size = len(self.pool(service))
+        starts = []
+        for job, state, task in waiting:
+            if not self._quota.may_start(job.spec.customer, state, service):
+                continue
+            executor = self._isolation.choose(service, state, usable, size)
+            if executor is None:
+                continue
+            run = job.place(task, executor.name)
+            self._mark_dirty(job)
+            starts.append(self._start(job, task, run, executor, now_ms))
+            lasting = state.step.lasting
+            self._isolation.begin(service, executor, task.name, run, lasting, now_ms)
+        return starts
+
     def _place_copies(self, now_ms, wall_ms):
         """Place copies of overdue runs where no waiting task wants the room."""
         by_service = {}
@@ -707,6 +789,8 @@
     def _reason_aside(self, name):
         if self._health.is_quarantined(name):
             return "quarantined"
+        if self._isolation.holds(name):
+            return "held"
         return "paused" if name in self._paused_until_ms else ""
 
     def pool_loads(self, now_ms, closed=()):
@@ -737,7 +821,7 @@
         placer = StepPlacer(executors, step.step, limits, spread, gate)
         starts = []
         for task in step.tasks:
-            if task.phase is not Phase.WAITING:
+            if task.phase is not Phase.WAITING or runs_alone(task, step.step):
                 continue
             if not self._quota.may_start(job.spec.customer, step, service):
                 break
--- a/src/cardamomgrade/jobs/scheduler_events.py
+++ b/src/cardamomgrade/jobs/scheduler_events.py
@@ -40,6 +40,15 @@
     beside: int
 
 
+@event(654)
+class TaskGivenUp:
+    """A task starts no more, since ``losses`` executors were lost under it."""
+
+    task: str
+    executor: str
+    losses: int
+
+
 @event(652)
 class CopyStarted:
     """The scheduler placed a second run of a task whose first one is overdue.
--- a/src/cardamomgrade/jobs/speculation.py
+++ b/src/cardamomgrade/jobs/speculation.py
@@ -120,7 +120,8 @@
         is_inherited = not task.placed_ms
         # A higher run of an earlier scheduler may be a copy already.
         had_copy = task.copied or (is_inherited and task.run > 1)
-        if task.phase is not Phase.PLACED or had_copy:
+        # A copy of a task that crashes its executors would crash another one.
+        if task.phase is not Phase.PLACED or had_copy or task.losses:
             continue
         placed_ms = item.since_ms if is_inherited else task.placed_ms
         item.next_ms = min(item.next_ms, placed_ms + limit_ms)
--- a/src/cardamomgrade/jobs/summary.py
+++ b/src/cardamomgrade/jobs/summary.py
@@ -29,6 +29,7 @@
     phase: str
     executor: str
     failures: int
+    losses: int
 
 
 @attrs.frozen
@@ -108,6 +109,7 @@
             Phase(item.phase).name.lower(),
             item.executor,
             item.failures,
+            item.losses,
         )
         for item in _tasks(row)
     ]
--- a/tests/jobs/incarnations.feature
+++ b/tests/jobs/incarnations.feature
@@ -279,3 +279,16 @@
   Scenario: restarts beside lost and late messages and changes of scheduler
     When days with seeds 180 to 189 are replayed
     Then no task ran twice at a time, and all jobs are completed
+
+  Scenario: a task under which executors start again under their ids is given up
+    Given 1 nodes on an emulated platform with an executor born at 1000
+    And another executor born at 2000
+    When a job comes whose task restarts each executor that starts it
+    Then the job fails before its task has started three times after three restarts
+
+  Scenario: a task under which executors start again is given up by the next scheduler too
+    Given 2 nodes on an emulated platform with an executor born at 1000
+    And another executor born at 2000
+    When a job comes whose task restarts each executor that starts it
+    And the node that schedules is killed as the task starts for the first time
+    Then the job fails before its task has started three times after three restarts
--- a/tests/steps/jobs_restarts.py
+++ b/tests/steps/jobs_restarts.py
@@ -1,7 +1,7 @@
 """Steps for executors of the emulated platform that start again under their id."""
 
 from behave import given, then, when
-from jobs_node import NodeWorld, step_fields
+from jobs_node import NodeWorld, step_fields, WAIT_S
 
 NAME = "i-0"
 SECOND = "i-1"
@@ -170,3 +170,46 @@
     check_runs(world)
     done = world.done(world.second)
     assert len(done) == len(set(done)) == tasks, done
+
+
+@when("a job comes whose task restarts each executor that starts it")
+def step_restarting_task(context):
+    world = context.nodes
+    world.task_ms = TASK_MS
+    assert world.submit([step_fields(1)]).status == 200
+    context.seen = 0
+    context.takes_over = False
+
+
+@when("the node that schedules is killed as the task starts for the first time")
+def step_killed_at_start(context):
+    context.takes_over = True
+
+
+@then("the job fails before its task has started three times after three restarts")
+def step_given_up(context):
+    world = context.nodes
+    node = 0
+
+    def check():
+        starts = [item for item in world.platform.trace if item[0] == "start"]
+        for number, (_, name, _, _) in enumerate(starts[context.seen :], context.seen):
+            if number == 0 and context.takes_over:
+                gone = world.scheduler()
+                context.survivor = 1 - gone
+                world.nodes[gone].close()
+                world.nodes[gone] = None
+            restart(world, name, 10_000 + number)
+        context.seen = len(starts)
+        return context.seen
+
+    deadline = world.rig.loop.now() + WAIT_S
+    state = None
+    while state != "failed" and world.rig.loop.now() < deadline:
+        world.rig.run_for(0.02)
+        check()
+        if context.takes_over and context.seen:
+            node = context.survivor
+        state = world.state(node)
+    assert state == "failed", (state, world.platform.trace)
+    assert context.seen < 3 + 3, world.platform.trace
