Give up starts that no longer fit when an executor shrinks

Cause: whether a start fits was checked when it was placed, not when it was sent after its record was stored, nor when it was repeated without an answer. Now a start that was not received is withdrawn once the allocations exceed the registered capacity; one that may have been is stopped, after which the executor refuses it.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -448,6 +448,9 @@
             return
         if run in self._stopping or pending.reported:
             return  # the stop settles whether it runs, or it does
+        if self._executor.overcommitted:
+            self._give_up_start(pending)
+            return
         if not self._may_send_start(pending):
             self._loop.call_later(START_RETRY_S, lambda: self._send_start(pending))
             return
@@ -470,6 +473,15 @@
         pending.attempt_ended_at = None
         self._client.start(order, pending.deadline_ms, done)
 
+    def _give_up_start(self, pending):
+        """Withdraw a start, or stop its run if it may have been received."""
+        order = pending.order
+        if pending.maybe_received:
+            self.stop(order.task, order.run)
+        else:
+            del self._starts[order.task, order.run]
+            self._driver.on_run_withdrawn(self.name, order.task, order.run)
+
     def _may_send_start(self, pending):
         """Return whether a start may be sent now, for the first time or again.
 
--- a/src/cardamomgrade/jobs/executors.py
+++ b/src/cardamomgrade/jobs/executors.py
@@ -72,6 +72,16 @@
             and self.accelerators + step.accelerators <= entry.accelerators
         )
 
+    @property
+    def overcommitted(self):
+        """Whether the allocations exceed the capacity, which may have shrunk."""
+        entry = self.entry
+        return (
+            self.cores_m > entry.cores_m
+            or self.memory_mb > entry.memory_mb
+            or self.accelerators > entry.accelerators
+        )
+
     @property
     def free_cores_m(self):
         """The cores that are not allocated to runs, in thousandths of a core."""
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -480,10 +480,15 @@
         return job, task
 
     def is_valid_start(self, start):
-        """Return whether a stored Start order is still valid."""
+        """Return whether a stored Start order is still valid.
+
+        It is not if the executor's capacity has shrunk below its allocations.
+        """
         job, task = self._find_run(start.task, start.run)
-        known = start.executor in self.executors
-        return known and task is not None and not job.state.final
+        executor = self.executors.get(start.executor)
+        if executor is None or executor.overcommitted:
+            return False
+        return task is not None and not job.state.final
 
     def is_inherited(self, task_name, run):
         """Return whether an earlier scheduler placed the current run of a task."""
--- a/tests/jobs/agent_reports.feature
+++ b/tests/jobs/agent_reports.feature
@@ -63,3 +63,17 @@
     And the executor reports neither runs nor ends for 1 s
     Then the executor was told only once to start run 1
     And the agent gave run 1 up as missing
+
+  Scenario: a start without an answer is not sent again to an executor that has shrunk
+    Given an agent whose order to start run 1 of a task got no answer
+    When the executor shrinks below what runs on it
+    And the executor reports neither runs nor ends for 1 s
+    Then the executor was told only once to start run 1
+    And the agent gave run 1 up as missing
+
+  Scenario: a start that did not arrive is not sent again to an executor that has shrunk
+    Given an agent whose order to start run 1 of a task came too late
+    When the executor shrinks below what runs on it
+    And the executor reports neither runs nor ends for 1 s
+    Then the executor was told only once to start run 1
+    And the agent gave run 1 up as withdrawn
--- a/tests/steps/jobs_agent_reports.py
+++ b/tests/steps/jobs_agent_reports.py
@@ -122,13 +122,25 @@
     assert world.driver.said == []
 
 
-@given("an agent whose order to start run 1 of a task got no answer")
-def step_unanswered(context):
+START_RESULTS = {
+    "got no answer": OrderResult.NO_ANSWER,
+    "came too late": OrderResult.LATE,
+}
+
+
+@given("an agent whose order to start run 1 of a task {result}")
+def step_unanswered(context, result):
     world = context.agent = AgentFixture(inherits=False)
-    world.client.start_result = OrderResult.NO_ANSWER
+    world.client.start_result = START_RESULTS[result]
     world.agent.start(Start("e1", TASK, 1, "text", ""))
 
 
+@when("the executor shrinks below what runs on it")
+def step_shrunk(context):
+    executor = context.agent.executor
+    executor.entry = attrs.evolve(executor.entry, cores_m=500)
+
+
 @then("the executor was told only once to start run 1")
 def step_started_once(context):
     orders = context.agent.client.orders
