Charge a task only with executors that may have begun its run

A start that reached the next incarnation (421), or that was not sent yet, was counted as lost with the earlier one, so that a sound task was given up after three refused starts within 50 ms.

The agent now tells which runs its incarnation may have begun: inherited ones, and those whose start was accepted, reported or got no answer.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -134,6 +134,16 @@
             self.stop(task, run)
         self.renew_if_needed()
 
+    def begun_runs(self):
+        """Return the runs, (task, run), that its incarnation may have begun.
+
+        Starts that wait for their records, or that it certainly did not get, are not
+        among them.
+        """
+        return self._inherited | {
+            run for run, pending in self._starts.items() if pending.may_have_begun
+        }
+
     def unsettled_runs(self):
         """Return the runs, (task, run), that a later incarnation may have received.
 
@@ -368,9 +378,9 @@
         log_event(
             ExecutorOver(self.name, len(self._executor.allocations), "its lease lapsed")
         )
+        self._driver.on_lease_lapsed(self.name)
         self._starts.clear()
         self._stopping.clear()
-        self._driver.on_lease_lapsed(self.name)
 
     def _report_gone(self, why):
         if not self._closed:
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -391,7 +391,8 @@
 
     def on_lease_lapsed(self, name):
         """Mark the runs of an executor, which may still exist, as lapsed."""
-        self._scheduler.mark_runs_lapsed(name, self._loop.now() * MS)
+        begun = self._agents[name].begun_runs()
+        self._scheduler.mark_runs_lapsed(name, self._loop.now() * MS, begun=begun)
         self.request_plan()
 
     def on_executor_gone(self, name, cause):
@@ -399,7 +400,9 @@
 
         ``cause`` is a LossCause.
         """
-        self._scheduler.mark_runs_lapsed(name, self._loop.now() * MS, cause)
+        agent = self._agents.get(name)
+        begun = agent.begun_runs() if agent is not None else None
+        self._scheduler.mark_runs_lapsed(name, self._loop.now() * MS, cause, begun)
         self._forget_executor(name)
         self.request_plan()
 
--- a/src/cardamomgrade/jobs/incarnations.py
+++ b/src/cardamomgrade/jobs/incarnations.py
@@ -154,7 +154,8 @@
             )
         )
         now_ms = self._loop.now() * MS
-        self._scheduler.lose_runs(name, dict(over), LossCause.CRASHED, now_ms)
+        begun = agent.begun_runs()
+        self._scheduler.lose_runs(name, dict(over), LossCause.CRASHED, now_ms, begun)
         executor.unreachable = False
         self._scheduler.reset_executor(name)
         self._scheduler.put_executor(entry)
--- a/src/cardamomgrade/jobs/orphans.py
+++ b/src/cardamomgrade/jobs/orphans.py
@@ -47,10 +47,6 @@
         """Return a dict of task to run number on an unregistered executor."""
         return {task: item.run for task, item in self._runs.get(executor, {}).items()}
 
-    def steps_on(self, executor):
-        """Return the steps of the runs on an unregistered executor."""
-        return [item.step for item in self._runs.get(executor, {}).values()]
-
     def executors(self):
         """Return the names of the unregistered executors with runs."""
         return list(self._runs)
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -322,12 +322,12 @@
 
     # Ends of runs
 
-    def mark_runs_lapsed(self, name, now_ms, cause=LossCause.SILENT):
+    def mark_runs_lapsed(self, name, now_ms, cause=LossCause.SILENT, begun=None):
         """Mark all runs of an executor that is known to run nothing as lapsed.
 
-        ``cause`` is a LossCause.
+        ``cause`` and ``begun`` are those of ``lose_runs``.
         """
-        self.lose_runs(name, self._runs_on(name), cause, now_ms)
+        self.lose_runs(name, self._runs_on(name), cause, now_ms, begun)
 
     def _runs_on(self, name):
         executor = self.executors.get(name)
@@ -335,31 +335,34 @@
         runs = {task: item.run for task, item in allocations.items()}
         return runs | self._orphans.runs_on(name)
 
-    def lose_runs(self, name, runs, cause, now_ms):
+    def lose_runs(self, name, runs, cause, now_ms, begun=None):
         """Mark runs, by task, as lapsed since their executor was lost for a LossCause.
 
         An executor that drains, or that an order for its VM may have ended, has left.
+        ``begun`` are the runs, (task, run), that may have begun there, None for all;
+        only those are lost with it.
         """
         executor = self.executors.get(name)
         is_draining = executor is not None and executor.entry.draining
         if cause is not LossCause.MISSING and (is_draining or name in self._ending):
             cause = LossCause.LEFT
-        beside = len(self._runs_on(name)) - 1
-        finite = self._finite_runs_on(name)
+        lost = set(self._runs_on(name).items())
+        if begun is not None:
+            lost &= begun
+        finite = sum(not self._is_lasting(task) for task, _ in lost)
         for task, run in runs.items():
-            log_event(RunLost(task, run, name, cause.value, beside))
             loss = None
-            if cause is not LossCause.LEFT:
-                loss = self._loss(task, run, cause, finite, now_ms)
+            if (task, run) in lost:
+                log_event(RunLost(task, run, name, cause.value, len(lost) - 1))
+                if cause is not LossCause.LEFT:
+                    loss = self._loss(task, run, cause, finite, now_ms)
             confirmed = cause is LossCause.MISSING
             self.end(name, task, run, Outcome.LAPSED, "", now_ms, confirmed, loss)
 
-    def _finite_runs_on(self, name):
-        executor = self.executors.get(name)
-        allocations = executor.allocations.values() if executor is not None else ()
-        steps = [item.lasting for item in allocations]
-        steps += [step.lasting for step in self._orphans.steps_on(name)]
-        return steps.count(False)
+    def _is_lasting(self, task_name):
+        task_id = parse_task(task_name)
+        job = self.jobs.get(task_id.job) if task_id is not None else None
+        return job is not None and job.spec.steps[task_id.step].lasting
 
     def _loss(self, task_name, run, cause, finite, now_ms):
         """Return the Loss of a run from an executor with so many ``finite`` runs."""
--- a/src/cardamomgrade/jobs/starts.py
+++ b/src/cardamomgrade/jobs/starts.py
@@ -31,6 +31,16 @@
         """Whether this is another agent's order that may or may not have arrived."""
         return self.order is None and self.accepted_at is None
 
+    @property
+    def may_have_begun(self):
+        """Whether the run may be, or have been, on the agent's incarnation."""
+        return (
+            self.order is None
+            or self.accepted_at is not None
+            or self.maybe_received
+            or self.reported
+        )
+
     def is_settled(self, proven_at):
         """Return whether the agent's incarnation got it and no later one can.
 
--- a/tests/jobs/agent_reports.feature
+++ b/tests/jobs/agent_reports.feature
@@ -77,3 +77,33 @@
     And the executor reports neither runs nor ends for 1 s
     Then the executor was told only once to start run 1
     And the agent gave run 1 up as withdrawn
+
+  Scenario: a start that reaches only the next incarnation is not lost with the executor
+    Given an agent whose order to start run 1 of a task reached another incarnation
+    Then run 1 was not lost with the executor
+
+  Scenario: a start that waits for its record is not lost with the executor
+    Given an agent that has not been told to start run 1 of a task
+    When the agent asks for a report
+    And another incarnation answers at the address of the executor
+    Then run 1 was not lost with the executor
+
+  Scenario: an accepted run is lost with the executor
+    Given an agent that has started run 1 of a task
+    When another incarnation answers at the address of the executor
+    Then run 1 was lost with the executor
+
+  Scenario: a run whose start got no answer is lost with the executor
+    Given an agent whose order to start run 1 of a task got no answer
+    When another incarnation answers at the address of the executor
+    Then run 1 was lost with the executor
+
+  Scenario: an accepted run is lost when the lease of its silent executor lapses
+    Given an agent that has started run 1 of a task
+    When the executor is silent until its lease has lapsed
+    Then run 1 was lost with the executor
+
+  Scenario: an inherited run is lost with the executor
+    Given an agent that inherits run 1 of a task
+    When another incarnation answers at the address of the executor
+    Then run 1 was lost with the executor
--- a/tests/steps/jobs_agent_reports.py
+++ b/tests/steps/jobs_agent_reports.py
@@ -56,10 +56,18 @@
 
     executor: object
     said: list = attrs.field(factory=list)
+    agent: object = None
+    lost: object = None
 
     def may_grant(self):
         return True
 
+    def on_executor_gone(self, name, cause):
+        self.lost = self.agent.begun_runs()
+
+    def on_lease_lapsed(self, name):
+        self.lost = self.agent.begun_runs()
+
     def on_runs_ended(self, name, ends):
         for item in ends:
             self._over(item.outcome.value, item.task, item.run)
@@ -87,7 +95,7 @@
         self.executor = Executor(executor_entry("e1", 4))
         self.executor.allocate(TASK, 1, Step(1, cores_m=1000))
         self.driver = RecordingDriver(self.executor)
-        self.agent = self.make_agent(inherits)
+        self.agent = self.driver.agent = self.make_agent(inherits)
 
     def make_agent(self, inherits):
         return ExecutorAgent(
@@ -125,6 +133,7 @@
 START_RESULTS = {
     "got no answer": OrderResult.NO_ANSWER,
     "came too late": OrderResult.LATE,
+    "reached another incarnation": OrderResult.WRONG_LIFE,
 }
 
 
@@ -229,3 +238,33 @@
 @then("the executor is told again to stop run 1")
 def step_told_again(context):
     assert context.agent.client.orders == [("stop", TASK, 1)]
+
+
+@when("another incarnation answers at the address of the executor")
+def step_other_incarnation(context):
+    (_, on_done) = context.agent.client.renewals.pop()
+    on_done(OrderAnswer(OrderResult.WRONG_LIFE))
+
+
+@when("the executor is silent until its lease has lapsed")
+def step_silent(context):
+    world = context.agent
+    (_, on_done) = world.client.renewals.pop()
+    on_done(OrderAnswer(OrderResult.NO_ANSWER))
+    for _ in range(int(2 * LEASE_MS / 100)):
+        world.timers.advance(0.1)
+
+
+@then("run 1 was lost with the executor")
+def step_run_lost(context):
+    assert context.agent.driver.lost == {(TASK, 1)}
+
+
+@then("run 1 was not lost with the executor")
+def step_run_not_lost(context):
+    assert context.agent.driver.lost == set()
+
+
+@when("the agent asks for a report")
+def step_asks(context):
+    context.agent.agent.renew_if_needed()
