--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -70,6 +70,19 @@
     run: int
 
 
+@event(655)
+class EndsUnread:
+    """An incarnation lists ends from number ``first`` on; ``after`` was the last read.
+
+    Those in between were forgotten by an acknowledgement that this agent did not send.
+    """
+
+    executor: str
+    born: int
+    after: int
+    first: int
+
+
 class ExecutorAgent:
     """Sends orders to one executor and renews its lease while it has runs.
 
@@ -108,6 +121,7 @@
         self._stopping = {}
         self._stored_end = 0
         self._received_end = 0
+        self._knows_ends = False
         self._acknowledged_end = 0
         self._renewing = False
         self._renewed_at = loop.now()
@@ -173,6 +187,7 @@
         for task, run in other._stopping:
             if (task, run) in placed:
                 self.stop(task, run)
+        self._knows_ends = True
         self.renew_if_needed()
 
     @property
@@ -390,11 +405,16 @@
     def _process_ends(self, report):
         new_ends = [item for item in report.ended if item.number > self._received_end]
         if new_ends:
+            first = min(item.number for item in new_ends)
+            if self._knows_ends and first > self._received_end + 1:
+                born = self._executor.entry.born
+                log_event(EndsUnread(self.name, born, self._received_end, first))
             self._received_end = max(item.number for item in new_ends)
             for item in new_ends:
                 self._starts.pop((item.task, item.run), None)
                 self._stopping.pop((item.task, item.run), None)
             self._driver.on_runs_ended(self.name, new_ends)
+        self._knows_ends = True
 
     def _reconcile(self, report, sent_at):
         """Compare the runs that the executor reports with those placed on it."""
--- a/tests/jobs/incarnations.feature
+++ b/tests/jobs/incarnations.feature
@@ -180,6 +180,25 @@
     When the executor answers a renewal as born 1000, with run 1
     Then a renewal at port 1 acknowledges end 7
 
+  Scenario: an end whose report was read late is not acknowledged to the next incarnation
+    Given a scheduler and an executor born at 1000 that reports run 1 of a task
+    When born 1000 reports ends up to 7 in answer to a renewal of 300 ms before
+    And it starts again before these are stored
+    Then no renewal at port 1 acknowledges an end
+
+  Scenario: an end is not acknowledged to an executor that started again just after it
+    Given a scheduler and an executor born at 1000 that reports run 1 of a task
+    When born 1000 reports ends up to 7 in answer to a renewal of 10 ms before
+    And it starts again before these are stored
+    Then no renewal at port 1 acknowledges an end
+
+  Scenario: an executor that closes each connection after its answer gets acknowledgements
+    Given a scheduler and an executor born at 1000 that reports run 1 of a task
+    And the executor closes each connection after its answer
+    When born 1000 reports ends up to 7 in answer to a renewal of 10 ms before
+    And its connection is closed before these are stored
+    Then a renewal at port 1 acknowledges end 7
+
   Scenario: the failures and the pause of the earlier incarnation are forgotten
     Given a scheduler and an executor born at 1000 that reports run 1 of a task
     When it is quarantined and paused
@@ -280,6 +299,10 @@
     When days with seeds 180 to 189 are replayed
     Then no task ran twice at a time, and all jobs are completed
 
+  Scenario: the first ends of an incarnation are read before they are acknowledged
+    When days with seeds 1064 to 1064 are replayed
+    Then no task ran twice at a time, and all jobs are completed
+
   Scenario: a task under which executors start again under their ids is given up
     Given 1 nodes on an emulated platform with an executor born at 1000
     And another executor born at 2000
--- a/tests/steps/jobs_chaos.py
+++ b/tests/steps/jobs_chaos.py
@@ -65,7 +65,11 @@
 
 @attrs.define(eq=False)
 class Process:
-    """One incarnation of an executor, at a port, with its clock."""
+    """One incarnation of an executor, at a port, with its clock.
+
+    ``lapsed_at`` is when its lease was last over; ``done_at`` maps the number of an end
+    as done to its time.
+    """
 
     name: str
     born: int
@@ -73,6 +77,8 @@
     state: EmulatedExecutor
     clock_offset_ms: float
     alive: bool = True
+    lapsed_at: float = 0.0
+    done_at: dict = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -100,6 +106,10 @@
         conn = self.connection
         return conn is not None and conn.process.alive and conn.answered
 
+    @property
+    def keeps_connections(self):
+        return True
+
     def close(self):
         self.closed = True
 
@@ -177,6 +187,7 @@
         self.processes = []
         self.servers = {}
         self.stored = {}
+        self.noted = {}
         self.trace = []
         self.running = {}
         self.epoch = 0
@@ -218,10 +229,13 @@
         if kind == "start":
             assert task not in self.running, (task, where, self.running[task])
             assert not self.is_recorded_done(task), (task, where, "after its end")
+            assert run <= self.noted.get(task, run), (task, where, "end was noted")
             self.running[task] = where
             assert len(process.state.runs) <= CORES, (where, process.state.runs)
         elif self.running.get(task) == where:
             del self.running[task]
+        if kind == "done":
+            process.done_at[process.state.next_end] = self.loop.now()
 
     def is_recorded_done(self, task):
         """Return whether the store has an end of a task as done."""
@@ -244,6 +258,7 @@
             return HttpResponse(400)
         body = {"clockMs": int(now_ms)}
         if path == "hold":
+            self.note_ends(process, fields["ackIndex"], fields["epoch"])
             reason = state.renew(
                 deadline_ms, fields["ackIndex"], fields["epoch"], now_ms
             )
@@ -259,6 +274,18 @@
             body["reason"] = reason
         return HttpResponse(409 if reason else 200, (), json.dumps(body).encode())
 
+    def note_ends(self, process, number, epoch):
+        """Note done tasks whose ends are acknowledged while the lease held since."""
+        state = process.state
+        for end, task, run, how, _ in state.ends if epoch >= state.token else ():
+            held = process.done_at.get(end, 0.0) > process.lapsed_at
+            if how == "done" and end <= number and held:
+                self.noted[task] = run
+                started = max(
+                    row[5] for row in self.trace if row[1:3] == ("start", task)
+                )
+                assert started <= run, (task, run, started, "started again")
+
     def register(self, process):
         fields = {
             "service": "s",
@@ -359,6 +386,8 @@
         self.loop.advance(STEP_S)
         for process in self.processes:
             process.state.end_due_runs(self.clock_ms(process))
+            if self.clock_ms(process) > process.state.deadline_ms:
+                process.lapsed_at = self.loop.now()
 
     def play(self):
         end = self.loop.now() + TROUBLE_S
--- a/tests/steps/jobs_incarnations.py
+++ b/tests/steps/jobs_incarnations.py
@@ -41,6 +41,7 @@
         self.entry = entry
         self.closed = False
         self.reaches_same_process = False
+        self.keeps_connections = True
         self.starts = []
         self.stops = []
         self.renewals = []
@@ -379,6 +380,36 @@
     context.lives.client.reaches_same_process = False
 
 
+@given("the executor closes each connection after its answer")
+def step_closes_each(context):
+    context.lives.client.keeps_connections = False
+
+
+@when(
+    "born {born:d} reports ends up to {number:d} in answer to a renewal of {ms:d} ms "
+    "before"
+)
+def step_late_ends(context, born, number, ms):
+    world = context.lives
+    world.report(born, [1])
+    world.loop.advance(ms / 1000)
+    ends = [
+        EndedTask(end, f"{OTHER_JOB}.0.0.{end}", 1, Outcome.DONE, "")
+        for end in range(1, number + 1)
+    ]
+    running = (RunningTask(TASK, 1, "", 50, 0),)
+    world.client.answer(LeaseReport(1000, running, tuple(ends), born=born))
+
+
+@when("it starts again before these are stored")
+@when("its connection is closed before these are stored")
+def step_closed(context):
+    world = context.lives
+    world.client.reaches_same_process = False
+    for _ in range(4):
+        world.loop.advance(SOON_S / 4)
+
+
 @when("it is quarantined and paused")
 def step_quarantined(context):
     world = context.lives
