Acknowledge ends only to the incarnation that listed them

Callers saw: a task that must run once ran twice (TWICE).

Cause: numbers of ends begin anew with each incarnation of an executor. A renewal was trusted to reach the same incarnation for 50 ms after an answer was read, even over a new connection. An answer may have waited for this process, and a connection that has just closed is what a restart looks like. The later incarnation then forgot its own first ends unread; a complete report lacked the run, RunMissing started the task again. The class: the age of what is known of a peer was counted from when it was read, not from when it was asked for.

Now a renewal carries an acknowledgement or a deadline only over a connection that has answered; for servers that close each connection themselves (announced in the answer) for 50 ms after the answered request was sent, on a clock that goes on while the machine is suspended. Where answers keep their connection, as on the platform's executors, a new connection costs one more exchange, as before for answers older than 50 ms.

That this is what the users' executor did is not shown: it fits all times of their record.

--- a/src/cardamomgrade/client.py
+++ b/src/cardamomgrade/client.py
@@ -27,7 +27,8 @@
     """A connection to one server.
 
     ``on_idle_close`` is called when it closes while no request is in flight.
-    ``received_bytes`` counts all bytes received.
+    ``received_bytes`` counts all bytes received. ``keeps_open`` is whether the latest
+    answer, if any, allows further requests.
     """
 
     def __init__(self, conn, body_limit=BODY_LIMIT_BYTES):
@@ -39,6 +40,7 @@
         self._body = []
         self._size = 0
         self.received_bytes = 0
+        self.keeps_open = True
         self.on_idle_close = None
         conn.on_data = self._on_data
         conn.on_close = self._on_close
@@ -113,6 +115,7 @@
             and self._http.their_state is h11.DONE
             and not self._http.trailing_data[0]
         )
+        self.keeps_open = reusable
         if not reusable:
             self._conn.abort()
         self._finish(response)
@@ -184,6 +187,11 @@
         """
         return self._has_conn() and self._conn.received_bytes > 0
 
+    @property
+    def keeps_open(self):
+        """Whether the server left the connection open after its latest answer."""
+        return self._conn is None or self._conn.keeps_open
+
     def _has_conn(self):
         return self._conn is not None and self._conn.usable
 
--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -95,8 +95,9 @@
     whether an earlier scheduler placed the runs that are on the executor now. While
     ``silences`` (SilentExecutors) may have a record of the executor, no request grants
     the lease. ``client`` has ``reaches_same_process``, whether a renewal sent now
-    reaches the process that answered the last one, or none; it is read only for
-    executors whose ``born`` is known.
+    reaches the process that answered the last one, or none, and ``keeps_connections``,
+    whether the executor left the connection open after its last answer; they are read
+    only for executors whose ``born`` is known.
 
     Ends of runs are numbered. They are acknowledged to the executor once stored:
     ``_received_end`` >= ``_stored_end`` >= ``_acknowledged_end``.
@@ -128,7 +129,7 @@
         self._retry = None
         self._wait_ms = RENEW_WAIT_MS
         self._answered = False
-        self._proven_at = self._reported_at = float("-inf")
+        self._proven_at = self._proven_boot_at = float("-inf")
         self._closed = False
         if self._has_silence_record():
             self._mark_unreachable("it was silent before")
@@ -251,7 +252,8 @@
     def _renew(self):
         self._renewing = True
         now = self._renewed_at = self._loop.now()
-        is_same = self._reaches_same_incarnation(now)
+        boot_now = self._loop.boot_now()
+        is_same = self._reaches_same_incarnation(boot_now)
         stored_end = self._stored_end if is_same else 0
         may_wait = (
             self._executor.allocations
@@ -274,23 +276,26 @@
             report = self._check_incarnation(report)
             if isinstance(report, LeaseReport):
                 self._acknowledged_end = max(self._acknowledged_end, stored_end)
+                self._proven_boot_at = boot_now
             if not self._closed:
                 self._on_report(report, now)
 
         self._client.renew(deadline, stored_end, wait_ms, done)
 
-    def _reaches_same_incarnation(self, now):
+    def _reaches_same_incarnation(self, boot_now):
         """Return whether a renewal sent now can reach no later incarnation.
 
         That one would take the acknowledgement for its own ends, and forget them
-        before anyone has read them, and the deadline for a time of its own clock. A
-        server may close each connection after its answer, so a recent answer is enough.
+        before anyone has read them, and the deadline for a time of its own clock. Of a
+        server that closes each connection itself, a recent answer is enough. It is as
+        old as its request, since it may have waited for this process. A connection that
+        is closed otherwise may have been closed by a restart.
         """
-        return (
-            not self._executor.entry.born
-            or self._client.reaches_same_process
-            or now - self._reported_at < JUST_ANSWERED_S
-        )
+        if not self._executor.entry.born or self._client.reaches_same_process:
+            return True
+        if self._client.keeps_connections:
+            return False
+        return boot_now - self._proven_boot_at < JUST_ANSWERED_S
 
     def _check_incarnation(self, answer):
         """Return an answer, or one of NO_ANSWER in place of an earlier incarnation's.
@@ -315,7 +320,7 @@
         if isinstance(report, LeaseReport):
             self._lease.update_clock(now, report.clock_ms)
             self._answered = True
-            self._proven_at, self._reported_at = sent_at, now
+            self._proven_at = sent_at
             if self._executor.unreachable or self._has_silence_record():
                 self._silences.clear(self.name, self._on_silence_cleared)
             self._process_ends(report)
--- a/src/cardamomgrade/platform/executor.py
+++ b/src/cardamomgrade/platform/executor.py
@@ -141,6 +141,11 @@
         """Whether a renewal reaches the process that answered the last one, or none."""
         return self._renewals.connected
 
+    @property
+    def keeps_connections(self):
+        """Whether the executor left the connection open after its last answer."""
+        return self._renewals.keeps_open
+
     def _send(self, requester, path, fields, on_done, timeout):
         body = json.dumps({**fields, "fencingToken": self._epoch}).encode()
         req = HttpRequest("POST", path, self._headers, body)
--- a/tests/jobs/incarnations.feature
+++ b/tests/jobs/incarnations.feature
@@ -197,6 +197,8 @@
     And the executor closes each connection after its answer
     When born 1000 reports ends up to 7 in answer to a renewal of 10 ms before
     And its connection is closed before these are stored
+    Then no renewal at port 1 acknowledges an end
+    When the executor answers a renewal as born 1000, with run 1
     Then a renewal at port 1 acknowledges end 7
 
   Scenario: the failures and the pause of the earlier incarnation are forgotten
--- a/tests/steps/jobs_incarnations.py
+++ b/tests/steps/jobs_incarnations.py
@@ -69,7 +69,7 @@
         on_done, self.waiting = self.waiting, None
         assert not self.closed
         if isinstance(report, LeaseReport):
-            self.reaches_same_process = True
+            self.reaches_same_process = self.keeps_connections
         on_done(report)
 
 
