Forget the charged run of a lasting task with its losses

The count became -1, and the stored progress unreadable for all nodes. The scenario failed before (RecordError: [-1] are no counts of losses). Also drops forgotten jobs from those watched for tasks that run alone.

--- a/src/cardamomgrade/jobs/losses.py
+++ b/src/cardamomgrade/jobs/losses.py
@@ -31,7 +31,7 @@
 def charge(task, loss):
     """Count a Loss of the current run of a TaskState."""
     if loss.settled:
-        task.losses = 0
+        task.losses = task.charged_run = 0
         return
     if task.losses < (LOSSES_MAX if loss.alone else SHARED_LOSSES_MAX):
         task.losses += 1
@@ -56,7 +56,6 @@
 def runs_alone(task, step):
     """Return whether a TaskState must run on an executor without other finite runs.
 
-    The members of a gang share no executor with its other members where that matters:
-    each is judged by its own losses.
+    Members of a gang need not, since each of their losses counts.
     """
     return task.losses >= SHARED_LOSSES_MAX and not step.gang
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -890,6 +890,7 @@
         if job is None or not job.state.final or job.placed():
             return False
         del self.jobs[name]
+        self._isolation.forget(name)
         self._shares.forget(name)
         self._dirty.pop(name, None)
         self._changed.pop(name, None)
--- a/tests/jobs/losses.feature
+++ b/tests/jobs/losses.feature
@@ -44,3 +44,8 @@
     And 60 s pass
     Then no job has failed
     And the other jobs are completed
+
+  Scenario: the losses of a lasting task that ran for long are forgotten
+    When a lasting task is lost, runs again for 11 s, and is lost again
+    And the first of its executors answers after all
+    Then its stored record can be read and counts 0 losses
--- a/tests/steps/jobs_losses.py
+++ b/tests/steps/jobs_losses.py
@@ -2,7 +2,8 @@
 
 from behave import given, then, when
 
-from cardamomgrade.jobs.records import JobState
+from cardamomgrade.jobs.records import decode_progress, encode, JobState
+from cardamomgrade.jobs.reports import Outcome
 from cardamomgrade.jobs.spec import Step
 from crashes import CrashWorld
 
@@ -88,3 +89,29 @@
 def step_none_failed(context):
     world = context.world
     assert JobState.FAILED not in world.states(world.specs)
+
+
+@when("a lasting task is lost, runs again for {seconds:d} s, and is lost again")
+def step_settled(context, seconds):
+    world = context.world
+    context.job = world.add(Step(1, cores_m=900, lasting=True))
+    context.lost = []
+    for run_s in (1, seconds):
+        world.run_for(run_s * 1000)
+        (task,) = world.scheduler.jobs[context.job].placed()
+        context.lost.append(task.executor)
+        world.scheduler.mark_runs_lapsed(task.executor, world.now_ms)
+
+
+@when("the first of its executors answers after all")
+def step_answers(context):
+    world, task = context.world, f"{context.job}.0.0.0"
+    now_ms = world.now_ms
+    world.scheduler.end(context.lost[0], task, 1, Outcome.LAPSED, "", now_ms)
+
+
+@then("its stored record can be read and counts {count:d} losses")
+def step_readable(context, count):
+    record = context.world.scheduler.jobs[context.job].record()
+    (item,) = decode_progress(encode(record)).tasks
+    assert item.losses == count, item
