Hold at most half of a service's executors for tasks that run alone

JobStalled names it: of 33 executors 25 were held and 8 unreachable, while jobs with room for them waited for 8 s. An idle executor was given to each waiting task that runs alone, without a bound.

--- a/src/cardamomgrade/jobs/isolation.py
+++ b/src/cardamomgrade/jobs/isolation.py
@@ -3,7 +3,7 @@
 A task under which executors were lost runs beside lasting tasks only, so that its next
 loss shows whether it is the cause, and costs no other job its work. While such a task
 waits and no executor is idle, some are held: they get no other runs until it has ended
-there.
+there. Of the executors that take new runs at most half are held, or a single one.
 """
 
 import math
@@ -14,6 +14,7 @@
 from .placing import may_run, PlacementLimits
 from .records import Phase
 
+HELD_FRACTION = 0.5
 EMPTYING_FRACTION = 0.25  # of a pool; others wait for the room that is held
 
 
@@ -116,7 +117,14 @@
 
         Holds another one until it is idle if there is none, and few are held.
         """
-        free = [x for x in usable if x.name not in self._holds or self._is_emptying(x)]
+        most_held = max(1, int(len(usable) * HELD_FRACTION))
+        held = [item for item in usable if item.name in self._holds]
+        free = [item for item in held if self._is_emptying(item)]
+        while free and len(held) > most_held:  # others were lost
+            held.remove(free[-1])
+            del self._holds[free.pop().name]
+        if len(held) < most_held:
+            free += [item for item in usable if item.name not in self._holds]
         limits = PlacementLimits(state)
         idle = [
             item
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -647,7 +647,7 @@
         return [
             item
             for item in self._open_executors(service)
-            if not self._isolation.holds(item.name)
+            if not self.is_held(item.name)
         ]
 
     def _open_executors(self, service):
@@ -794,10 +794,14 @@
                     states = Counter({"customer-limit": states.total()})
                 log_event(stall_event(item, for_ms, service, states))
 
+    def is_held(self, name):
+        """Return whether an executor is kept free for a task that runs alone."""
+        return self._isolation.holds(name)
+
     def _reason_aside(self, name):
         if self._health.is_quarantined(name):
             return "quarantined"
-        if self._isolation.holds(name):
+        if self.is_held(name):
             return "held"
         return "paused" if name in self._paused_until_ms else ""
 
--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -46,6 +46,7 @@
         self.runs = {}
         self.down = set()
         self.crashes = 0
+        self.most_held = 0.0
         self._events = []
         self._numbers = itertools.count()
         self._lives = itertools.count()
@@ -90,9 +91,17 @@
                 heappop(self._events)[2]()
             for start in self.scheduler.plan(self.now_ms, WALL_MS + self.now_ms):
                 self._begin(start)
+                self._count_held(start)
             for stop in self.scheduler.take_stops():
                 self._end(stop.executor, stop.task, stop.run, Outcome.STOPPED)
 
+    def _count_held(self, start):
+        """Note the fraction of executors held when a task is started alone."""
+        usable = [x.name for x in self.scheduler.executors.values() if x.open]
+        held = sum(self.scheduler.is_held(name) for name in usable)
+        if self.scheduler.is_held(start.executor) and held > 1:
+            self.most_held = max(self.most_held, held / len(usable))
+
     def _begin(self, start):
         self.starts[start.task] = self.starts.get(start.task, 0) + 1
         run = (start.executor, start.task, start.run)
--- a/tests/jobs/losses.feature
+++ b/tests/jobs/losses.feature
@@ -18,6 +18,14 @@
     And the jobs with such a task have failed
     And the other jobs are completed
 
+  Scenario: tasks that run alone leave half of the executors to others
+    When 5 jobs come each second for 10 s, every 3th with such a task
+    And 120 s pass
+    Then none of these tasks starts three times more after three crashes
+    And the jobs with such a task have failed
+    And the other jobs are completed
+    And never more than half of the executors that take runs are held
+
   Scenario Outline: a task <kind> under which executors crash is given up
     When 3 jobs come each second for 5 s, none with such a task
     And a job has such a task <kind>
--- a/tests/steps/jobs_losses.py
+++ b/tests/steps/jobs_losses.py
@@ -115,3 +115,8 @@
     record = context.world.scheduler.jobs[context.job].record()
     (item,) = decode_progress(encode(record)).tasks
     assert item.losses == count, item
+
+
+@then("never more than half of the executors that take runs are held")
+def step_held(context):
+    assert 0 < context.world.most_held <= 0.5, context.world.most_held
