Elect a scheduler without a condition on the end of the topic

Cause: the append of a candidate was taken only if the topic still ended where the candidate had read to. Jobs are stored 10 to 20 times a second, and each round trip took 0.3 s, so that 20 candidacies failed.

Change: the store's check of the writer's epoch and number already lets only one candidate of an epoch win. What the condition also gave, that no record of the old scheduler lies between, is replaced: a node that reads such a record counts TERM_TIMEOUT_S from it, in which the old scheduler may still grant leases, before it schedules.

Ruled out: a shorter timeout (false elections on a slow store, where append and read take up to 0.9 s together).

The scenario of a conflicting candidacy is replaced by two that are stricter: a record is stored before each candidacy, and the other node schedules within 2.5 s; a record of the old scheduler in between is waited for. Both failed on the old code. The scenario on the time limit of a candidacy uses refusals instead of conflicts.

--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -102,6 +102,7 @@
         self._waves = {}
         self._driver = None
         self._candidacy = None
+        self._elected = None
         self._stopping = False
         self._open_requests = 0
         self._view = JobView(loop.now)
@@ -178,6 +179,7 @@
 
     def close(self):
         """Close all connections at once, as when the process is killed."""
+        self._elected = None
         if self._driver is not None:
             self._driver.close()
             self._driver = None
@@ -210,6 +212,7 @@
         if self._stopping:
             return
         self._stopping = True
+        self._elected = None
         log_event(NodeStopped(self._open_requests))
         if self._driver is not None:
             self._driver.close(resign=True)
@@ -345,9 +348,7 @@
         own = record.incarnation == self._incarnation
         stood = self._candidacy
         if own and stood and record.epoch == stood.epoch and not record.resigned:
-            self._candidacy = None
-            if self._term.transition("elected", "read its own term record back"):
-                self._start_driver(record)
+            self._succeed(record)
         elif own:
             if self._driver is not None:
                 self._driver.on_term_read(record)
@@ -358,6 +359,23 @@
         elif self._driver is not None:
             self._on_deposed(f"{record.node} schedules under epoch {record.epoch}")
 
+    def _succeed(self, record):
+        """Schedule under the term of a TermRecord of this node, as soon as it may."""
+        wait_s = self._term.predecessor_holds_for_s(self._loop.now())
+        self._candidacy = self._elected = record
+
+        def begin():
+            if self._elected is not record:
+                return
+            self._candidacy = self._elected = None
+            if self._term.transition("elected", "read its own term record back"):
+                self._start_driver(record)
+
+        if wait_s:
+            self._loop.call_later(wait_s, begin)
+        else:
+            begin()
+
     def _start_driver(self, record):
         self._follower.pause_s = SCHEDULER_PAUSE_S
         self._driver = Driver(
@@ -399,14 +417,11 @@
             failed = not isinstance(result, Appended)
             if not failed or self._candidacy is not record:
                 return
-            if result.fate is AppendFate.MOVED_ON:
-                self._candidacy = None
-                self._term.on_conflict("another record was appended first")
-            elif result.fate is not AppendFate.UNKNOWN:
+            if result.fate is not AppendFate.UNKNOWN:
                 self._on_rejected(result.detail)
 
         def expire():
-            # After a conflict the node may stand again under the same epoch.
+            # After a rejection the node may stand again under the same epoch.
             if self._candidacy is record:
                 self._on_rejected("its term record was not read back in time")
 
@@ -414,13 +429,12 @@
             [(KEY_TERM, encode(record))],
             done,
             CANDIDACY_TIMEOUT_S,
-            at=self._follower.next_offset,
             writer=position,
         )
         # A node is elected only by reading its own record back, whatever the answer.
         self._loop.call_later(2 * CANDIDACY_TIMEOUT_S, expire)
 
     def _on_rejected(self, why):
-        self._candidacy = None
+        self._candidacy = self._elected = None
         self._follower.pause_s = FOLLOWER_PAUSE_S
         self._term.on_rejected(self._loop.now(), why)
--- a/src/cardamomgrade/jobs/term.py
+++ b/src/cardamomgrade/jobs/term.py
@@ -3,9 +3,13 @@
 A term is the period of one scheduler and is numbered by its epoch. The scheduler writes
 ``term`` records as heartbeats. A node that reads the topic without a gap for
 TERM_TIMEOUT_S and sees none becomes a candidate (it "stands"): it appends a ``term``
-record with the next epoch, on condition that the topic still ends where the node has
-read to. So only one of several candidates wins, and the store rejects later appends of
-the previous scheduler.
+record with the next epoch. Of several candidates for an epoch the store takes only the
+first, since the numbers of their appends differ, and it rejects later appends of the
+previous scheduler. A candidate is elected once it has read the topic up to its own
+record, and schedules once no lease can be granted under an earlier term.
+
+Load pattern: jobs are stored many times a second, on a slow store. A condition on the
+end of the topic would fail again and again.
 """
 
 import random
@@ -57,6 +61,7 @@
         self._small = small
         self._jitter = random.Random(incarnation)
         self._timeout_s = 0.0
+        self._heard_at = float("-inf")
         self.term_ended = False
         self.state = CHART.initial
         self.epoch = 0
@@ -77,8 +82,17 @@
             record.node == self._node and record.incarnation != self._incarnation
         )
         self.term_ended = record.resigned or from_previous_incarnation
+        if record.incarnation != self._incarnation:
+            self._heard_at = float("-inf") if self.term_ended else now
         self._restart_timer(now)
 
+    def predecessor_holds_for_s(self, now):
+        """Return for how many seconds another scheduler may still grant leases.
+
+        It does so for TERM_TIMEOUT_S after it sent its newest stored append.
+        """
+        return max(0.0, self._heard_at + TERM_TIMEOUT_S - now)
+
     def on_store_unreachable(self):
         """Stop the timer: without reads, missing term records prove nothing."""
         self._timer_started_at = None
@@ -104,12 +118,3 @@
         """Become a follower after a failed candidacy and restart the timer."""
         self._restart_timer(now)
         self.transition("refused", why)
-
-    def on_conflict(self, why):
-        """Become a follower because another record was appended before this node's.
-
-        Where jobs arrive many times a second, that record need not be from another
-        candidate. So the timer keeps running, and the node becomes a candidate again
-        as soon as it has read the record.
-        """
-        self.transition("refused", why)
