Count the lease of an earlier order for a VM from when its record was read

Cause: VMs ordered by the previous scheduler were locked for a lease counted from the start of the new one, although their orders were older.

Change: a node knows when it read the record of an order. A node that has just started reads all records then, and gains nothing.

Two scenarios: an order read long before locks no longer, one read just before does.

--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -64,10 +64,19 @@
         return state
 
 
+@attrs.frozen
+class StoredOrder:
+    """An order for a VM, of the scheduler of ``epoch``, read at ``read_at`` (s)."""
+
+    epoch: int
+    read_at: float
+
+
 class JobView:
     """The newest records by key: jobs, upkeeps, VM orders, durations and the term.
 
-    ``upkeeps`` maps an ``upkeep_name`` to its UpkeepRecord.
+    ``upkeeps`` maps an ``upkeep_name`` to its UpkeepRecord, and ``orders`` a VM to the
+    StoredOrder of its lease.
     ``silent`` maps an executor with a SilentRecord to a time of ``now`` by which its
     lease was granted for the last time.
 
@@ -190,7 +199,7 @@
 
     def _fold_order(self, name, value):
         if value:
-            self.orders[name] = decode_order(value)
+            self.orders[name] = StoredOrder(decode_order(value).epoch, self._now())
         else:
             self.orders.pop(name, None)
 
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -15,10 +15,10 @@
     VmOrderRecord,
 )
 from .reports import LossCause, VmOrderResult
-from .term import TERM_TIMEOUT_S
 from .upkeep import OrderedUpkeep, UNANSWERED_TIMEOUT_S, UpkeepPlanner
 
 MOVE_RETRY_S = 0.2
+ORDER_DELAY_MAX_S = 1.0  # two appends to a store that answers 100 times slower
 VM_LEASE_MARGIN_S = 0.3  # the platform's clock may differ from this node's
 STATUS_APPEND_TIMEOUT_S = 1.0
 MOVE_ORDERS_FRACTION = 0.9  # of the orders that the platform takes; upkeeps count too
@@ -236,11 +236,18 @@
         self._status_topic.append([item], done, STATUS_APPEND_TIMEOUT_S)
 
     def _locked_vms(self):
-        """Return the VMs whose order lease an earlier scheduler may still hold."""
-        if self._loop.now() - self._started_at >= self._vm_lease_s:
+        """Return the VMs whose order lease an earlier scheduler may still hold.
+
+        An order is sent ORDER_DELAY_MAX_S after its record was stored at the latest.
+        """
+        now = self._loop.now()
+        if now - self._started_at >= self._vm_lease_s:
             return set()
         return {
-            vm for vm, record in self._view.orders.items() if record.epoch < self._epoch
+            vm
+            for vm, order in self._view.orders.items()
+            if order.epoch < self._epoch
+            and now - order.read_at < ORDER_DELAY_MAX_S + self._vm_lease_s
         }
 
     def _store_order(self, vm, items, send, on_result):
@@ -248,9 +255,9 @@
 
         The record stays while the lease of a later order for the VM lasts.
 
-        Calls ``send()`` then, or ``on_result(NOT_DONE)`` if that took so long that
-        another node may have become the scheduler, also while this machine was
-        suspended.
+        Calls ``send()`` then, or ``on_result(NOT_DONE)`` if that took longer than
+        ORDER_DELAY_MAX_S, also while this machine was suspended: another node may have
+        become the scheduler, and its lease counts from the record.
         """
         key = PREFIX_ORDER + vm
         record = encode(VmOrderRecord(self._epoch))
@@ -260,7 +267,7 @@
             if self._closed:
                 return
             self._loop.call_later(self._vm_lease_s, forget)
-            if self._loop.boot_now() - planned_at > TERM_TIMEOUT_S:
+            if self._loop.boot_now() - planned_at > ORDER_DELAY_MAX_S:
                 on_result(VmOrderResult.NOT_DONE)
             else:
                 send()
--- a/tests/jobs/vms.feature
+++ b/tests/jobs/vms.feature
@@ -29,6 +29,18 @@
     And VMs are planned
     Then the upkeep of m0 is ordered
 
+  Scenario: the lease of an earlier scheduler's order counts from when its record was read
+    Given 3 VMs with a ready task each of a step that may miss 1, in a wave of 1 at once
+    When another scheduler takes over, which read the upkeep of m0 1.7 s before
+    And VMs are planned
+    Then the upkeep of m0 is ordered
+
+  Scenario: an order read just before a change of scheduler keeps its VM locked
+    Given 3 VMs with a ready task each of a step that may miss 1, in a wave of 1 at once
+    When another scheduler takes over, which read the upkeep of m0 0.3 s before
+    And VMs are planned
+    Then no further upkeep is ordered
+
   Scenario: a move without an answer keeps its VM closed to new runs after a later refusal
     Given 3 VMs in a pool that needs none
     When VMs are planned until a move is ordered
--- a/tests/steps/jobs_vms.py
+++ b/tests/steps/jobs_vms.py
@@ -15,13 +15,12 @@
     TermRecord,
     upkeep_name,
     UpkeepRecord,
-    VmOrderRecord,
 )
 from cardamomgrade.jobs.reports import ListedVm, RunningTask, VmOrderResult, WaveRequest
 from cardamomgrade.jobs.scheduler import Scheduler
 from cardamomgrade.jobs.spec import JobSpec, parse_task, Step
 from cardamomgrade.jobs.store import Entry
-from cardamomgrade.jobs.view import JobView
+from cardamomgrade.jobs.view import JobView, StoredOrder
 from cardamomgrade.jobs.vms import MOVE_RETRY_S, VM_LEASE_MARGIN_S, VmManager
 
 UPKEEP_S = 2.0
@@ -114,11 +113,16 @@
         if wave:
             self.manager.add_wave(self.wave)
 
-    def make_manager(self, upkeeps=(), epoch=1):
-        """Return a manager; ``upkeeps`` has pairs of a VM and its UpkeepRecord."""
+    def make_manager(self, upkeeps=(), epoch=1, read_before_s=0.0):
+        """Return a manager; ``upkeeps`` has pairs of a VM and its UpkeepRecord.
+
+        Its node read the records of their orders ``read_before_s`` ago.
+        """
         self.view = view = JobView()
         view.upkeeps.update((upkeep_name(item.wave, vm), item) for vm, item in upkeeps)
-        view.orders.update((vm, VmOrderRecord(item.epoch)) for vm, item in upkeeps)
+        read_at = self.loop.now() - read_before_s
+        for vm, item in upkeeps:
+            view.orders[vm] = StoredOrder(item.epoch, read_at)
         cfg = attrs.evolve(SETTINGS, upkeep_ms=int(UPKEEP_S * 1000))
         term = TermRecord(epoch, "n1", "life-1", 1, False)
         deps = VmDependencies(self.scheduler, self, self.availability)
@@ -185,10 +189,20 @@
 
 @when("another scheduler takes over, which finds the upkeep of {vm} stored")
 def step_takes_over(context, vm):
-    world = context.vms
+    take_over(context.vms, vm, 0.0)
+
+
+@when(
+    "another scheduler takes over, which read the upkeep of {vm} {seconds:g} s before"
+)
+def step_takes_over_later(context, vm, seconds):
+    take_over(context.vms, vm, seconds)
+
+
+def take_over(world, vm, read_before_s):
     world.manager.close()
     record = UpkeepRecord(world.wave.wave, f"i-{vm}", 1)
-    world.manager = world.make_manager([(vm, record)], epoch=2)
+    world.manager = world.make_manager([(vm, record)], 2, read_before_s)
     world.manager.add_wave(world.wave)
 
 
