Mechanisms of scheduling can be switched off by name

A switch chooses between two implementations where a mechanism is put together. What keeps a promise (tasks that run alone, budgets, limits of customers) has none.

The tests of look-ahead use these switches instead of a stand-in of their own.

--- a/src/cardamomgrade/jobs/admission.py
+++ b/src/cardamomgrade/jobs/admission.py
@@ -52,5 +52,10 @@
     return max(RETRY_MIN_S, math.ceil(excess_s * (1 + RETRY_SPREAD * part)))
 
 
+def never_refused(call, queue, durations, load, share_load, wall_ms):
+    """Return 0, which accepts the job."""
+    return 0
+
+
 def _is_recent(load, wall_ms):
     return load is not None and abs(wall_ms - load.at_ms) <= LOAD_MAX_AGE_MS
--- a/src/cardamomgrade/jobs/demand.py
+++ b/src/cardamomgrade/jobs/demand.py
@@ -18,10 +18,32 @@
 GROWTH_LIMIT = 2.0  # times the rate of the newest half window
 
 
+def linear_growth(older, newer, chance):
+    """Return the cores that work will keep busy when a VM that is ordered now joins.
+
+    ``older`` and ``newer`` are the cores by the arrivals of the halves of the window,
+    and ``chance`` is the standard deviation of their difference.
+    """
+    expected = newer
+    if 0 < older < newer - GROWTH_DEVIATIONS * chance:
+        growth = (newer - older) / HALF_WINDOW_MS
+        expected += growth * (HALF_WINDOW_MS / 2 + JOIN_MS)
+    return min(expected, newer * GROWTH_LIMIT)
+
+
+def no_growth(older, newer, chance):
+    """Return the cores by the arrivals of the newer half of the window."""
+    return newer
+
+
 class Demand:
-    """Recent arrivals of work, in core-ms; times are monotonic ms."""
+    """Recent arrivals of work, in core-ms; times are monotonic ms.
+
+    ``expect`` is ``linear_growth`` or another function like it.
+    """
 
-    def __init__(self):
+    def __init__(self, expect=linear_growth):
+        self._expect = expect
         self._arrivals = {}
 
     def record_arrival(self, service, core_ms, now_ms):
@@ -38,10 +60,6 @@
         newer = sum(core_ms for _, core_ms in newest) / HALF_WINDOW_MS
         burst = sum(core_ms for at, core_ms in newest if at > now_ms - BURST_MS)
         older = total / HALF_WINDOW_MS - newer
-        expected = newer
         chance = math.sqrt(sum(core_ms**2 for _, core_ms in arrivals)) / HALF_WINDOW_MS
-        if 0 < older < newer - GROWTH_DEVIATIONS * chance:
-            growth = (newer - older) / HALF_WINDOW_MS
-            expected += growth * (HALF_WINDOW_MS / 2 + JOIN_MS)
-        expected = min(expected, newer * GROWTH_LIMIT)
+        expected = self._expect(older, newer, chance)
         return max(total / WINDOW_MS, burst / BURST_MS, expected) * 1000
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -10,6 +10,7 @@
 from .follow import TopicFollower
 from .incarnations import Registrations
 from .lease import lapse_bound_s, LEASE_MS
+from .mechanisms import ALL_ENABLED
 from .pace import Pacer
 from .records import (
     encode,
@@ -66,16 +67,29 @@
     scheduler: object
     writer: object
     availability: object
+    switches: object = ALL_ENABLED
 
 
 class Driver:
     """Runs one term of the scheduler.
 
     A term is the time for which one node schedules, under one epoch.
-    ``on_deposed(why)`` is called once when another node takes over.
+    ``on_deposed(why)`` is called once when another node takes over. ``switches`` are
+    the Switches of mechanisms.
     """
 
-    def __init__(self, loop, cfg, platform, term, view, queue_cfg, on_deposed, metrics):
+    def __init__(
+        self,
+        loop,
+        cfg,
+        platform,
+        term,
+        view,
+        queue_cfg,
+        on_deposed,
+        metrics,
+        switches=ALL_ENABLED,
+    ):
         self._loop = loop
         self._cfg = cfg
         self._platform = platform
@@ -94,7 +108,7 @@
         self._closed = False
         self._forget_at = {}
         self._pacer = Pacer()
-        self._scheduler = Scheduler(queue_cfg)
+        self._scheduler = Scheduler(queue_cfg, switches)
         self._jobs_topic = platform.jobs_topic()
         self._writer = Writer(loop, self._jobs_topic, term, self.depose, metrics)
         self._silences = SilentExecutors(loop, self._writer, view.silent)
@@ -108,7 +122,9 @@
         )
         settled_at = loop.now() + cfg.stop_ms / MS + EPOCH_SPREAD_S
         self._availability = Availability(self._step_state_of, settled_at)
-        deps = VmDependencies(self._scheduler, self._writer, self._availability)
+        deps = VmDependencies(
+            self._scheduler, self._writer, self._availability, switches
+        )
         self._vms = VmManager(loop, cfg, platform, term, view, deps, self)
         self._executors = TopicFollower(
             loop,
--- a/src/cardamomgrade/jobs/durations.py
+++ b/src/cardamomgrade/jobs/durations.py
@@ -26,6 +26,28 @@
     mean_error: float = 0.0
 
 
+class CallerEstimates:
+    """Takes the callers' estimates; in the place of Durations."""
+
+    def observe(self, queue, estimate_ms, duration_ms):
+        """Record nothing."""
+
+    def record(self):
+        """Return a LearnedRecord without queues."""
+        return LearnedRecord(())
+
+    def restore(self, record):
+        """Load nothing."""
+
+    def is_reliable(self, queue, estimate_ms):
+        """Return False."""
+        return False
+
+    def expected_ms(self, queue, estimate_ms):
+        """Return the estimate, or a default without one, in ms."""
+        return float(estimate_ms or DEFAULT_MS)
+
+
 class Durations:
     """Run time statistics of all queues, in ms."""
 
--- a/src/cardamomgrade/jobs/entry.py
+++ b/src/cardamomgrade/jobs/entry.py
@@ -160,10 +160,21 @@
     """Serves checked calls; ``on_done(Answer)`` is called once for each.
 
     ``sync(on_done)`` brings the view up to date before a job is reported as unknown.
-    ``wall_ms()`` returns the wall clock in ms.
+    ``wall_ms()`` returns the wall clock in ms, and ``refuse_for_s`` is
+    ``admission.retry_after_s`` or another function like it.
     """
 
-    def __init__(self, loop, view, follower, batcher, sync, metrics, wall_ms=None):
+    def __init__(
+        self,
+        loop,
+        view,
+        follower,
+        batcher,
+        sync,
+        metrics,
+        wall_ms=None,
+        refuse_for_s=retry_after_s,
+    ):
         self._loop = loop
         self._metrics = metrics
         self._customer_label = BoundedLabel()
@@ -172,6 +183,7 @@
         self._batcher = batcher
         self._sync = sync
         self._wall_ms = wall_ms or (lambda: int(time.time() * MS))
+        self._refuse_for_s = refuse_for_s
 
     @property
     def fresh(self):
@@ -256,7 +268,7 @@
         if self._view.learned is not None:
             durations.restore(self._view.learned)
         view = self._view
-        return retry_after_s(
+        return self._refuse_for_s(
             call, queue, durations, view.load, view.share_load, self._wall_ms()
         )
 
--- a/src/cardamomgrade/jobs/lookahead.py
+++ b/src/cardamomgrade/jobs/lookahead.py
@@ -287,6 +287,18 @@
         return self._events <= EVENTS_PER_S
 
 
+class NoLookAhead:
+    """Reserves nothing; in the place of a LookAhead."""
+
+    def due(self, now_ms):
+        """Return no services."""
+        return ()
+
+    def begin_round(self, service, ready, executors, now_ms):
+        """Return None, as for a round in which no large task waits."""
+        return None
+
+
 class PlacementRound:
     """One placement round of a service for which large tasks wait or waited.
 
--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -17,8 +17,8 @@
 class PoolNeeds:
     """Tracks waiting work and arriving demand per service."""
 
-    def __init__(self):
-        self.demand = Demand()
+    def __init__(self, demand=None):
+        self.demand = demand or Demand()
         self._ready = {}
         self._blocked_vms = {}
         self._largest_vm_cores_m = 0
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -11,11 +11,13 @@
 from ..scrape import ScrapeServer
 from ..server import HttpServer, ServerLimits
 from ..wire import HttpResponse
+from .admission import never_refused, retry_after_s
 from .calls import Answer, AnswerKind
 from .customers import Customer
 from .driver import Driver
 from .entry import AppendBatcher, JobEntry, unavailable
 from .follow import TopicFollower
+from .mechanisms import ALL_ENABLED
 from .records import encode, KEY_TERM
 from .store import Appended, AppendFate, WriterPosition
 from .term import is_small, RESIGNED_JITTER_S, Term
@@ -87,12 +89,18 @@
 
 
 class Node:
-    """All parts of one process; ended by ``stop`` and then closed once."""
+    """All parts of one process; ended by ``stop`` and then closed once.
 
-    def __init__(self, loop, cfg, make_platform, metrics_page=None):
+    ``switches`` are the Switches of mechanisms.
+    """
+
+    def __init__(
+        self, loop, cfg, make_platform, metrics_page=None, switches=ALL_ENABLED
+    ):
         self._loop = loop
         self._metrics = Metrics()
         self._metrics_page = metrics_page
+        self._switches = switches
         self._cfg = cfg
         self._net = Net(loop)
         self._platform = make_platform(loop, self._net, cfg)
@@ -128,7 +136,13 @@
         self._view.on_stored = batcher.on_key_read
         self._view.on_append = batcher.on_append_read
         self._entry = JobEntry(
-            loop, self._view, self._follower, batcher, self._sync, self._metrics
+            loop,
+            self._view,
+            self._follower,
+            batcher,
+            self._sync,
+            self._metrics,
+            refuse_for_s=switches.choose("admission", retry_after_s, never_refused),
         )
         self._front_server = HttpServer(
             loop,
@@ -153,6 +167,7 @@
                 self._cfg.zone, self._cfg.front, self._cfg.store, self._incarnation
             )
         )
+        self._switches.log()
         self._operator_follower.start()
         self._follower.start()
 
@@ -387,6 +402,7 @@
             self._queue_cfg,
             self._on_deposed,
             self._metrics,
+            self._switches,
         )
         for request in self._waves.values():
             self._driver.add_wave(request)
--- a/src/cardamomgrade/jobs/pools.py
+++ b/src/cardamomgrade/jobs/pools.py
@@ -65,15 +65,27 @@
     ordered_at: float
 
 
-def _shares(loads, total):
+def in_order(needs, total):
+    """Return a dict of pool to VMs; ``needs`` are met in full, in the order of names.
+
+    Like ``fair_shares``, but a large need may leave nothing for those after it.
+    """
+    shares = {}
+    for pool in sorted(needs):
+        shares[pool] = min(needs[pool], total)
+        total -= shares[pool]
+    return shares
+
+
+def _shares(loads, total, divide):
     """Return a dict of pool to its fair share of ``total`` VMs.
 
     Late work gets what the work that can be in time leaves in all pools.
     """
     pools = [item for item in loads.values() if not item.standby]
-    urgent = fair_shares({item.service: item.urgent_vms for item in pools}, total)
+    urgent = divide({item.service: item.urgent_vms for item in pools}, total)
     rest = {item.service: item.needed_vms - urgent[item.service] for item in pools}
-    late = fair_shares(rest, total - sum(urgent.values()))
+    late = divide(rest, total - sum(urgent.values()))
     return {pool: count + late[pool] for pool, count in urgent.items()}
 
 
@@ -81,10 +93,14 @@
     """Plans moves; tracks moves under way, refused moves, and idle times.
 
     ``closed`` maps executors that get no new runs, since their VMs are to move, to the
-    time of closing. ``shares`` maps a pool to the VMs that it may have.
+    time of closing. ``shares`` maps a pool to the VMs that it may have. ``divide`` is
+    ``fair_shares`` or another function like it, and at most ``max_closed`` executors
+    are closed.
     """
 
-    def __init__(self):
+    def __init__(self, divide=fair_shares, max_closed=math.inf):
+        self._divide = divide
+        self._max_closed = max_closed
         self.closed = {}
         self.shares = {}
         self._joining = {}
@@ -119,7 +135,7 @@
             and vm not in self._joining
             and vm not in excluded
         ]
-        shares = self.shares = _shares(loads, len(listed))
+        shares = self.shares = _shares(loads, len(listed), self._divide)
         short = {
             pool: share
             - loads[pool].size
@@ -160,7 +176,8 @@
             ]
             # Those that are closed already stay closed.
             candidates.sort(key=lambda name: name not in self.closed)
-            for name in candidates[: max(0, min(spare[pool], missing))]:
+            limit = min(spare[pool], missing, self._max_closed - len(closed))
+            for name in candidates[: max(0, limit)]:
                 closed[name] = self.closed.get(name, now)
                 missing -= 1
         self.closed = closed
@@ -214,3 +231,12 @@
             if idle_long_enough and self._may_move(machine, standby.service, now):
                 spare[machine.pool] -= 1
                 yield Move(machine.vm, standby.service, machine.executor)
+
+
+def make_planner(switches):
+    """Return a PoolPlanner with the mechanisms that Switches leave enabled."""
+    choose = switches.choose
+    return PoolPlanner(
+        choose("fair-shares", fair_shares, in_order),
+        choose("closing", math.inf, 0),
+    )
--- a/src/cardamomgrade/jobs/probes.py
+++ b/src/cardamomgrade/jobs/probes.py
@@ -69,6 +69,14 @@
         )
 
 
+class NoProbes(Probes):
+    """Begins no probes, so that a quarantine lasts as long as it was set for."""
+
+    def may_begin(self, executor):
+        """Return False."""
+        return False
+
+
 def choose_probe(executor, waiting):
     """Return the (job, task) to try out an executor with, or None if none fits.
 
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -17,16 +17,22 @@
 from ..health import Health
 from ..journal import log_event
 from .copies import active_runs, place_copy
-from .durations import Durations
+from .demand import Demand, linear_growth, no_growth
+from .durations import CallerEstimates, Durations
 from .executors import Executor, LargestRoom
 from .fairness import Shares
 from .isolation import Isolation
-from .lookahead import LookAhead
+from .lookahead import LookAhead, NoLookAhead
 from .losses import Loss, runs_alone, SETTLED_MS
+from .mechanisms import ALL_ENABLED
 from .needs import PoolNeeds
 from .orphans import OrphanedRun, OrphanedRuns
-from .placing import choose_gang_executors, PlacementLimits, StepPlacer
-from .probes import choose_probe, Probes
+from .placing import (
+    choose_gang_executors,
+    PlacementLimits,
+    StepPlacer,
+)
+from .probes import choose_probe, NoProbes, Probes
 from .progress import JobProgress
 from .quotas import CustomerUsage, Quota
 from .ready import ready_job, ReadyJobs
@@ -43,8 +49,8 @@
     TaskStarted,
 )
 from .spec import parse_task
-from .speculation import choose_copies, Speculation
-from .speeds import Speeds
+from .speculation import choose_copies, choose_no_copies, Speculation
+from .speeds import NoSpeeds, Speeds
 from .stalls import count_executor_states, SERVICE_LINES_MAX, stall_event, StallWatch
 from .urgency import Forecast, HOPELESS_FACTOR, Rank, rank_of
 from .waiting import ALL_STARTABLE
@@ -80,7 +86,8 @@
 class Scheduler:
     """Jobs, known executors, and the assignment of tasks to executors."""
 
-    def __init__(self, cfg):
+    def __init__(self, cfg, switches=ALL_ENABLED):
+        choose = switches.choose
         self.cfg = cfg
         self.jobs = {}
         self.executors = {}
@@ -98,15 +105,16 @@
         self._cordoned = frozenset()
         self._ending = frozenset()
         self._start_delays_ms = []
-        self.durations = Durations()
-        self._pool_needs = PoolNeeds()
+        self.durations = choose("learned-durations", Durations, CallerEstimates)()
+        self._pool_needs = PoolNeeds(Demand(choose("growth", linear_growth, no_growth)))
         self._shares = Shares()
         self._shares.set_customers(cfg.customers)
         self._stalls = StallWatch()
-        self._probes = Probes()
-        self._speeds = Speeds(self.durations)
+        self._probes = choose("probes", Probes, NoProbes)()
+        self._speeds = choose("speeds", Speeds, NoSpeeds)(self.durations)
         self._speculation = Speculation()
-        self.lookahead = LookAhead()
+        self._choose_copies = choose("copies", choose_copies, choose_no_copies)
+        self.lookahead = choose("look-ahead", LookAhead, NoLookAhead)()
         self._isolation = Isolation()
         self._health = Health(
             FAILURE_STREAK_JOBS,
@@ -690,7 +698,8 @@
         for service, overdue in by_service.items():
             ready = self._ready.get(service, ())
             usable = self._usable_executors(service)
-            for late, executor in choose_copies(overdue, ready, usable, self.executors):
+            chosen = self._choose_copies(overdue, ready, usable, self.executors)
+            for late, executor in chosen:
                 job, task = late.job, late.task
                 if rank_of(self._forecast(job, wall_ms)) >= Rank.EXCESS:
                     continue
--- a/src/cardamomgrade/jobs/speculation.py
+++ b/src/cardamomgrade/jobs/speculation.py
@@ -176,6 +176,11 @@
             break
 
 
+def choose_no_copies(overdue, ready, executors, known_executors):
+    """Return no pairs of an Overdue task and an executor."""
+    return []
+
+
 def _unwanted(executors, ready):
     """Return the executors that no waiting task could use, whatever runs there now.
 
--- a/src/cardamomgrade/jobs/speeds.py
+++ b/src/cardamomgrade/jobs/speeds.py
@@ -368,6 +368,34 @@
         yield SlownessIgnored(service, ignored, len(slow), len(pool))
 
 
+class NoSpeeds:
+    """Takes all executors for equally fast; in the place of Speeds."""
+
+    def __init__(self, durations):
+        pass
+
+    def ignore(self, *args):
+        """Record nothing."""
+
+    begin = done = drop = forget = ignore
+
+    def ratio(self, executor):
+        """Return 1, as for an executor that is as fast as others."""
+        return 1.0
+
+    def holds(self, pool, job, state, now_ms):
+        """Return False: no task waits for a faster executor."""
+        return False
+
+    def is_held(self, state):
+        """Return False."""
+        return False
+
+    def update(self, executors, pools, now_ms):
+        """Return no events."""
+        return ()
+
+
 def _may_run_later(executor, step, limits):
     """Return whether an executor may run a task once its other tasks have ended."""
     entry = executor.entry
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -5,7 +5,7 @@
 from ..journal import event, log_event
 from .incarnations import is_later
 from .load import LoadPublisher
-from .pools import PoolPlanner
+from .pools import make_planner
 from .records import (
     encode,
     PREFIX_ORDER,
@@ -111,7 +111,7 @@
         self._started_at = loop.now()
         self._machines = platform.machines(term.epoch)
         self._status_topic = platform.status_topic()
-        self._pools = PoolPlanner()
+        self._pools = make_planner(deps.switches)
         self._load = LoadPublisher(deps.writer)
         self._upkeep = UpkeepPlanner(cfg.upkeep_ms / MS)
         self._vms_by_name = {}
--- a/src/cardamomgrade/jobsd.py
+++ b/src/cardamomgrade/jobsd.py
@@ -5,6 +5,7 @@
 import click
 
 from .errors import SettingsError
+from .jobs.mechanisms import MECHANISMS, Switches
 from .jobs.node import Node
 from .journal import BoundedStream, start_logging
 from .loop import Loop
@@ -33,9 +34,21 @@
 @click.option(
     "--metrics", type=MetricsPage(), help="Serve metrics at this port and path."
 )
-def main(check_settings, metrics):
+@click.option(
+    "--disable",
+    multiple=True,
+    metavar="MECHANISM",
+    help="Switch a mechanism off; may be repeated.",
+)
+@click.option("--list-mechanisms", is_flag=True, help="Print mechanisms and exit.")
+def main(check_settings, metrics, disable, list_mechanisms):
     """Run a node with the platform's settings file."""
+    if list_mechanisms:
+        for name, text in MECHANISMS.items():
+            click.echo(f"{name:18} {text}")
+        return
     try:
+        switches = Switches.parse(disable)
         cfg = load_settings()
     except SettingsError as exc:
         click.echo(str(exc), err=True)
@@ -45,7 +58,7 @@
         return
     start_logging(PROGRAM, cfg.node, BoundedStream(sys.stdout.fileno()))
     loop = Loop()
-    node = Node(loop, cfg, Platform, metrics)
+    node = Node(loop, cfg, Platform, metrics, switches)
     loop.on_stop(node.stop)
     loop.on_reload(lambda: node.reload(load_settings))
     node.start()
--- a/tests/gaps.py
+++ b/tests/gaps.py
@@ -8,6 +8,7 @@
 import math
 import random
 
+from cardamomgrade.jobs.mechanisms import ALL_ENABLED
 from cardamomgrade.jobs.queues import Queue, QueueConfig, Service
 from cardamomgrade.jobs.reports import ExecutorEntry, Outcome
 from cardamomgrade.jobs.scheduler import Scheduler
@@ -28,17 +29,6 @@
 LARGE_KIND = (13_000, 49_000, 40_000, 150_000, 1300, 0.6)
 
 
-class NoLookAhead:
-    """Places all services as if no large task waited."""
-
-    def due(self, now_ms):
-        """Return no service."""
-        return ()
-
-    def begin_round(self, service, ready, executors, now_ms):
-        """Return None, as for a service without large tasks."""
-
-
 class Pool:
     """A pool, the tasks that were submitted to it, and the waits of each.
 
@@ -47,7 +37,9 @@
     thousandths, MB). ``load`` is that of the peak over what the pool holds.
     """
 
-    def __init__(self, sizes, kinds, load, seed, lasting=(9000, 34_000)):
+    def __init__(
+        self, sizes, kinds, load, seed, lasting=(9000, 34_000), switches=ALL_ENABLED
+    ):
         self.seed = seed
         self.random = random.Random(seed)
         self.sizes = sizes
@@ -60,7 +52,7 @@
             for name in ("lasting", *kinds)
         ]
         cfg = QueueConfig(1, tuple(queues), (Service("s"),))
-        self.scheduler = Scheduler(cfg)
+        self.scheduler = Scheduler(cfg, switches)
         for number, (cores_m, memory_mb) in enumerate(sizes):
             self.scheduler.put_executor(_entry(number, cores_m, memory_mb))
         self.jobs = {}
--- a/tests/steps/jobs_lookahead.py
+++ b/tests/steps/jobs_lookahead.py
@@ -7,24 +7,24 @@
 from behave import given, then, when
 
 from cardamomgrade.jobs import lookahead
+from cardamomgrade.jobs.mechanisms import Switches
 from cardamomgrade.jobs.queues import Queue, QueueConfig, Service
 from cardamomgrade.jobs.records import decode_progress, encode
 from cardamomgrade.jobs.reports import ExecutorEntry, Outcome
 from cardamomgrade.jobs.scheduler import Scheduler
 from cardamomgrade.jobs.spec import JobSpec, Step
-from gaps import BIG, LARGE_KIND, NoLookAhead, Pool, SMALL_KIND
+from gaps import BIG, LARGE_KIND, Pool, SMALL_KIND
 
 WALL_MS = 1_800_000_000_000
 CLASSES = ((0.9, 1.0), (0.7, 0.9), (0.0, 1.0))
 HALF_KIND = (6200, 18_000, 30_000, 120_000, 800, 0.45)
 
 
-def replay(kinds, load, rules, replays):
+def replay(kinds, load, replays, *disabled):
+    switches = Switches.parse(disabled)
     pools = []
     for seed in range(replays):
-        pool = Pool([BIG] * 48, kinds, load, seed)
-        if rules is not None:
-            pool.scheduler.lookahead = rules()
+        pool = Pool([BIG] * 48, kinds, load, seed, switches=switches)
         pool.run()
         pools.append(pool)
     return pools
@@ -106,15 +106,15 @@
 )
 def step_two_kinds(context, load, replays):
     kinds = {"small": SMALL_KIND, "large": LARGE_KIND}
-    context.today = replay(kinds, load, NoLookAhead, replays)
-    context.ahead = replay(kinds, load, None, replays)
+    context.today = replay(kinds, load, replays, "look-ahead")
+    context.ahead = replay(kinds, load, replays)
 
 
 @when("tasks of under half an executor load 48 executors by {load:f}, by either rule")
 def step_half(context, load):
     kinds = {"small": HALF_KIND}
-    context.today = replay(kinds, load, NoLookAhead, 1)
-    context.ahead = replay(kinds, load, None, 1)
+    context.today = replay(kinds, load, 1, "look-ahead")
+    context.ahead = replay(kinds, load, 1)
 
 
 @then("at most {percent:d}% of the capacity that is left unused without look-ahead is")
--- a/tests/turns.py
+++ b/tests/turns.py
@@ -9,7 +9,8 @@
 
 import attrs
 
-from cardamomgrade.jobs.pools import PoolPlanner
+from cardamomgrade.jobs.mechanisms import ALL_ENABLED
+from cardamomgrade.jobs.pools import make_planner
 from cardamomgrade.jobs.queues import Queue, QueueConfig, Service
 from cardamomgrade.jobs.reports import ExecutorEntry, ListedVm, Outcome
 from cardamomgrade.jobs.scheduler import Scheduler
@@ -27,7 +28,6 @@
 VM_MEMORY_MB = 64_000
 STRETCH = 1.6
 TARGET_MS = 600
-OBJECTIVE_MS = STRETCH * TASK_MS + TARGET_MS
 WALL_MS = 1_800_000_000_000
 OFF = "off"
 
@@ -48,22 +48,37 @@
 
     ``rates`` maps a queue to a function from s to jobs a second. With ``fixed`` pools
     no VM moves. ``customers`` are Customers or None, and ``customer_of(now_s, number)``
-    returns the name of the one that submits a job.
+    returns the name of the one that submits a job. ``vm_s`` counts the seconds of VMs
+    in pools, and ``moves`` the moves. A job has ``steps``, one after another.
     """
 
-    def __init__(self, vms, rates, fixed=False, customers=None, customer_of=None):
+    def __init__(
+        self,
+        vms,
+        rates,
+        fixed=False,
+        customers=None,
+        customer_of=None,
+        switches=ALL_ENABLED,
+        steps=1,
+    ):
         self.rates = rates
         self.customer_of = customer_of or (lambda now_s, number: "")
         self.fixed = fixed
+        self.steps = steps
+        self.objective_ms = STRETCH * TASK_MS * steps + TARGET_MS
         self.now_ms = 0.0
-        self.planner = PoolPlanner()
+        self.planner = make_planner(switches)
+        self.vm_s = 0.0
+        self.moves = 0
         queues = [
             Queue(name, "host", f"/{name}/", name, stretch=STRETCH, target_ms=TARGET_MS)
             for name in rates
         ]
         services = [Service(name) for name in rates] + [Service(OFF, standby=True)]
         self.scheduler = Scheduler(
-            QueueConfig(1, tuple(queues), tuple(services), customers=customers)
+            QueueConfig(1, tuple(queues), tuple(services), customers=customers),
+            switches,
         )
         self.numbers = itertools.count()
         self.vms = {}
@@ -83,6 +98,8 @@
         until_ms = self.now_ms + seconds * 1000
         while self.now_ms < until_ms:
             self.now_ms += STEP_MS
+            in_pools = sum(vm.pool != OFF for vm in self.vms.values())
+            self.vm_s += in_pools * STEP_MS / 1000
             self._submit()
             self._end_runs()
             self._register()
@@ -106,7 +123,7 @@
         ]
         done = sum(
             self.completed.get(job, math.inf) - self.accepted[job][1]
-            <= OBJECTIVE_MS * factor
+            <= self.objective_ms * factor
             for job in jobs
         )
         return done / len(jobs)
@@ -120,7 +137,11 @@
                 job = f"{number:016x}"
                 customer = self.customer_of(self.now_ms / 1000, number)
                 self.customers[job] = customer
-                steps = (Step(TASKS, TASK_CORES_M, 1000, estimate_ms=TASK_MS),)
+                step = Step(TASKS, TASK_CORES_M, 1000, estimate_ms=TASK_MS)
+                steps = tuple(
+                    attrs.evolve(step, after=(number,) if number >= 0 else ())
+                    for number in range(-1, self.steps - 1)
+                )
                 spec = JobSpec(
                     job,
                     queue,
@@ -166,6 +187,7 @@
         now, most = self.now_ms / 1000, MOVES_PER_S * POOLS_MS / 1000
         for move in self.planner.plan(loads, listed, now, set(), most):
             self.planner.record_ordered(move, now)
+            self.moves += 1
             vm = self.vms[move.vm]
             self.scheduler.forget_executor(vm.executor)
             vm.pool, vm.registered = move.pool, False
