Spread maintenance waves over the time that they have

Change: VMs that are off or idle go down first, pools in which work waits last, when the time left demands it.

--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -202,9 +202,9 @@
         self._scheduler.set_config(queue_cfg)
         self.request_plan()
 
-    def add_wave(self, request):
-        """Add an operator's WaveRequest."""
-        self._vms.add_wave(request)
+    def add_wave(self, request, age_s):
+        """Add an operator's WaveRequest, made ``age_s`` ago."""
+        self._vms.add_wave(request, age_s)
 
     def _on_job(self, spec):
         self._scheduler.add_job(spec, now_ms=self._loop.now() * MS)
--- a/src/cardamomgrade/jobs/follow.py
+++ b/src/cardamomgrade/jobs/follow.py
@@ -33,8 +33,9 @@
     """Calls ``on_entry(Entry)`` for each change of a key, in the order of the topic.
 
     ``on_read()`` is called after every successful read, ``on_fail()`` after a failed
-    one. ``pause_s`` is the pause in seconds before the next read of the log, and
-    ``read_at`` the monotonic time of the last successful answer.
+    one. ``pause_s`` is the pause in seconds before the next read of the log,
+    ``read_at`` the monotonic time of the last successful answer, and ``gap_s`` the
+    seconds between it and the one before, infinite for the first.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         self.next_offset = 0
         self.loaded = False
         self.read_at = float("-inf")
+        self.gap_s = float("inf")
 
     def start(self):
         """Load the newest records, then follow the log."""
@@ -89,7 +91,7 @@
                 self._failed(page.detail)
                 self._schedule(RETRY_S, lambda: self._load(why))
                 return
-            self._succeeded()
+            self._succeeded(is_first=end is None)
             entries.update((entry.key, entry) for entry in page.entries)
             first_end = page.end if end is None else end
             if page.more and page.entries:
@@ -172,8 +174,11 @@
             self._failing = True
             log_event(StoreReachable(self._topic, False, str(detail)))
 
-    def _succeeded(self):
-        self.read_at = self._loop.now()
+    def _succeeded(self, is_first=True):
+        now = self._loop.now()
+        if is_first:
+            self.gap_s = now - self.read_at
+        self.read_at = now
         if self._failing:
             self._failing = False
             log_event(StoreReachable(self._topic, True, ""))
--- a/src/cardamomgrade/jobs/mechanisms.py
+++ b/src/cardamomgrade/jobs/mechanisms.py
@@ -18,6 +18,7 @@
     "look-ahead": "reserves an executor for a large task that waits",
     "probes": "tries quarantined executors out with one task",
     "speeds": "uses executors last on which runs take much longer",
+    "upkeep-pacing": "takes VMs down first that callers miss least",
 }
 
 
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -348,9 +348,12 @@
             self._driver.set_config(queue_cfg)
 
     def _add_wave(self, request):
-        self._waves[request.wave] = request
+        # It may have been stored at any time since the read before, if there was one.
+        seen_at = self._loop.boot_now() - self._operator_follower.gap_s
+        _, seen_at = self._waves.get(request.wave, (request, seen_at))
+        self._waves[request.wave] = request, seen_at
         if self._driver is not None:
-            self._driver.add_wave(request)
+            self._driver.add_wave(request, self._loop.boot_now() - seen_at)
 
     # The term
 
@@ -404,8 +407,8 @@
             self._metrics,
             self._switches,
         )
-        for request in self._waves.values():
-            self._driver.add_wave(request)
+        for request, seen_at in self._waves.values():
+            self._driver.add_wave(request, self._loop.boot_now() - seen_at)
 
     def _on_deposed(self, why):
         driver, self._driver = self._driver, None
--- a/src/cardamomgrade/jobs/pools.py
+++ b/src/cardamomgrade/jobs/pools.py
@@ -120,17 +120,20 @@
         """Record that a move was not carried out and may be ordered again at once."""
         self._joining.pop(move.vm, None)
 
-    def plan(self, loads, listed, now, excluded, max_moves=math.inf):
+    def plan(self, loads, listed, now, excluded, max_moves=math.inf, last=()):
         """Return the Moves to order now, at most ``max_moves``.
 
         ``loads`` maps a service to its PoolLoad and ``listed`` a VM to its
-        ListedVm; ``excluded`` are the VMs that must not move.
+        ListedVm; ``excluded`` are the VMs that must not move. Those in ``last`` are
+        taken after the others.
         """
         self._drop_joined(listed, now)
         self._update_idle(loads, now)
         movable = [
             machine
-            for vm, machine in sorted(listed.items())
+            for vm, machine in sorted(
+                listed.items(), key=lambda item: (item[0] in last, item[0])
+            )
             if machine.state == STATE_UP
             and vm not in self._joining
             and vm not in excluded
--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -4,14 +4,18 @@
 
 Load pattern: half of all VMs are due within half a minute, while each queue in turn
 exceeds the capacity of its pool. VMs are closed to new runs shortly before their
-upkeep: first in the pool with the fewest draining VMs, and there the VM with the fewest
-runs. A VM is taken down once no finite task runs on it, whose work would be lost, or
-after DRAIN_TIMEOUT_S. While the budgets of its lasting tasks forbid its upkeep, it is
-closed only if another VM of its pool is open, so that these tasks can start there.
+upkeep: first those that callers miss least (see ``pacing``), of these in the pool with
+the fewest draining VMs, and there the VM with the fewest runs. A VM is taken down once
+no finite task runs on it, whose work would be lost, or after DRAIN_TIMEOUT_S. While the
+budgets of its lasting tasks forbid its upkeep, it is closed only if another VM of its
+pool is open, so that these tasks can start there.
 """
 
+import math
+
 import attrs
 
+from .pacing import Cost, cost_of, must_hurry
 from .reports import STATE_UP, STATE_UPKEEP
 
 DRAIN_TIMEOUT_S = 3.0  # slightly more than the longest known task, 2.5 s
@@ -154,20 +158,32 @@
         """Return whether the upkeep of every VM of a wave has begun."""
         return not self.waves[wave].pending_vms()
 
-    def plan(self, listed, executors, now, reserve, excluded=frozenset()):
+    def pending_vms(self):
+        """Return the VMs of all waves whose upkeep is not known to have begun."""
+        return {vm for state in self.waves.values() for vm in state.pending_vms()}
+
+    def plan(self, listed, executors, now, reserve, excluded=frozenset(), room=None):
         """Return the UpkeepPlan.
 
         ``listed`` maps a VM to its ListedVm, ``executors`` an executor id to its
         Executor. ``reserve(executor)`` counts the tasks of an executor as unavailable,
         or returns False if an availability budget does not allow it. The upkeep of VMs
         in ``excluded`` is not ordered now; those that are down still count towards the
-        wave's ``at_once``.
+        wave's ``at_once``. ``room`` is the PoolRoom by which upkeeps are spread over
+        the time that a wave has; without it, a wave is done as fast as it allows.
         """
         cordoned, orders = set(), []
         for wave, state in self.waves.items():
             if state.pending_vms():
+                paced = room and not self._must_hurry(state, now)
                 found = self._plan_wave(
-                    state, listed, executors, now, reserve, excluded
+                    state,
+                    listed,
+                    executors,
+                    now,
+                    reserve,
+                    excluded,
+                    room if paced else None,
                 )
                 cordoned.update(found.cordoned)
                 orders.extend((vm, wave, executor) for vm, executor in found.orders)
@@ -179,9 +195,30 @@
         }
         return UpkeepPlan(frozenset(cordoned), frozenset(staying), tuple(orders))
 
-    def _plan_wave(self, state, listed, executors, now, reserve, excluded):
+    def _must_hurry(self, state, now):
+        time_left_s = state.since + state.request.duration_s - now
+        return must_hurry(
+            len(state.pending_vms()),
+            state.request.at_once,
+            self._upkeep_s,
+            DRAIN_TIMEOUT_S,
+            time_left_s,
+        )
+
+    def _plan_wave(self, state, listed, executors, now, reserve, excluded, room):
+        def cost(vm):
+            if room is None:
+                return Cost.CALM
+            machine = listed[vm]
+            return cost_of(machine, executors.get(machine.executor), room)
+
         down = self._down(state, listed, now)
-        self._pick_draining(state, listed, executors, now, down)
+        for vm in list(state.draining):
+            may_have_begun = vm in state.ordered or vm in state.unconfirmed
+            if vm in listed and not may_have_begun and cost(vm) is Cost.BUSY:
+                del state.draining[vm]
+        off_vms = room.off_vms if room is not None else math.inf
+        self._pick_draining(state, listed, executors, now, down, cost, off_vms)
         free = state.request.at_once - len(down)
         cordoned, orders, forbidden = set(), [], []
         for vm, since in sorted(state.draining.items(), key=lambda pair: pair[1]):
@@ -249,7 +286,7 @@
         finite = [item for item in executor.allocations.values() if not item.lasting]
         return not finite or waited_s >= DRAIN_TIMEOUT_S
 
-    def _pick_draining(self, state, listed, executors, now, down):
+    def _pick_draining(self, state, listed, executors, now, down, cost, off_vms):
         """Start draining VMs, up to one more than may be down at once."""
         vacancies = state.request.at_once + 1 - len(state.draining)
         if vacancies <= 0:
@@ -262,6 +299,7 @@
             and vm in listed
             and listed[vm].state == STATE_UP
             and (not listed[vm].executor or listed[vm].executor in executors)
+            and cost(vm) is not Cost.BUSY
         ]
         draining_by_pool = {}
         for vm in state.draining:
@@ -273,11 +311,15 @@
         def rank(vm):
             executor = executors.get(listed[vm].executor)
             runs = len(executor.allocations) if executor is not None else 0
-            return (draining_by_pool.get(listed[vm].pool, 0), runs, vm)
+            return (cost(vm), draining_by_pool.get(listed[vm].pool, 0), runs, vm)
 
         for _ in range(min(vacancies, len(waiting))):
             vm = min(waiting, key=rank)
             waiting.remove(vm)
+            if cost(vm) is Cost.OFF:
+                if not off_vms:
+                    continue
+                off_vms -= 1
             state.draining[vm] = now
             draining_by_pool[listed[vm].pool] = (
                 draining_by_pool.get(listed[vm].pool, 0) + 1
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -1,10 +1,12 @@
 """Sends the scheduler's orders for VMs: upkeep in waves, and moves between pools."""
 
+import math
 import time
 
 from ..journal import event, log_event
 from .incarnations import is_later
 from .load import LoadPublisher
+from .pacing import no_room, PoolRoom
 from .pools import make_planner
 from .records import (
     encode,
@@ -112,6 +114,7 @@
         self._machines = platform.machines(term.epoch)
         self._status_topic = platform.status_topic()
         self._pools = make_planner(deps.switches)
+        self._room_of = deps.switches.choose("upkeep-pacing", PoolRoom.of, no_room)
         self._load = LoadPublisher(deps.writer)
         self._upkeep = UpkeepPlanner(cfg.upkeep_ms / MS)
         self._vms_by_name = {}
@@ -131,9 +134,13 @@
         self._machines.close()
         self._status_topic.close()
 
-    def add_wave(self, request):
-        """Add an operator's WaveRequest, with the upkeeps already stored for it."""
-        if not self._upkeep.add(request, self._loop.now()):
+    def add_wave(self, request, age_s=math.inf):
+        """Add an operator's WaveRequest, with the upkeeps already stored for it.
+
+        ``age_s`` is the time since it was made, infinite if that is not known: its VMs
+        then go down as fast as it allows.
+        """
+        if not self._upkeep.add(request, self._loop.now() - age_s):
             return
         for vm in request.vms:
             record = self._view.upkeeps.get(upkeep_name(request.wave, vm))
@@ -179,18 +186,20 @@
                 counted[executor.name] = self._availability.count_steps(executor, now)
             return allowed
 
+        loads = self._scheduler.pool_loads(now * MS, self._pools.closed)
         plan = self._upkeep.plan(
             self._vms_by_name,
             self._scheduler.executors,
             now,
             reserve,
             self._locked_vms(),
+            self._room_of(loads, self._vms_by_name),
         )
         for name in plan.cordoned:
             executor = self._scheduler.executors.get(name)
             if executor is not None:
                 self._stop_excess_tasks(executor, now)
-        ending = self._plan_moves(now, plan.vms)
+        ending = self._plan_moves(now, loads, plan.vms)
         self._scheduler.cordon(
             plan.cordoned | ending | self._availability.ending,
             self._availability.ending | set(self._ending_by_move.values()),
@@ -279,14 +288,14 @@
         self._newest_orders[vm] = stored
         self._writer.store([*items, (key, record)], stored)
 
-    def _plan_moves(self, now, wave_vms):
+    def _plan_moves(self, now, loads, wave_vms):
         """Order moves between pools; return the executors that get no new runs."""
         excluded = wave_vms | set(self._upkeep_in_flight) | self._locked_vms()
-        loads = self._scheduler.pool_loads(now * MS, self._pools.closed)
+        pending = self._upkeep.pending_vms()
         since_s, self._moves_planned_at = now - self._moves_planned_at, now
         max_moves = self._moves_per_s * min(since_s, MOVE_BURST_S)
         for move in self._pools.plan(
-            loads, self._vms_by_name, now, excluded, max_moves
+            loads, self._vms_by_name, now, excluded, max_moves, pending
         ):
             self._pools.record_ordered(move, now)
             if move.executor:
--- a/tests/jobs/mechanisms.feature
+++ b/tests/jobs/mechanisms.feature
@@ -6,7 +6,7 @@
 
   Scenario: the mechanisms are listed with what they do
     When cardamom-jobs is started with --list-mechanisms
-    Then it exits with 0 and names look-ahead, speeds and copies
+    Then it exits with 0 and names look-ahead, upkeep-pacing and copies
 
   Scenario Outline: jobs are completed without a mechanism
     Given a scheduler without <mechanism> and with 2 executors
