Repeat a renewal at once when it has no answer

Cause: ends are known from answers to renewals. One without an answer was given up after 1.7 s, and asked again 0.2 s later.

Change: while tasks run that end, a renewal waits 0.4 s at most; its first attempt is given up 0.25 s later and repeated at once, waiting for nothing. Only the second counts against the executor.

A scenario: a renewal after an answer is given up within 0.7 s, repeated at once, and means nothing until that fails too.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -13,7 +13,8 @@
 from .starts import PendingStart
 
 RENEW_WAIT_MS = 1000  # a quarter of the lease, so that three renewals may fail
-WATCHED_WAIT_MS = 250  # while a task starts or is paced; executors measure every 500 ms
+ENDING_WAIT_MS = 400  # while tasks run that end: a lost answer delays what follows
+WATCHED_WAIT_MS = 250  # while a task starts or is paced; executors measure each 500 ms
 WITHHELD_WAIT_MS = 500  # so that the lease is granted soon after the store is back
 SETTLING_WAIT_MS = 50  # while it is not known whether a start reached an incarnation
 JUST_ANSWERED_S = 0.05  # no executor starts again and ends a run in this time
@@ -125,6 +126,7 @@
         self._knows_ends = False
         self._acknowledged_end = 0
         self._renewing = False
+        self._has_missed = False
         self._renewed_at = loop.now()
         self._retry = None
         self._wait_ms = RENEW_WAIT_MS
@@ -265,7 +267,9 @@
         to_grant = self._executor.allocations and not self._executor.unreachable
         may_grant = to_grant and is_same and self._may_grant()
         deadline = self._lease.grant(now) if may_grant else None
-        wait_ms = self._wait_ms if may_wait else 0
+        wait_ms = self._wait_ms if may_wait and not self._has_missed else 0
+        if len(self._executor.allocations) > self._executor.lasting_runs:
+            wait_ms = min(wait_ms, ENDING_WAIT_MS)
         if any(pending.is_unanswered for pending in self._starts.values()):
             wait_ms = min(wait_ms, SETTLING_WAIT_MS)
         if to_grant and deadline is None:
@@ -280,7 +284,13 @@
             if not self._closed:
                 self._on_report(report, now)
 
-        self._client.renew(deadline, stored_end, wait_ms, done)
+        self._client.renew(deadline, stored_end, wait_ms, done, self._may_repeat)
+
+    @property
+    def _may_repeat(self):
+        """Whether a renewal without an answer is repeated before it means anything."""
+        is_known = self._answered and not self._executor.unreachable
+        return is_known and not self._has_missed
 
     def _reaches_same_incarnation(self, boot_now):
         """Return whether a renewal sent now can reach no later incarnation.
@@ -320,6 +330,7 @@
         if isinstance(report, LeaseReport):
             self._lease.update_clock(now, report.clock_ms)
             self._answered = True
+            self._has_missed = False
             self._proven_at = sent_at
             if self._executor.unreachable or self._has_silence_record():
                 self._silences.clear(self.name, self._on_silence_cleared)
@@ -332,6 +343,11 @@
             else:
                 self.renew_if_needed()
             return
+        if report.result is OrderResult.NO_ANSWER and self._may_repeat:
+            # Only the answer may be lost; what has ended is asked for at once.
+            self._has_missed = True
+            self._renew()
+            return
         self._answered = False
         if report.result is OrderResult.FENCED:
             self._driver.on_fenced(self.name)
--- a/src/cardamomgrade/platform/executor.py
+++ b/src/cardamomgrade/platform/executor.py
@@ -16,6 +16,7 @@
 
 ORDER_TIMEOUT_S = 0.5  # a healthy executor answers within a few ms
 ORDER_CONNECTIONS = 4  # an order without an answer must not hold up the others
+FIRST_ANSWER_SLACK_S = 0.25  # of an attempt that is repeated at once
 ANSWER_SLACK_S = 0.7  # beyond the wait that a renewal requests
 ANSWER_LIMIT_BYTES = 4 * 1024 * 1024  # well above a report of 500 ends and all runs
 ENDS_PER_REPORT = 500  # a report with as many may leave out later ones
@@ -181,19 +182,21 @@
         fields = {"task": order.task, "run": order.run, "percent": order.percent}
         self._order("/api/pace", fields, on_done)
 
-    def renew(self, deadline_ms, stored_end, wait_ms, on_done):
+    def renew(self, deadline_ms, stored_end, wait_ms, on_done, is_first=False):
         """Renew the lease until ``deadline_ms`` of the executor's clock.
 
         Calls ``on_done(LeaseReport | OrderAnswer)``. A deadline of None does not renew
         the lease. ``stored_end`` acknowledges ends of runs up to that number; the
-        executor waits up to ``wait_ms`` for another end before it answers.
+        executor waits up to ``wait_ms`` for another end before it answers. The first
+        attempt of a renewal, ``is_first``, is given up sooner.
         """
         fields = {"ackIndex": stored_end}
         if deadline_ms is not None:
             fields["deadlineMs"] = deadline_ms
         if wait_ms:
             fields["waitMs"] = wait_ms
-        timeout = wait_ms / MS + ANSWER_SLACK_S
+        slack_s = FIRST_ANSWER_SLACK_S if is_first else ANSWER_SLACK_S
+        timeout = wait_ms / MS + slack_s
 
         def done(res):
             on_done(_lease_report(res))
--- a/tests/jobs/silence.feature
+++ b/tests/jobs/silence.feature
@@ -8,6 +8,17 @@
     Then the record says that the lease was granted 1.9 s ago
     And no renewal grants the lease
 
+  Scenario: a renewal without an answer is repeated at once before it means anything
+    Guards against ends of runs that are known 2 s late because one answer is lost.
+    Given an agent of an executor with a run
+    When the executor answers 1 renewals
+    Then a renewal is sent that is given up within 0.7 s
+    When 1 renewal fails
+    Then a renewal is sent that waits for nothing
+    And the executor does not count as unreachable
+    When 1 renewal fails
+    Then the executor counts as unreachable
+
   Scenario: the lease is granted again only when the deletion of the record is stored
     Given an agent of an executor with a run
     When 2 renewals fail
