Halt after a pause also where no peer was met before it

Callers: an entry that was paused for longer than 2 s before it had met any peer went on using its home tokens, although its seat may have been taken meanwhile; a successor that unlocks the same tokens would send more requests to an endpoint than it has slots.

Cause: a pause was detected only if the ledger knew a peer's incarnation. The entry paused then never halted, and so never exited.

Ruled out by reading: data that was buffered before the pause cannot lift the halt, since detection comes first and an older ping does not count; the new incarnation cannot either, since it was met after the pause.

Seats of the bundle without any peer met count now; an entry without peers is not concerned.

--- a/src/cardamomgrade/slots.py
+++ b/src/cardamomgrade/slots.py
@@ -223,7 +223,8 @@
             self._HANDLERS[type(message)](self, seat, pair, message)
 
     def _detects_pause(self):
-        return bool(self._pairs) and self._clock() - self._ticked_at > PAUSE_LIMIT_S
+        has_peers = bool(self._pairs or self._peer_seats)
+        return has_peers and self._clock() - self._ticked_at > PAUSE_LIMIT_S
 
     def _idle(self, endpoint):
         return self._held.get(endpoint, 0) - self._in_use.get(endpoint, 0)
--- a/tests/mesh_process.feature
+++ b/tests/mesh_process.feature
@@ -16,6 +16,11 @@
     When both entries are paused for 4 seconds
     Then both entries answer requests again with unchanged incarnations
 
+  Scenario: an entry that was paused before it met its only peer exits to be restarted
+    Given the entry e1 as a process and 2 endpoints, while e2 has not started
+    When e1 is paused for 4 seconds while e2 starts
+    Then e1 exits by itself with status 0
+
   Scenario: a paused entry whose only peer was replaced meanwhile exits to be restarted
     Given the entries e1 and e2 as processes and 2 endpoints
     When e1 is paused while e2 is killed and replaced
--- a/tests/slots.feature
+++ b/tests/slots.feature
@@ -24,6 +24,11 @@
     When slot seat a pauses for 10 seconds
     Then slot seat a has tokens again only after a peer met before the pause confirms it
 
+  Scenario: an entry that met no peer before a pause uses no tokens after it
+    Given a slot ledger of a seat whose two peers have not started, with its home tokens
+    When it pauses for 10 seconds
+    Then it has no tokens, also when a peer that it meets now confirms it
+
   Scenario: after a pause of all entries the confirmations of all are needed
     Given three slot ledgers over 8 slots
     When all slot seats pause for 10 seconds
--- a/tests/steps/entry_process.py
+++ b/tests/steps/entry_process.py
@@ -86,20 +86,29 @@
     return lambda: process.poll() is not None
 
 
-@given("the entries e1 and e2 as processes and 2 endpoints")
-def processes(context):
+def start_processes(context, names):
     world = context.world = World(DEADLINE_MS, ("e1", "e2"))
     context.folder = tempfile.mkdtemp()
     context.processes = {}
     for number in range(2):
         world.endpoint(f"vm{number}")
     world.roll()
-    for name in ("e1", "e2"):
+    for name in names:
         spawn(context, name)
-    for name in ("e1", "e2"):
+    for name in names:
         wait_until_serving(world, name)
 
 
+@given("the entries e1 and e2 as processes and 2 endpoints")
+def processes(context):
+    start_processes(context, ("e1", "e2"))
+
+
+@given("the entry e1 as a process and 2 endpoints, while e2 has not started")
+def only_first(context):
+    start_processes(context, ("e1",))
+
+
 def running(world):
     return sum(item.counts.in_flight for item in world.endpoints.values())
 
--- a/tests/steps/mesh_process.py
+++ b/tests/steps/mesh_process.py
@@ -5,6 +5,7 @@
 
 import attrs
 from behave import given, then, when
+from entry_process import spawn
 from entry_world import HOST, World
 
 from cardamomgrade import records
@@ -132,6 +133,15 @@
     assert len(records_of(world, records.MemberJoined, "e1")) == context.joined
 
 
+@when("e1 is paused for {seconds:d} seconds while e2 starts")
+def pause_while_starting(context, seconds):
+    first = context.processes["e1"]
+    first.send_signal(signal.SIGSTOP)
+    spawn(context, "e2")
+    context.world.run_for(seconds)
+    first.send_signal(signal.SIGCONT)
+
+
 @when("e1 is paused while e2 is killed and replaced")
 def pause_and_replace(context):
     world = context.world
--- a/tests/steps/slots.py
+++ b/tests/steps/slots.py
@@ -409,6 +409,29 @@
     cluster.nodes["a"].paused_at = None
 
 
+@given("a slot ledger of a seat whose two peers have not started, with its home tokens")
+def step_alone(context):
+    context.now = 0.0
+    context.ledger = slots.SlotLedger("a", 1, lambda: context.now, lambda *sent: None)
+    context.ledger.record_first_incarnation()
+    context.ledger.configure({"x": 8}, ("a", "b", "c"), 1.0)
+    context.ledger.record_vacant_seats({"b", "c"})
+    assert context.ledger.available("x") > 0
+
+
+@when("it pauses for 10 seconds")
+def step_alone_pauses(context):
+    context.now += 10
+
+
+@then("it has no tokens, also when a peer that it meets now confirms it")
+def step_alone_halted(context):
+    assert context.ledger.available("x") == 0
+    context.ledger.record_incarnation("b", 5)
+    context.ledger.confirm("b", 5, context.now)
+    assert context.ledger.available("x") == 0
+
+
 @when("all slot seats pause for 10 seconds")
 def step_pause_all(context):
     context.slot_cluster.now += 10
