Need the cores of half of the tasks that wait in any case

Found by the suite (nodes on the emulated platform: a pool without enough capacity gets VMs from the standby pool): 12 tasks with estimates of 50 ms run for 1.5 s. By their estimates two VMs less suffice, so that no VM joined until the first runs had ended. The need is now at least the cores in use and half of those that wait.

--- a/scripts/catalogue.py
+++ b/scripts/catalogue.py
@@ -15,6 +15,7 @@
 from cardamomgrade import bundle, journal
 from cardamomgrade.control import ControlSettings
 from cardamomgrade.entry import EntrySettings
+from cardamomgrade.jobs.mechanisms import MECHANISMS
 from cardamomgrade.platform import boot, configfile
 
 DOCS = Path(__file__).resolve().parent.parent / "docs"
@@ -125,6 +126,16 @@
         lines.append(f"| `{'.'.join(field.path)}` | {field.allowed} | `{name}` |")
     for name, (key, _) in boot.BOUNDS.items():
         lines.append(f"| `bounds.{key}` | {boot.COUNT} | `{name}` |")
+    lines += [
+        "",
+        "`--disable MECHANISM`, which may be repeated, switches a mechanism off, for",
+        "an operator who suspects it. No promise depends on one of them. Each node",
+        "logs `MechanismsDisabled` at its start; all nodes should be alike.",
+        "",
+        "| mechanism | while enabled |",
+        "|---|---|",
+    ]
+    lines += [f"| `{name}` | {text} |" for name, text in MECHANISMS.items()]
     return lines
 
 
--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -16,6 +16,7 @@
 
 HORIZON_FRACTION = 0.8  # of the objective; tasks start one after another
 ARRIVING_FRACTION = 0.7  # of the work that arrives within the horizon
+WAITING_FRACTION = 0.5  # of the tasks that wait; runs may be far over their estimates
 HORIZON_MIN_MS = 500.0
 HORIZON_MAX_MS = 2500.0  # a VM that is ordered when work waits too long comes too late
 HEADROOM_FACTOR = 1.1  # tasks do not fill VMs without gaps
@@ -46,13 +47,16 @@
 def cores_for_open_work(work):
     """Return the cores, in thousandths, that do the open work within a horizon.
 
-    ARRIVING_FRACTION of what arrives within the horizon is to be done by then.
+    ARRIVING_FRACTION of what arrives within the horizon is to be done by then. The
+    cores in use and those of half of the tasks that wait are needed in any case.
     """
     horizon_ms = work.objective_ms * HORIZON_FRACTION
     horizon_ms = min(max(horizon_ms, HORIZON_MIN_MS), HORIZON_MAX_MS)
     arriving_core_ms = work.arriving_cores_m / MS * horizon_ms * ARRIVING_FRACTION
     core_ms = max(0.0, work.open_core_ms) + arriving_core_ms
-    return int(core_ms / horizon_ms * MS * HEADROOM_FACTOR) + work.lasting_cores_m
+    cores_m = int(core_ms / horizon_ms * MS * HEADROOM_FACTOR) + work.lasting_cores_m
+    waiting_cores_m = int(work.waiting_cores_m * WAITING_FRACTION)
+    return max(cores_m, work.allocated_cores_m + waiting_cores_m)
 
 
 def cores_for_all_at_once(work):
