--- a/src/cardamomgrade/jobs/needs.py
+++ b/src/cardamomgrade/jobs/needs.py
@@ -30,10 +30,9 @@
     """What is known of the work of a service, in thousandths of a core.
 
     ``open_core_ms``, in core-ms, is what its jobs have left, which are to take
-    ``objective_ms`` on average; ``allocated_cores_m`` is
-    what all runs have, ``lasting_cores_m`` the part of lasting ones,
-    ``waiting_cores_m`` what waiting tasks need, and ``arriving_cores_m`` what arriving
-    jobs are expected to keep busy.
+    ``objective_ms`` on average; ``allocated_cores_m`` is what all runs have,
+    ``lasting_cores_m`` the part of lasting ones, ``waiting_cores_m`` what waiting tasks
+    need, and ``arriving_cores_m`` what arriving jobs are expected to keep busy.
     """
 
     open_core_ms: float
