Take VMs with lasting tasks down early in a wave

Cause: the budgets of lasting tasks let the VMs of a pool go down one after another, which the pace of waves did not count: it kept them behind all VMs that are off, until too little time was left.

Change: VMs with lasting tasks are due, and go first, once going down one at a time in their pool takes the time that is left, with the same margin as the wave.

A scenario: 12 such VMs in a pool go before one that is off; without the change that one goes first.

Beside it, in the steps of entries as processes: they wait until the entries have a link to each other.

--- a/src/cardamomgrade/jobs/pacing.py
+++ b/src/cardamomgrade/jobs/pacing.py
@@ -4,6 +4,8 @@
 each queue in turn needs more VMs than its pool has. A wave takes VMs that are off or
 idle first, then those of pools that have what they need. It takes VMs from pools with
 work that waits, or that are short of VMs, only when the time that is left demands it.
+VMs with lasting tasks may go down only one after another in a pool, as the budgets of
+these tasks demand, so that they are due long before the others.
 """
 
 import math
@@ -19,8 +21,12 @@
 
 @unique
 class Cost(IntEnum):
-    """What the upkeep of a VM takes from callers, in the order in which VMs go down."""
+    """What the upkeep of a VM takes from callers, in the order in which VMs go down.
 
+    DUE are VMs whose upkeeps take the time that is left, one after another.
+    """
+
+    DUE = -1
     OFF = 0
     IDLE = 1
     CALM = 2
--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -175,7 +175,8 @@
         cordoned, orders = set(), []
         for wave, state in self.waves.items():
             if state.pending_vms():
-                paced = room and not self._must_hurry(state, now)
+                left, at_once = len(state.pending_vms()), state.request.at_once
+                paced = room and not self._must_hurry(state, now, left, at_once)
                 found = self._plan_wave(
                     state,
                     listed,
@@ -195,20 +196,33 @@
         }
         return UpkeepPlan(frozenset(cordoned), frozenset(staying), tuple(orders))
 
-    def _must_hurry(self, state, now):
+    def _must_hurry(self, state, now, left, at_once):
         time_left_s = state.since + state.request.duration_s - now
-        return must_hurry(
-            len(state.pending_vms()),
-            state.request.at_once,
-            self._upkeep_s,
-            DRAIN_TIMEOUT_S,
-            time_left_s,
-        )
+        return must_hurry(left, at_once, self._upkeep_s, DRAIN_TIMEOUT_S, time_left_s)
+
+    def _due_vms(self, state, listed, executors, now):
+        """Return the VMs with lasting tasks of pools whose time is running out."""
+        by_pool = {}
+        for vm in state.pending_vms():
+            machine = listed.get(vm)
+            executor = executors.get(machine.executor) if machine is not None else None
+            if executor is not None and executor.lasting_runs:
+                by_pool.setdefault(machine.pool, []).append(vm)
+        return {
+            vm
+            for vms in by_pool.values()
+            if self._must_hurry(state, now, len(vms), 1)
+            for vm in vms
+        }
 
     def _plan_wave(self, state, listed, executors, now, reserve, excluded, room):
+        due = self._due_vms(state, listed, executors, now) if room else ()
+
         def cost(vm):
             if room is None:
                 return Cost.CALM
+            if vm in due:
+                return Cost.DUE
             machine = listed[vm]
             return cost_of(machine, executors.get(machine.executor), room)
 
--- a/tests/jobs/pacing.feature
+++ b/tests/jobs/pacing.feature
@@ -31,6 +31,14 @@
     When the VM calm is drained and work begins to wait in its pool
     Then the VM calm is open
 
+  Scenario: VMs with lasting tasks of one pool go down early, one after another
+    Guards against waves that are late because the budgets of lasting tasks let the VMs
+    of a pool go down only one at a time.
+    Given a wave with a VM of each kind
+    And 11 more VMs with lasting tasks in the pool busy, and 9 VMs at once
+    When it has been carried out for 1 s
+    Then VMs of the pool busy go down before the VM off
+
   Scenario Outline: a wave hurries when its VMs need the time that is left
     Then <left> VMs, <at_once> at once, <hurry> with <time_left> s left
 
--- a/tests/steps/entry_process.py
+++ b/tests/steps/entry_process.py
@@ -1,15 +1,17 @@
 """Steps for entries as processes; the log and the endpoints run in the test."""
 
+import json
 import signal
 import tempfile
 from pathlib import Path
 
 from behave import given, then, when
-from entry_world import World
+from entry_world import KEY, World
 
 import harness
 from cardamomgrade import records
 from cardamomgrade.fleet import LEASE_MS
+from cardamomgrade.ops import OpsClient
 from cardamomgrade.wire import HttpResponse
 
 DEADLINE_MS = 1500
@@ -50,6 +52,7 @@
     path = Path(context.folder) / f"{name}.ini"
     path.write_text(text)
     context.processes[name] = harness.start("entry", str(path))
+    context.ops[name] = cfg.ops_listen
     world.entry_ports[name] = int(cfg.listen.rpartition(":")[2])
 
 
@@ -65,6 +68,23 @@
     raise AssertionError(f"{entry} does not answer")
 
 
+def wait_until_met(context, name):
+    """Wait until an entry has a link to a peer; entries serve before they have one."""
+    world, peers = context.world, []
+    client = OpsClient(world.loop, world.net, context.ops[name], KEY)
+
+    def answered(result):
+        if isinstance(result, HttpResponse) and result.status == 200:
+            peers.extend(json.loads(result.body)["peers"])
+
+    def has_met():
+        client.get("/status", answered, 1.0)
+        world.run_for(0.1)
+        return peers
+
+    world.run_until(has_met)
+
+
 def incarnations(world, name):
     return [
         logged.record.incarnation
@@ -89,7 +109,7 @@
 def start_processes(context, names):
     world = context.world = World(DEADLINE_MS, ("e1", "e2"))
     context.folder = tempfile.mkdtemp()
-    context.processes = {}
+    context.processes, context.ops = {}, {}
     for number in range(2):
         world.endpoint(f"vm{number}")
     world.roll()
@@ -102,6 +122,8 @@
 @given("the entries e1 and e2 as processes and 2 endpoints")
 def processes(context):
     start_processes(context, ("e1", "e2"))
+    for name in ("e1", "e2"):
+        wait_until_met(context, name)
 
 
 @given("the entry e1 as a process and 2 endpoints, while e2 has not started")
--- a/tests/steps/jobs_pacing.py
+++ b/tests/steps/jobs_pacing.py
@@ -82,6 +82,26 @@
     world.loads["busy"] = attrs.evolve(world.loads["busy"], needed_vms=vms)
 
 
+@given(
+    "{vms:d} more VMs with lasting tasks in the pool busy, and {at_once:d} VMs at once"
+)
+def step_more_busy(context, vms, at_once):
+    world = context.paced
+    state = world.planner.waves[1]
+    names = [f"busy{number}" for number in range(vms)]
+    for vm in names:
+        world.listed[vm] = ListedVm(vm, "busy", "up", f"i-{vm}")
+        executor = world.executors[f"i-{vm}"] = Executor(executor_entry(f"i-{vm}", 4))
+        executor.allocate("t", 1, Step(1, cores_m=1000, lasting=True))
+    state.request = WaveRequest(1, (*KINDS, *names), WAVE_S, at_once)
+
+
+@then("VMs of the pool busy go down before the VM off")
+def step_busy_first(context):
+    first = next(iter(context.paced.down_at))
+    assert first.startswith("busy"), context.paced.down_at
+
+
 @when("it has been carried out for {seconds:d} s")
 def step_run(context, seconds):
     context.paced.run(seconds)
