--- a/src/cardamomgrade/jobs/pacing.py
+++ b/src/cardamomgrade/jobs/pacing.py
@@ -16,6 +16,7 @@
 from .reports import STATE_UP
 
 ROUND_DELAY_S = 0.8  # of a VM beyond its upkeep, until the next one may go down
+USED_FRACTION = 0.6  # of a wave's time; VMs that are away have the rest to come back
 SPARE_TIME_FACTOR = 1.5  # VMs may be silent, crash, or be held by their budgets
 
 
--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from .pacing import Cost, cost_of, must_hurry
+from .pacing import Cost, cost_of, must_hurry, USED_FRACTION
 from .reports import STATE_UP, STATE_UPKEEP
 
 DRAIN_TIMEOUT_S = 3.0  # slightly more than the longest known task, 2.5 s
@@ -197,7 +197,7 @@
         return UpkeepPlan(frozenset(cordoned), frozenset(staying), tuple(orders))
 
     def _must_hurry(self, state, now, left, at_once):
-        time_left_s = state.since + state.request.duration_s - now
+        time_left_s = state.since + state.request.duration_s * USED_FRACTION - now
         return must_hurry(left, at_once, self._upkeep_s, DRAIN_TIMEOUT_S, time_left_s)
 
     def _due_vms(self, state, listed, executors, now):
