--- a/tests/steps/entry_process.py
+++ b/tests/steps/entry_process.py
@@ -77,12 +77,11 @@
         if isinstance(result, HttpResponse) and result.status == 200:
             peers.extend(json.loads(result.body)["peers"])
 
-    def has_met():
+    end = world.loop.now() + harness.RUN_LIMIT_S
+    while not peers:
+        assert world.loop.now() < end, f"{name} has no link to a peer"
         client.get("/status", answered, 1.0)
         world.run_for(0.1)
-        return peers
-
-    world.run_until(has_met)
 
 
 def incarnations(world, name):
