Work out a job's forecast and the costs of a wave's VMs once

An accepted job had its forecast made twice and its work summed up once more, and the cost of each VM of a wave was worked out again for each comparison of a round, every 0.15 s. The work left of a job was dropped a second time when the job is forgotten, although it is dropped when its state becomes final.

--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -168,18 +168,19 @@
             self._isolation.watch(spec.job)
         self._services_to_plan.add(self.service_of(spec))
         self._stop_unwanted(job)
-        expected_ms = self._duration_estimator(spec)
+        is_demand = not job.state.final and not spec.lasting
+        if not (is_demand or spec.customer):
+            return
+        service = self.service_of(spec)
+        forecast = self._forecast(job, spec.accepted_ms)
+        objective_ms, core_ms = forecast.objective_ms, forecast.core_ms
         if spec.customer:
-            forecast = self._forecast(job, spec.accepted_ms)
-            limit_ms = forecast.objective_ms * HOPELESS_FACTOR
-            service = self.service_of(spec)
-            self._shares.add(spec, service, forecast.core_ms, limit_ms)
-        if not job.state.final and not spec.lasting:
-            core_ms = job.core_ms(expected_ms)
+            limit_ms = objective_ms * HOPELESS_FACTOR
+            self._shares.add(spec, service, core_ms, limit_ms)
+        if is_demand:
+            expected_ms = self._duration_estimator(spec)
             core_ms *= self._quota.demand_share(spec, expected_ms, now_ms)
-            service = self.service_of(spec)
             self._pool_needs.demand.record_arrival(service, core_ms, now_ms)
-            objective_ms = self._forecast(job, spec.accepted_ms).objective_ms
             self._pool_needs.work.add(spec.job, service, core_ms, objective_ms)
 
     def _duration_estimator(self, spec):
@@ -918,7 +919,6 @@
         if job is None or not job.state.final or job.placed():
             return False
         del self.jobs[name]
-        self._pool_needs.work.drop(name)
         self._isolation.forget(name)
         self._shares.forget(name)
         self._dirty.pop(name, None)
--- a/src/cardamomgrade/jobs/upkeep.py
+++ b/src/cardamomgrade/jobs/upkeep.py
@@ -174,8 +174,8 @@
         """
         cordoned, orders = set(), []
         for wave, state in self.waves.items():
-            if state.pending_vms():
-                left, at_once = len(state.pending_vms()), state.request.at_once
+            left, at_once = len(state.pending_vms()), state.request.at_once
+            if left:
                 paced = room and not self._must_hurry(state, now, left, at_once)
                 found = self._plan_wave(
                     state,
@@ -313,8 +313,9 @@
             and vm in listed
             and listed[vm].state == STATE_UP
             and (not listed[vm].executor or listed[vm].executor in executors)
-            and cost(vm) is not Cost.BUSY
         ]
+        costs = {vm: cost(vm) for vm in waiting}
+        waiting = [vm for vm in waiting if costs[vm] is not Cost.BUSY]
         draining_by_pool = {}
         for vm in state.draining:
             if vm in listed:
@@ -325,12 +326,12 @@
         def rank(vm):
             executor = executors.get(listed[vm].executor)
             runs = len(executor.allocations) if executor is not None else 0
-            return (cost(vm), draining_by_pool.get(listed[vm].pool, 0), runs, vm)
+            return (costs[vm], draining_by_pool.get(listed[vm].pool, 0), runs, vm)
 
         for _ in range(min(vacancies, len(waiting))):
             vm = min(waiting, key=rank)
             waiting.remove(vm)
-            if cost(vm) is Cost.OFF:
+            if costs[vm] is Cost.OFF:
                 if not off_vms:
                     continue
                 off_vms -= 1
