--- a/review/standin.py
+++ b/review/standin.py
@@ -353,6 +353,8 @@
         self.deadline = 0.0
         self.alive = True
         self.draining = False
+        self.silent = False
+        self.missed_beats = 0
         self.sequence = 0
         self.offset_ms = random.randrange(100_000, 900_000)
         self.born_at = time.monotonic()
@@ -390,6 +392,14 @@
         self.address = await self.http.listen(host or self.world.host, int(port or 0))
         self.register()
 
+    def silence(self):
+        """Crash without a word: nothing runs, no call is answered, none is refused."""
+        self.silent = True
+        for run in self.runs.values():
+            run.over = True
+            self.world.trace("crashed", self.name, run.task, run.number)
+        self.runs.clear()
+
     def finish(self, why):
         """End this life: everything that runs is gone, and no call is answered."""
         self.alive = False
@@ -401,6 +411,10 @@
         self.world.store.put("keyed.servers", self.name, None)
 
     async def _handle(self, method, target, headers, body):
+        while self.silent and self.alive:
+            await asyncio.sleep(0.2)
+        if not self.alive:
+            return None
         if method == "GET":
             return 200, {}
         if headers.get("x-expect-instance", self.name) != self.name:
@@ -496,7 +510,7 @@
                 await asyncio.wait_for(self._ended.wait(), wait_s)
             except TimeoutError:
                 pass
-        if not self.alive:
+        if not self.alive or self.silent:
             return None
         running = [
             [run.task, run.number, "", 100 if run.at_work else 0, 0]
@@ -635,8 +649,12 @@
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             for executor in self.executors.values():
-                if executor.alive:
+                if executor.alive and not executor.silent:
                     executor.register()
+                elif executor.alive:
+                    executor.missed_beats += 1
+                    if executor.missed_beats == 3:
+                        self.store.put("keyed.servers", executor.name, None)
 
     async def _balance(self):
         misses = {}
@@ -692,7 +710,8 @@
 
     # Clients
 
-    async def _attempt(self, method, queue, job, body=b"", node=None):
+    async def attempt(self, method, queue, job, body=b"", node=None):
+        """Send one request as a client does; return http_call's result."""
         ready = [item for item in self.nodes if item.ready] or self.nodes
         node = node or random.choice(ready)
         headers = (
@@ -711,7 +730,7 @@
         """Submit a job as a client does; return whether it was accepted."""
         body = json.dumps(fields).encode()
         for _ in range(1 + CLIENT_RETRIES):
-            answer = await self._attempt("POST", queue, job, body)
+            answer = await self.attempt("POST", queue, job, body)
             if answer is not None and 200 <= answer[0] < 300:
                 return True
             if answer is not None and answer[0] in (429, 503):
@@ -725,7 +744,7 @@
     async def state(self, queue, job):
         """Return the state of a job, "gone" for 410, or None without an answer."""
         for _ in range(1 + CLIENT_RETRIES):
-            answer = await self._attempt("GET", queue, job)
+            answer = await self.attempt("GET", queue, job)
             if answer is not None and answer[0] == 200:
                 return json.loads(answer[2]).get("state")
             if answer is not None and answer[0] == 410:
