--- a/review/standin2.py
+++ b/review/standin2.py
@@ -79,7 +79,7 @@
         self.sock = socket.socket()
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind((host, 0))
-        self.sock.listen(2)
+        self.sock.listen(128)
         self.sock.setblocking(False)
         self.port = self.sock.getsockname()[1]
         self.address = f"{host}:{self.port}"
@@ -147,6 +147,7 @@
         self.task.cancel()
         for conn in self.conns:
             conn.frozen = True
+        self.sock.listen(0)
         for _ in range(4):  # fill the queue of new connections, so that more hang
             sock = socket.socket()
             sock.setblocking(False)
@@ -158,6 +159,7 @@
         for sock in self.fillers:
             sock.close()
         self.fillers.clear()
+        self.sock.listen(128)
         self.open = True
         self.task = asyncio.ensure_future(self._accept())
 
@@ -366,6 +368,18 @@
         self.http.go_dark()
         self.id = ""
 
+    def leave(self):
+        """End for good, with all that runs here."""
+        self.record("executor", self.id, "leaves; it runs", list(self.runs))
+        for task, (run, _) in self.runs.items():
+            self.platform.on_end(self, task, run, "gone")
+        self.up, self.runs = False, {}
+        self.timer.cancel()
+        self.http.close()
+        for conn in list(self.http.conns):
+            conn.reset()
+        self.platform.store.put("keyed.servers", self.id, None)
+
     def power_on(self):
         dead = self.dead_id
         self.up = True
@@ -448,8 +462,8 @@
             for number in range(executors)
         ]
 
-    def configure(self, **queue):
-        """Write the operators' configuration with one queue."""
+    def configure(self, standby="", **queue):
+        """Write the operators' configuration: one queue, and a standby service."""
         route = {
             "name": "notices",
             "host": QUEUE_HOST,
@@ -469,6 +483,8 @@
             "services": [{"name": SERVICE, "enforceLimits": False, "standby": False}],
             "limits": {"maxBodyBytes": 262_144},
         }
+        if standby:
+            config["services"].append({"name": standby, "standby": True})
         self.store.put("keyed.op", "config", config)
 
     def on_start(self, executor, task, run, text):
@@ -706,7 +722,7 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def main(folder, scenario, nodes=3, **platform_options):
+def main(folder, scenario, nodes=3, standby="", platform_class=Platform, **options):
     """Run ``scenario(record, platform, system, trouble)``; exit with its result.
 
     It returns 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
@@ -716,8 +732,8 @@
 
     async def run():
         with tempfile.TemporaryDirectory() as temporary:
-            platform = Platform(record, **platform_options)
-            platform.configure()
+            platform = platform_class(record, **options)
+            platform.configure(standby)
             system = System(record, platform, nodes, temporary)
             try:
                 if not await system.start():
