--- a/review/standin2.py
+++ b/review/standin2.py
@@ -394,7 +394,10 @@
     async def _handle(self, method, target, headers, body):
         if headers.get("x-expect-instance", self.id) != self.id:
             return json_answer(421, {"clockMs": int(self.clock())})
-        fields = json.loads(body)
+        try:
+            fields = json.loads(body)
+        except ValueError:
+            return json_answer(400, {})
         self._advance()
         life, token = self.life, fields.get("fencingToken", 0)
         if token < self.token:
@@ -731,6 +734,8 @@
     record = Record(Path(folder) / "record.txt")
 
     async def run():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             platform = platform_class(record, **options)
             platform.configure(standby)
