--- a/review/standin2.py
+++ b/review/standin2.py
@@ -285,11 +285,13 @@
 class Executor:
     """One machine with its executor; a start after a crash has a new id.
 
-    ``plan(task)`` returns the seconds that a run takes, or None for a lasting one.
+    ``plan(task)`` returns the seconds that a run takes, or None for a lasting one, or a
+    pair of them and how the run ends. ``kind`` is its first label.
     """
 
-    def __init__(self, platform, number, rack, cores_m, plan):
+    def __init__(self, platform, number, rack, cores_m, plan, kind="a"):
         self.platform, self.number, self.rack = platform, number, rack
+        self.kind, self.hows = kind, {}
         self.cores_m, self.plan = cores_m, plan
         self.record = platform.record
         self.http = Http(self._handle)
@@ -326,7 +328,7 @@
                 "state": "ready",
                 "coldRemainingMs": 0,
                 "capacity": {"cpu": self.cores_m, "memMb": 65536, "gpu": 0},
-                "labels": ["a", self.rack],
+                "labels": [self.kind, self.rack],
                 "clockMs": int(self.clock()),
                 "sequence": self.sequence,
             },
@@ -344,7 +346,7 @@
         now = self.clock()
         for task, (run, end_ms) in list(self.runs.items()):
             if end_ms is not None and end_ms <= min(now, self.deadline):
-                self._end(task, "done")
+                self._end(task, self.hows.get(task, "done"))
         if now > self.deadline:
             for task in list(self.runs):
                 self._end(task, "lapsed")
@@ -437,6 +439,8 @@
         if run <= self.ended.get(task, 0) or task in self.runs:
             return self._answer(409, {"reason": "old"})
         last_s = self.plan(task)
+        if isinstance(last_s, tuple):
+            last_s, self.hows[task] = last_s
         end_ms = None if last_s is None else self.clock() + last_s * 1000
         self.runs[task] = (run, end_ms)
         self.platform.on_start(self, task, run, fields["spec"])
@@ -454,14 +458,23 @@
 class Platform:
     """Store, executors and VM list, and what they have seen of each task."""
 
-    def __init__(self, record, executors, racks_of=4, cores_m=16_000, plan=None):
+    def __init__(
+        self, record, executors, racks_of=4, cores_m=16_000, plan=None, kind_of=None
+    ):
         self.record = record
         self.store = Store(record)
         self.log = []  # (time, "start" or how it ended, executor id, task, run)
         self.cloud = Http(self._machines)
         plan = plan or (lambda task: 0.3)
         self.executors = [
-            Executor(self, number, f"r{1 + number // racks_of}", cores_m, plan)
+            Executor(
+                self,
+                number,
+                f"r{1 + number // racks_of}",
+                cores_m,
+                plan,
+                kind_of(number) if kind_of is not None else "a",
+            )
             for number in range(executors)
         ]
 
@@ -508,7 +521,7 @@
                 "pool": SERVICE,
                 "state": "up" if item.up else "down",
                 "zone": "z",
-                "labels": ["a", item.rack],
+                "labels": [item.kind, item.rack],
                 "capacity": {"cpu": item.cores_m, "memMb": 65536, "gpu": 0},
                 "id": item.id,
             }
