--- a/review/standin2.py
+++ b/review/standin2.py
@@ -296,7 +296,7 @@
         self.record = platform.record
         self.http = Http(self._handle)
         self.life = 0
-        self.up = True
+        self.up, self.is_cut = True, False
         self._begin()
         self.timer = asyncio.ensure_future(self._beat())
 
@@ -316,6 +316,7 @@
     def _register(self):
         self.sequence += 1
         self.registered_at = time.monotonic()
+        self.is_listed = True
         self.platform.store.put(
             "keyed.servers",
             self.id,
@@ -337,10 +338,15 @@
     async def _beat(self):
         while True:
             await asyncio.sleep(0.02)
-            if self.up:
-                self._advance()
-                if time.monotonic() - self.registered_at >= HEARTBEAT_S:
-                    self._register()
+            if not self.up:
+                continue
+            self._advance()
+            silent_s = time.monotonic() - self.registered_at
+            if not self.is_cut and silent_s >= HEARTBEAT_S:
+                self._register()
+            elif self.is_cut and self.is_listed and silent_s >= 3 * HEARTBEAT_S:
+                self.is_listed = False
+                self.platform.store.put("keyed.servers", self.id, None)
 
     def _advance(self):
         now = self.clock()
@@ -370,6 +376,19 @@
         self.http.go_dark()
         self.id = ""
 
+    def cut(self):
+        """Lose the network; what runs here goes on until its lease ends."""
+        self.record("executor", self.id, "is cut off; it runs", list(self.runs))
+        self.is_cut = True
+        self.http.go_dark()
+
+    def heal(self):
+        """Have the network again."""
+        self.record("executor", self.id, "is reachable again")
+        self.is_cut = False
+        self.http.come_back()
+        self._register()
+
     def leave(self):
         """End for good, with all that runs here."""
         self.record("executor", self.id, "leaves; it runs", list(self.runs))
