--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,7 +10,7 @@
 import standin2  # noqa: E402
 
 EXECUTORS, SPECIAL = 6, 2  # the last two have the label that the job needs
-CUT_S, PAUSE_S, CUTS = 5.5, 4.0, 5  # one of six executors at a time
+CUT_S, PAUSE_S, CUTS = 5.0, 4.0, 5  # one of six executors at a time
 LONG_S = 50.0
 lengths = {}
 
