ExecutorOver logs the incarnation, and since when its lease and its answers count

The users' record of tasks that ran twice at a time after restarts does not tell whether the scheduler knew of the restart, nor how old the lease was that it took for over. born, granted_ms and answered_ms tell the three hypotheses of the incident page apart. No change of logic; features silence, incarnations, successor and agent_reports pass.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -22,6 +22,7 @@
 RENEW_RETRY_S = 0.2
 START_RETRY_S = 0.1
 STOP_RETRY_S = 0.5
+MS = 1000
 
 
 @event(605)
@@ -35,11 +36,18 @@
 
 @event(606)
 class ExecutorOver:
-    """An executor certainly runs nothing any more; its runs are marked as lapsed."""
+    """An executor certainly runs nothing any more; its runs are marked as lapsed.
+
+    ``granted_ms`` and ``answered_ms`` are the ms since this scheduler counts its lease
+    as granted and since the incarnation answered; -1 if it never did.
+    """
 
     executor: str
     runs: int
     why: str
+    born: int
+    granted_ms: int
+    answered_ms: int
 
 
 @event(607)
@@ -410,17 +418,29 @@
             self._driver.on_reachable(self.name)
             self._loop.call_later(0, self.renew_if_needed)
 
-    def _report_lapsed(self):
+    def _log_over(self, why):
+        now, executor = self._loop.now(), self._executor
+        never = self._proven_at == float("-inf")
         log_event(
-            ExecutorOver(self.name, len(self._executor.allocations), "its lease lapsed")
+            ExecutorOver(
+                self.name,
+                len(executor.allocations),
+                why,
+                executor.entry.born,
+                int((now - self._lease.granted_at) * MS),
+                -1 if never else int((now - self._proven_at) * MS),
+            )
         )
+
+    def _report_lapsed(self):
+        self._log_over("its lease lapsed")
         self._driver.on_lease_lapsed(self.name)
         self._starts.clear()
         self._stopping.clear()
 
     def _report_gone(self, why):
         if not self._closed:
-            log_event(ExecutorOver(self.name, len(self._executor.allocations), why))
+            self._log_over(why)
             self._driver.on_executor_gone(self.name, LossCause.CRASHED)
 
     def _process_ends(self, report):
