Reproduce TWICE after restarts: former calls reach the next incarnation (red)

What callers saw: tasks that ran twice at a time after executors had started again under their ids and were cut off.

The emulated executors and the replay of restarts refused a deadline that is far ahead of the executor's clock, and lost calls to an incarnation that was over; on the users' platform the next incarnation takes them, and shortens the deadline to the longest lease. The new replay follows the users' terms: executors go dark, are back at their port, take former calls, also late ones, and are cut off soon after, while schedulers change.

--- a/tests/steps/jobs_incarnations.py
+++ b/tests/steps/jobs_incarnations.py
@@ -37,8 +37,9 @@
 class SimulatedExecutor:
     """Client of an executor; keeps the calls, which the test answers."""
 
-    def __init__(self, entry):
+    def __init__(self, entry, token):
         self.entry = entry
+        self.token = token
         self.closed = False
         self.reaches_same_process = False
         self.keeps_connections = True
@@ -87,10 +88,10 @@
         self.view = JobView(self.loop.now)
         self.driver = None
 
-    def start(self):
+    def start(self, epoch=1):
         queue_cfg = records.decode_config(json.dumps(CONFIG).encode())
         cfg = attrs.evolve(SETTINGS, max_lease_ms=10_000)
-        term = TermRecord(1, "n1", "life-1", 1, False)
+        term = TermRecord(epoch, "n1", "life-1", 1, False)
         self.driver = Driver(
             self.loop, cfg, self, term, self.view, queue_cfg, None, Metrics()
         )
@@ -109,8 +110,8 @@
     def list_vms(self, on_done):
         pass
 
-    def executor(self, entry, epoch):
-        self.clients.append(SimulatedExecutor(entry))
+    def executor(self, entry, token):
+        self.clients.append(SimulatedExecutor(entry, token))
         return self.clients[-1]
 
     def newest(self, after, on_done, timeout):
