Fence an executor's next incarnation off from calls to its former ones

What callers saw: tasks that ran twice at a time, or again after their end, when executors had started again under their ids.

Cause: all calls of a term had the same fencing token, its epoch. An executor that starts again under its id has seen no token and takes calls that were sent to its former incarnation, also seconds late: a start that was given up or had been repeated, or an acknowledgement of the former one's ends. Nothing that the new incarnation knew refused them. Class: a fence that separates writers, but not the lives of the one that it protects.

Each incarnation that a scheduler knows of an id gets a higher token; the tokens of a term stay below those of the next. An incarnation is asked for a report as soon as it is known, also without runs, so that it has seen its token.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..journal import event, log_event
+from .former import Incarnation
 from .incarnations import is_earlier, is_later
 from .lease import lapse_bound_s, Lease
 from .reports import LeaseReport, LossCause, OrderAnswer, OrderResult
@@ -101,7 +102,9 @@
     ``on_running``, which returns whether to request reports more often. Leases are
     granted only while its ``may_grant()`` is true, since a successor that cannot reach
     an executor counts its lease from the start of its own term. ``inherited`` is
-    whether an earlier scheduler placed the runs that are on the executor now. While
+    whether an earlier scheduler placed the runs that are on the executor now.
+    ``incarnation`` is its Incarnation, which is asked for a report until it is fenced,
+    also without runs. While
     ``silences`` (SilentExecutors) may have a record of the executor, no request grants
     the lease. ``client`` has ``reaches_same_process``, whether a renewal sent now
     reaches the process that answered the last one, or none, and ``keeps_connections``,
@@ -112,7 +115,17 @@
     ``_received_end`` >= ``_stored_end`` >= ``_acknowledged_end``.
     """
 
-    def __init__(self, loop, client, executor, driver, silences, inherited, lease_ms):
+    def __init__(
+        self,
+        loop,
+        client,
+        executor,
+        driver,
+        silences,
+        inherited,
+        lease_ms,
+        incarnation=None,
+    ):
         self._loop = loop
         self._client = client
         self._executor = executor
@@ -125,6 +138,7 @@
             silences.granted_at(executor.name),
         )
         self._lease_ms = lease_ms
+        self._incarnation = incarnation or Incarnation()
         placed = executor.allocations.items() if inherited else ()
         self._inherited = {(task, item.run) for task, item in placed}
         self._starts = {}
@@ -233,7 +247,9 @@
         executor = self._executor
         is_probe = executor.unreachable and executor.listed
         unacknowledged = self._acknowledged_end < self._received_end
-        return bool(executor.allocations) or unacknowledged or is_probe
+        is_fenced = self._incarnation.is_fenced(self._loop.now())
+        is_needed = bool(executor.allocations) or unacknowledged
+        return is_needed or is_probe or not is_fenced
 
     def asked_at(self, executor):
         """Return when an Executor was last asked for a report, or -inf if never."""
@@ -336,6 +352,7 @@
     def _on_report(self, report, sent_at):
         now = self._loop.now()
         if isinstance(report, LeaseReport):
+            self._incarnation.fence(now)
             self._lease.update_clock(now, report.clock_ms)
             self._answered = True
             self._has_missed = False
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -8,6 +8,7 @@
 from .agent import ExecutorAgent
 from .availability import Availability
 from .follow import TopicFollower
+from .former import Incarnations
 from .incarnations import Registrations
 from .lease import lapse_bound_s, LEASE_MS
 from .mechanisms import ALL_ENABLED
@@ -112,12 +113,14 @@
         self._jobs_topic = platform.jobs_topic()
         self._writer = Writer(loop, self._jobs_topic, term, self.depose, metrics)
         self._silences = SilentExecutors(loop, self._writer, view.silent)
+        self._incarnations = Incarnations()
         self._registrations = Registrations(
             loop,
             platform.decode_executor,
             self._scheduler,
             self._agents,
             self._add_agent,
+            self._incarnations,
             cfg.max_lease_ms,
         )
         settled_at = loop.now() + cfg.stop_ms / MS + EPOCH_SPREAD_S
@@ -278,7 +281,9 @@
     def _add_agent(self, name):
         executor = self._scheduler.executors[name]
         inherited = bool(executor.allocations)
-        client = self._platform.executor(executor.entry, self._epoch)
+        incarnation = self._incarnations.newest(name)
+        token = incarnation.token(self._epoch)
+        client = self._platform.executor(executor.entry, token)
         self._agents[name] = ExecutorAgent(
             self._loop,
             client,
@@ -287,6 +292,7 @@
             self._silences,
             inherited,
             self._lease_ms,
+            incarnation,
         )
 
     def _forget_executor(self, name):
--- a/src/cardamomgrade/jobs/incarnations.py
+++ b/src/cardamomgrade/jobs/incarnations.py
@@ -62,18 +62,22 @@
 
     ``decode(name, value)`` returns an ExecutorEntry or raises RecordError. ``agents``
     maps the name of each known executor to its agent; ``add_agent(name)`` puts a new
-    one there. ``max_lease_ms`` is the longest lease that executors accept.
+    one there. ``incarnations`` are the term's Incarnations, ``max_lease_ms`` is the
+    longest lease that executors accept.
 
     Remembers the latest ``born`` of each id until the term ends, so that a late record
     does not bring back an executor that was forgotten.
     """
 
-    def __init__(self, loop, decode, scheduler, agents, add_agent, max_lease_ms):
+    def __init__(
+        self, loop, decode, scheduler, agents, add_agent, incarnations, max_lease_ms
+    ):
         self._loop = loop
         self._decode = decode
         self._scheduler = scheduler
         self._agents = agents
         self._add_agent = add_agent
+        self._incarnations = incarnations
         self._max_lease_ms = max_lease_ms
         self._latest_born = {}
         self._logged_at = float("-inf")
@@ -103,6 +107,8 @@
         if known is not None and is_later(entry.born, known.entry.born):
             self._begin(known, entry, registered=True)
         else:
+            if known is None and is_later(entry.born, latest):
+                self._incarnations.begin(name, self._loop.now())
             self._update(known, attrs.evolve(entry, born=entry.born or latest))
 
     def _update(self, known, entry):
@@ -160,6 +166,7 @@
         self._scheduler.reset_executor(name)
         self._scheduler.put_executor(entry)
         executor.listed = registered or was_listed
+        self._incarnations.begin(name, self._loop.now())
         self._add_agent(name)
         self._agents[name].succeed(agent, self._max_lease_ms)
 
--- a/src/cardamomgrade/platform/adapter.py
+++ b/src/cardamomgrade/platform/adapter.py
@@ -52,9 +52,9 @@
         """Return a client of the topic with the states of waves, for operators."""
         return self._topic(TOPIC_STATUS)
 
-    def executor(self, entry, epoch):
-        """Return a client of one incarnation of an executor."""
-        return ExecutorClient(self._loop, self._net, entry, epoch)
+    def executor(self, entry, token):
+        """Return a client of one incarnation of an executor with a fencing token."""
+        return ExecutorClient(self._loop, self._net, entry, token)
 
     def machines(self, epoch):
         """Return a client of the platform's VM interface under a scheduler's epoch."""
--- a/src/cardamomgrade/platform/executor.py
+++ b/src/cardamomgrade/platform/executor.py
@@ -117,15 +117,15 @@
 
 
 class ExecutorClient:
-    """Calls to one incarnation of an executor, fenced by the epoch of one scheduler.
+    """Calls to one incarnation of an executor, with a fencing token.
 
-    The executor refuses calls with an epoch older than the newest it has received.
+    The executor refuses calls with a lower token than the highest it has received.
     """
 
-    def __init__(self, loop, net, entry, epoch):
+    def __init__(self, loop, net, entry, token):
         self._renewals = Requester(loop, net, entry.address, ANSWER_LIMIT_BYTES)
         self._orders = RequesterPool(loop, net, entry.address, ORDER_CONNECTIONS)
-        self._epoch = epoch
+        self._token = token
         self._headers = (
             (b"host", entry.address.encode()),
             (b"content-type", b"application/json"),
@@ -148,7 +148,7 @@
         return self._renewals.keeps_open
 
     def _send(self, requester, path, fields, on_done, timeout):
-        body = json.dumps({**fields, "fencingToken": self._epoch}).encode()
+        body = json.dumps({**fields, "fencingToken": self._token}).encode()
         req = HttpRequest("POST", path, self._headers, body)
         requester.request(req, on_done, timeout)
 
