Count leases that calls to a former incarnation may have extended

What callers saw: tasks that ran twice at a time when executors had started again under their ids and were cut off soon after; in all overlaps of the users' record the two runs came from different nodes.

Cause: a deadline is a time of the executor's clock, and the clock starts anew with each incarnation. A renewal or a start that was sent to the former incarnation and that the next one takes carries a deadline far ahead of the new clock; it is shortened to 10 s from its arrival and holds for everything that runs there. The scheduler counted 4.2 s from its own last grant. It allowed for the rest only where the new agent inherited starts of its own that might be on the new incarnation: not after a renewal, a refused start or a start that had ended, and never after a change of scheduler, as the new one knew nothing of a restart that its predecessor saw. Class: what was concluded of a peer was held against the calls that were meant for that peer, not against those that it may have taken.

An Incarnation knows until when former calls may reach it: its first answer to a call with its own token, or 12 s after the last call to the former one. The lease counts maxHoldMs from there. A new scheduler takes the start of its term for the last call, unless born shows that the executor started long ago, so that executors that did not restart lapse after 4.2 s as before.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -7,7 +7,6 @@
 import attrs
 
 from ..journal import event, log_event
-from .former import Incarnation
 from .incarnations import is_earlier, is_later
 from .lease import lapse_bound_s, Lease
 from .reports import LeaseReport, LossCause, OrderAnswer, OrderResult
@@ -104,7 +103,7 @@
     an executor counts its lease from the start of its own term. ``inherited`` is
     whether an earlier scheduler placed the runs that are on the executor now.
     ``incarnation`` is its Incarnation, which is asked for a report until it is fenced,
-    also without runs. While
+    also without runs. ``max_lease_ms`` is the longest lease that it accepts. While
     ``silences`` (SilentExecutors) may have a record of the executor, no request grants
     the lease. ``client`` has ``reaches_same_process``, whether a renewal sent now
     reaches the process that answered the last one, or none, and ``keeps_connections``,
@@ -124,21 +123,24 @@
         silences,
         inherited,
         lease_ms,
-        incarnation=None,
+        max_lease_ms,
+        incarnation,
     ):
         self._loop = loop
         self._client = client
         self._executor = executor
         self._driver = driver
         self._silences = silences
+        self._incarnation = incarnation
         self._lease = Lease(
             loop.now(),
             executor.entry.clock_ms,
+            self._incarnation,
             lease_ms,
+            max_lease_ms,
             silences.granted_at(executor.name),
         )
         self._lease_ms = lease_ms
-        self._incarnation = incarnation or Incarnation()
         placed = executor.allocations.items() if inherited else ()
         self._inherited = {(task, item.run) for task, item in placed}
         self._starts = {}
@@ -195,20 +197,17 @@
             if not pending.is_settled(self._proven_at)
         }
 
-    def succeed(self, other, max_lease_ms):
+    def succeed(self, other):
         """Take over the unsettled runs of the closed agent of an earlier incarnation.
 
         The other runs must be over. The next report settles those that were accepted;
         of the others, those that it lacks are stopped first, as they may still arrive.
-        ``max_lease_ms`` is the longest lease that an executor accepts.
         """
         now = self._loop.now()
         placed = {(task, item.run) for task, item in self._executor.allocations.items()}
         self._inherited = other._inherited & placed
         for run in placed - self._inherited:
             self._starts[run] = other._starts[run].handed_over(now)
-        if self._starts:
-            self._lease.expect_until(now + lapse_bound_s(max_lease_ms))
         for task, run in other._stopping:
             if (task, run) in placed:
                 self.stop(task, run)
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -33,6 +33,7 @@
 DURATIONS_SAVE_INTERVAL_S = 2.0  # a new scheduler lacks at most the runs of this time
 REFUSAL_BACKOFF_MS = 1000  # an executor that refused a start is retried after this
 JOB_RETENTION_MARGIN_S = 30.0  # beyond status_ms, in which callers may query a job
+FIRST_EPOCH = 1
 EPOCH_SPREAD_S = 1.0  # until every executor has received the new epoch
 MS = 1000
 
@@ -113,7 +114,7 @@
         self._jobs_topic = platform.jobs_topic()
         self._writer = Writer(loop, self._jobs_topic, term, self.depose, metrics)
         self._silences = SilentExecutors(loop, self._writer, view.silent)
-        self._incarnations = Incarnations()
+        self._incarnations = Incarnations(loop.now(), term.epoch > FIRST_EPOCH)
         self._registrations = Registrations(
             loop,
             platform.decode_executor,
@@ -121,7 +122,6 @@
             self._agents,
             self._add_agent,
             self._incarnations,
-            cfg.max_lease_ms,
         )
         settled_at = loop.now() + cfg.stop_ms / MS + EPOCH_SPREAD_S
         self._availability = Availability(self._step_state_of, settled_at)
@@ -281,7 +281,9 @@
     def _add_agent(self, name):
         executor = self._scheduler.executors[name]
         inherited = bool(executor.allocations)
-        incarnation = self._incarnations.newest(name)
+        incarnation = self._incarnations.newest(
+            name, executor.entry.born, self._loop.now(), time.time()
+        )
         token = incarnation.token(self._epoch)
         client = self._platform.executor(executor.entry, token)
         self._agents[name] = ExecutorAgent(
@@ -292,6 +294,7 @@
             self._silences,
             inherited,
             self._lease_ms,
+            self._cfg.max_lease_ms,
             incarnation,
         )
 
@@ -330,8 +333,9 @@
         self._timers = [self._loop.call_later(TICK_S, self._tick)]
         now = self._loop.now()
         self._scheduler.next_due_ms(time.time() * MS)
+        lapse_s = lapse_bound_s(self._unregistered_lease_ms)
         for name in self._scheduler.unregistered_executors():
-            if now - self._last_grant_at(name) > lapse_bound_s(self._lease_ms):
+            if now - self._last_grant_at(name) > lapse_s:
                 self._scheduler.mark_runs_lapsed(name, now * MS)
         for name in self._silences.names():
             if not self._scheduler.has_runs(name):
@@ -348,6 +352,16 @@
         if self._executors.loaded:
             self._vms.refresh()
 
+    @property
+    def _unregistered_lease_ms(self):
+        """The longest lease that an unregistered executor may have, in ms.
+
+        Where ids return, it may have started again and taken calls to its former
+        incarnation.
+        """
+        may_return = self._incarnations.ids_return or not self._executors.loaded
+        return self._cfg.max_lease_ms if may_return else self._lease_ms
+
     def _last_grant_at(self, name):
         """Return by when the lease of an unregistered executor was last granted."""
         granted_at = self._silences.granted_at(name)
--- a/src/cardamomgrade/jobs/former.py
+++ b/src/cardamomgrade/jobs/former.py
@@ -11,6 +11,9 @@
 
 TOKENS_PER_TERM = 2**16  # all tokens of a term are below those of the next one
 LATE_CALL_S = 12.0  # by then the platform has carried out a call that got no answer
+UNNOTICED_S = 3.0  # for which a scheduler may not know that an executor started again
+CLOCK_ERROR_S = 5.0  # by which the wall clocks of two machines may differ
+MS = 1000
 
 
 @attrs.define(eq=False)
@@ -38,16 +41,37 @@
 
 
 class Incarnations:
-    """The newest incarnation of each executor that one term's scheduler has known."""
+    """The newest incarnation of each executor that one term's scheduler has known.
 
-    def __init__(self):
-        self._newest = {}
+    ``predecessor`` is whether another term came before, which began at ``now``.
+    """
 
-    def newest(self, name):
-        """Return the newest Incarnation of an executor."""
-        return self._newest.setdefault(name, Incarnation())
+    def __init__(self, now, predecessor):
+        sent_until = now if predecessor else float("-inf")
+        self._predecessor_until = sent_until + LATE_CALL_S
+        self._newest = {}
+        self.ids_return = False
+
+    def newest(self, name, born, now, wall_s):
+        """Return the newest Incarnation of an executor, which was born at ``born``.
+
+        ``born`` is in Unix ms, 0 where executors tell none: their ids do not return.
+        ``wall_s`` is the Unix time. The predecessor may have called a former
+        incarnation of one that began lately.
+        """
+        known = self._newest.get(name)
+        if known is None:
+            until = float("-inf")
+            if born:
+                began_at = now - (wall_s - born / MS) + CLOCK_ERROR_S
+                noticed_at = began_at + UNNOTICED_S
+                until = min(self._predecessor_until, noticed_at + LATE_CALL_S)
+            known = self._newest[name] = Incarnation(former_until=until)
+        self.ids_return = self.ids_return or born > 0
+        return known
 
     def begin(self, name, now):
         """Note that a later incarnation began; calls to the known one end now."""
-        number = self.newest(name).number + 1
+        known = self._newest.get(name)
+        number = known.number + 1 if known is not None else 0
         self._newest[name] = Incarnation(number, now + LATE_CALL_S)
--- a/src/cardamomgrade/jobs/incarnations.py
+++ b/src/cardamomgrade/jobs/incarnations.py
@@ -62,23 +62,19 @@
 
     ``decode(name, value)`` returns an ExecutorEntry or raises RecordError. ``agents``
     maps the name of each known executor to its agent; ``add_agent(name)`` puts a new
-    one there. ``incarnations`` are the term's Incarnations, ``max_lease_ms`` is the
-    longest lease that executors accept.
+    one there. ``incarnations`` are the term's Incarnations.
 
     Remembers the latest ``born`` of each id until the term ends, so that a late record
     does not bring back an executor that was forgotten.
     """
 
-    def __init__(
-        self, loop, decode, scheduler, agents, add_agent, incarnations, max_lease_ms
-    ):
+    def __init__(self, loop, decode, scheduler, agents, add_agent, incarnations):
         self._loop = loop
         self._decode = decode
         self._scheduler = scheduler
         self._agents = agents
         self._add_agent = add_agent
         self._incarnations = incarnations
-        self._max_lease_ms = max_lease_ms
         self._latest_born = {}
         self._logged_at = float("-inf")
         self._not_logged = 0
@@ -168,7 +164,7 @@
         executor.listed = registered or was_listed
         self._incarnations.begin(name, self._loop.now())
         self._add_agent(name)
-        self._agents[name].succeed(agent, self._max_lease_ms)
+        self._agents[name].succeed(agent)
 
     def _log_unusable(self, name, detail):
         now = self._loop.now()
--- a/src/cardamomgrade/jobs/lease.py
+++ b/src/cardamomgrade/jobs/lease.py
@@ -1,8 +1,8 @@
 """Lease of one executor, whose deadline is a time of the executor's own clock.
 
 All runs on an executor end when its lease lapses. The scheduler can only compute when
-it has certainly lapsed: the executor's clock may be slow, and a renewal that had no
-answer may have arrived.
+it has certainly lapsed: the executor's clock may be slow, a renewal that had no answer
+may have arrived, and so may a call to a former incarnation.
 """
 
 LEASE_MS = 4000  # outlasts a change of scheduler: TERM_TIMEOUT_S and the reads after it
@@ -22,28 +22,31 @@
 
 
 class Lease:
-    """Lease of one executor, which an earlier scheduler may have granted.
+    """Lease of one Incarnation, which an earlier scheduler may have granted.
 
     ``now`` and ``granted_at``, by when it was granted for the last time, are in seconds
     of the local monotonic clock; ``granted_at`` is ``now`` if nothing better is known.
-    ``clock_ms`` and deadlines are in ms of the executor's clock.
+    ``clock_ms`` and deadlines are in ms of the executor's clock. A deadline in a call
+    to a former incarnation may be far ahead of that clock; the executor shortens it to
+    ``max_lease_ms`` from its arrival.
     """
 
-    def __init__(self, now, clock_ms, lease_ms=LEASE_MS, granted_at=None):
+    def __init__(
+        self,
+        now,
+        clock_ms,
+        incarnation,
+        lease_ms=LEASE_MS,
+        max_lease_ms=LEASE_MS,
+        granted_at=None,
+    ):
+        self._incarnation = incarnation
         self._lease_ms = lease_ms
+        self._max_lease_ms = max_lease_ms
         self._clock_read_at = now
         self._clock_ms = clock_ms
         self._answered_at = float("-inf")
         self.granted_at = now if granted_at is None else granted_at
-        self._lapses_after = float("-inf")
-
-    def expect_until(self, time_s):
-        """Count the lease as granted until ``time_s`` at least.
-
-        An executor that started again may have received a deadline of its earlier
-        incarnation, whose clock may have been ahead of its own.
-        """
-        self._lapses_after = time_s
 
     def update_clock(self, now, clock_ms):
         """Set the executor's clock from an answer just received; 0 is no value."""
@@ -70,8 +73,9 @@
 
     def lapses_in(self, now):
         """Return the seconds until every lease granted so far has certainly lapsed."""
-        lapses_at = self.granted_at + lapse_bound_s(self._lease_ms)
-        return max(lapses_at, self._lapses_after) - now
+        own = self.granted_at + lapse_bound_s(self._lease_ms)
+        former_until = self._incarnation.former_until
+        return max(own, former_until + lapse_bound_s(self._max_lease_ms)) - now
 
     def has_lapsed(self, now):
         """Return whether every lease granted so far has certainly lapsed."""
--- a/tests/steps/jobs_agent_reports.py
+++ b/tests/steps/jobs_agent_reports.py
@@ -7,6 +7,7 @@
 
 from cardamomgrade.jobs.agent import ExecutorAgent
 from cardamomgrade.jobs.executors import Executor
+from cardamomgrade.jobs.former import Incarnation
 from cardamomgrade.jobs.lease import LEASE_MS
 from cardamomgrade.jobs.reports import (
     EndedTask,
@@ -20,6 +21,7 @@
 from cardamomgrade.jobs.silence import SilentExecutors
 from cardamomgrade.jobs.spec import Step
 
+MAX_LEASE_MS = 10_000
 TASK = "00000000000000a1.0.0.0"
 OTHER_JOB = "00000000000000d1"
 
@@ -106,6 +108,8 @@
             SilentExecutors(self.timers, None, {}),
             inherits,
             LEASE_MS,
+            MAX_LEASE_MS,
+            Incarnation(),
         )
 
     def report(self, running=(), ended=(), **fields):
--- a/tests/steps/jobs_lease.py
+++ b/tests/steps/jobs_lease.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from cardamomgrade.jobs.former import Incarnation
 from cardamomgrade.jobs.lease import Lease
 
 START_MS = 50_000
@@ -11,7 +12,7 @@
 def step_lease(context, length, slow):
     context.rate = 1 - slow / 100
     context.length = length
-    context.lease = Lease(0.0, START_MS, length)
+    context.lease = Lease(0.0, START_MS, Incarnation(), length)
 
 
 @when("a deadline is granted")
--- a/tests/steps/jobs_silent_agent.py
+++ b/tests/steps/jobs_silent_agent.py
@@ -6,6 +6,7 @@
 
 from cardamomgrade.jobs.agent import ExecutorAgent, RENEW_RETRY_S
 from cardamomgrade.jobs.executors import Executor
+from cardamomgrade.jobs.former import Incarnation
 from cardamomgrade.jobs.records import decode_silent, encode, SilentRecord, TermRecord
 from cardamomgrade.jobs.reports import (
     LeaseReport,
@@ -28,6 +29,7 @@
 SECOND_TASK = "00000000000000a1.0.0.1"
 FAILED_AFTER_S = 0.85
 LEASE_MS = 4000
+MAX_LEASE_MS = 10_000
 START_S = SimulatedTimers().now()
 MS = 1000
 
@@ -57,7 +59,15 @@
     def make_agent(self, inherited):
         silences = SilentExecutors(self.loop, self.writer, self.view.silent)
         self.agent = ExecutorAgent(
-            self.loop, self, self.executor, self, silences, inherited, LEASE_MS
+            self.loop,
+            self,
+            self.executor,
+            self,
+            silences,
+            inherited,
+            LEASE_MS,
+            MAX_LEASE_MS,
+            Incarnation(),
         )
         self.agent.renew_if_needed()
 
