Ask the next incarnation about starts whose attempts had no answer

What callers saw: a task could run twice at a time after an executor had started again under its id.

An attempt of a start that got no answer may be carried out seconds later. Once a repetition was accepted, or the run was reported, and that incarnation had answered again, the run counted as settled there: when the incarnation was over the task started elsewhere at once, while the first attempt could still reach the next one. Class: the latest attempt was taken for all attempts.

Such a start is settled 12 s after its latest attempt without an answer at the earliest. Until then the next incarnation is asked first; its answer to a call with its own token shows that no attempt can begin there any more. An only attempt whose run is reported has been carried out and can come no second time.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -191,10 +191,11 @@
         Runs that an earlier scheduler placed are among them, as their records do not
         tell on which incarnation.
         """
+        now = self._loop.now()
         return self._inherited | {
             run
             for run, pending in self._starts.items()
-            if not pending.is_settled(self._proven_at)
+            if not pending.is_settled(self._proven_at, now)
         }
 
     def succeed(self, other):
@@ -586,6 +587,10 @@
         if result is OrderResult.TAKEN:
             pending.accept(now)
             return
+        # The run that is reported proves that the only attempt has been carried out.
+        is_first = not pending.maybe_received
+        if result is OrderResult.NO_ANSWER and not (pending.reported and is_first):
+            pending.give_up_attempt(now)
         log_event(
             OrderAnswered(self.name, "start", order.task, order.run, result.value)
         )
@@ -603,8 +608,6 @@
         ):
             if result is OrderResult.LATE:
                 pending.deadline_ms = 0
-            elif result is OrderResult.NO_ANSWER:
-                pending.maybe_received = True
             self._loop.call_later(START_RETRY_S, lambda: self._send_start(pending))
         elif self._starts.pop((order.task, order.run), None) is not None:
             self._driver.on_run_withdrawn(self.name, order.task, order.run)
--- a/src/cardamomgrade/jobs/starts.py
+++ b/src/cardamomgrade/jobs/starts.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from .former import LATE_CALL_S
+
 
 @attrs.define(eq=False)
 class PendingStart:
@@ -10,7 +12,8 @@
     ``accepted_at`` is when the executor confirmed it (monotonic seconds), or None, or
     by when it has taken effect if at all; ``order`` is None for one of another agent;
     ``deadline_ms`` is the lease deadline sent with it, or 0 to take a new one;
-    ``maybe_received`` is set when an attempt had no answer and may have arrived.
+    ``maybe_received`` is set when an attempt had no answer and may have arrived;
+    ``given_up_at`` is when the latest of these was given up.
     ``reported`` is set when the agent's incarnation listed the run, ``settled`` when it
     said itself that it accepted the order. ``attempt_ended_at`` is when the latest
     attempt had an answer or was given up, or None while it is in flight. ``assumed`` is
@@ -21,6 +24,7 @@
     accepted_at: float | None = None
     deadline_ms: int = 0
     maybe_received: bool = False
+    given_up_at: float = float("-inf")
     reported: bool = False
     settled: bool = False
     attempt_ended_at: float | None = None
@@ -41,12 +45,19 @@
             or self.reported
         )
 
-    def is_settled(self, proven_at):
+    def give_up_attempt(self, now):
+        """Note that the latest attempt had no answer; it may be carried out late."""
+        self.maybe_received = True
+        self.given_up_at = now
+
+    def is_settled(self, proven_at, now):
         """Return whether the agent's incarnation got it and no later one can.
 
         ``proven_at`` is when a request was sent that this incarnation answered: an
-        attempt that had ended by then cannot reach the next one.
+        attempt that was answered by then cannot reach the next one.
         """
+        if now - self.given_up_at < LATE_CALL_S:
+            return False
         if self.settled:
             return True
         ended_at = self.attempt_ended_at
@@ -56,7 +67,9 @@
     def handed_over(self, now):
         """Return what the agent of the next incarnation knows about the order."""
         accepted_at = None if self.assumed else self.accepted_at
-        return PendingStart(None, accepted_at, attempt_ended_at=now)
+        return PendingStart(
+            None, accepted_at, given_up_at=self.given_up_at, attempt_ended_at=now
+        )
 
     def accept(self, now):
         """Note that the executor accepted the latest attempt."""
--- a/tests/jobs/former_calls.feature
+++ b/tests/jobs/former_calls.feature
@@ -41,6 +41,17 @@
     And born 2000 reports its runs
     Then run 1 is over, and run 2 is started at port 2
 
+  Scenario: attempts without an answer may reach the next incarnation, though the run is reported
+    Given a scheduler and an executor born at 1000 that reports run 1, two attempts of which had no answer
+    When the executor registers with born 2000 and port 2
+    Then run 1 is not over
+
+  Scenario: an attempt without an answer that was given up long ago reaches no incarnation
+    Given a scheduler and an executor born at 1000 that took the second attempt of run 1, while the first had no answer
+    When born 1000 reports run 1 for 13 s
+    And the executor registers with born 2000 and port 2
+    Then run 1 is over, and run 2 is started at port 2
+
   Scenario: late calls to the former incarnation are fenced off from the next one
     Given a scheduler and an executor born at 1000 that reports run 1 of a task
     When the executor registers with born 2000 and port 2
--- a/tests/steps/jobs_former_calls.py
+++ b/tests/steps/jobs_former_calls.py
@@ -286,6 +286,28 @@
     world.report(born, [1])
 
 
+@given(
+    "a scheduler and an executor born at {born:d} that reports run 1, two attempts of "
+    "which had no answer"
+)
+def step_two_attempts(context, born):
+    world = begin(context, born)
+    world.on_started(OrderAnswer(OrderResult.NO_ANSWER))
+    world.loop.advance(0.2)
+    world.report(born, [1])
+    world.client.starts[-1][1](OrderAnswer(OrderResult.NO_ANSWER))
+    world.report(born, [1])
+    world.report(born, [1])
+
+
+@when("born {born:d} reports run 1 for {seconds:d} s")
+def step_reports_for(context, born, seconds):
+    world = context.lives
+    end = world.loop.now() + seconds
+    while world.loop.now() < end:
+        world.report(born, [1])
+
+
 @then("run 2 is not over")
 def step_not_over(context):
     assert context.lives.is_placed(2)
