Acknowledge each end once; a repetition could reach the next incarnation

What callers saw: done tasks could run again after an executor had started again under its id.

Cause: every renewal repeated the newest acknowledgement. A renewal that was meant for the former incarnation and that the next one takes makes that one forget its own first ends before anyone has read them; a complete report then lacks their runs, which count as missing and start again.

Evidence: the emulated executors refused any call with a deadline far ahead of their clock, where the users' shorten it, and so hid this: the renewal that repeated the acknowledgement was refused as a whole.

An acknowledgement is sent until it is answered, and not again. The emulator shortens deadlines, and a new scenario checks that nodes send none that needs it before an executor starts again, in place of the refusal.

--- a/src/cardamomgrade/emulator/server.py
+++ b/src/cardamomgrade/emulator/server.py
@@ -18,7 +18,7 @@
 MS = 1000
 POLL_S = 0.01
 CLOCK_OFFSET_MS = 480_000  # executors' clocks differ from the scheduler's
-MAX_LEASE_MS = 10_000  # a deadline further ahead is refused
+MAX_LEASE_MS = 10_000  # a deadline further ahead is shortened
 FIRST_CLOCK_MS = 1000  # of an executor that starts again
 SERVERS = "keyed.servers"
 _LENGTH = struct.Struct(">I")
@@ -62,8 +62,9 @@
     ``plan(task)`` returns (duration in ms or None, outcome) of a new run. ``trace`` has
     (start or outcome, executor, task, run) for every start and end of a run, where the
     outcome of a run that an order for its VM ended is "gone", ``paces`` the (task,
-    run, percent) of every order to pace a run, and ``orders`` the (call, fields) of
-    every order for a VM.
+    run, percent) of every order to pace a run, ``orders`` the (call, fields) of every
+    order for a VM, and ``shortened_leases`` the executor of every deadline that was
+    further ahead than the longest lease.
     """
 
     def __init__(self, loop, plan):
@@ -76,6 +77,7 @@
         self.orders = []
         self.trace = []
         self.paces = []
+        self.shortened_leases = []
         self._plan = plan
         self._store = HttpServer(loop, self.net, self._on_store)
         self._vms = HttpServer(loop, self.net, self._on_vms)
@@ -246,8 +248,8 @@
         instance.requests.append((req.path, fields))
         now_ms, token = self._clock_ms(instance), fields["fencingToken"]
         if (fields.get("deadlineMs") or 0) > now_ms + MAX_LEASE_MS:
-            exchange.respond(HttpResponse(400))
-            return
+            fields["deadlineMs"] = now_ms + MAX_LEASE_MS
+            self.shortened_leases.append(instance.executor.name)
         if req.path == "/api/hold":
             end_s = self.loop.now() + fields.get("waitMs", 0) / MS
             self._hold(instance, instance.executor, exchange, fields, end_s, True)
--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -280,7 +280,9 @@
         now = self._renewed_at = self._loop.now()
         boot_now = self._loop.boot_now()
         is_same = self._reaches_same_incarnation(boot_now)
-        stored_end = self._stored_end if is_same else 0
+        # Repeated, it could forget ends of the next incarnation that nobody has read.
+        is_new = self._stored_end > self._acknowledged_end
+        stored_end = self._stored_end if is_same and is_new else 0
         may_wait = (
             self._executor.allocations
             and is_same
--- a/tests/jobs/former_calls.feature
+++ b/tests/jobs/former_calls.feature
@@ -64,6 +64,13 @@
     And the executor registers with born 2000 and port 2
     Then born 2000 is asked for a report
 
+  Scenario: no deadline is further ahead than the longest lease before an executor starts again
+    Given 1 nodes on an emulated platform with an executor born at 1000
+    When a job of 4 tasks of 1 s runs on it
+    Then no lease was shortened
+    When it starts again with born 2000 at its port, and registers 1 s later
+    Then the job is completed, and each task ended done once and never ran twice at a time
+
   Scenario: no task runs twice while executors restart, take former calls and are cut off
     When former calls with seeds 1 to 12 are replayed
     Then no task runs twice at a time after a restart, and all jobs are completed
--- a/tests/steps/jobs_former_calls.py
+++ b/tests/steps/jobs_former_calls.py
@@ -333,6 +333,11 @@
     assert world.client.waiting and world.client.entry.born == 2000
 
 
+@then("no lease was shortened")
+def step_not_shortened(context):
+    assert not context.nodes.platform.shortened_leases
+
+
 @when("former calls with seeds {first:d} to {last:d} are replayed")
 def step_replay(context, first, last):
     context.former = []
