Test the list of executors beside odd entries of another writer

Operators of similar systems reported that one odd entry, nested too deeply, with a number too large or with a port out of range, ended the machines that read the list, or made them stop following it.

A generative test passes odd keys and values through the platform's decoders, TopicFollower, Driver and Registrations, in a page and in the log, also under the id of a known executor; another one does so with a node as a process. In both, sound executors before, after and beside the entries get their tasks.

The emulated store ended its answer with UnicodeDecodeError when a key was not UTF-8, so that a node never loaded the list (seen failing with the process scenario). It now lists such keys with replacement characters.

--- a/src/cardamomgrade/emulator/server.py
+++ b/src/cardamomgrade/emulator/server.py
@@ -143,7 +143,7 @@
     def _newest(self, exchange, options):
         items = [
             {
-                "key": key.decode(),
+                "key": key.decode("utf-8", "replace"),
                 "value": base64.b64encode(value).decode(),
                 "offset": offset,
             }
--- /dev/null
+++ b/tests/steps/jobs_odd_entries.py
@@ -0,0 +1,341 @@
+"""Steps for odd entries of other writers among the registrations of executors."""
+
+import base64
+import json
+import struct
+import tempfile
+from pathlib import Path
+
+import yaml
+from behave import given, then, when
+from hypothesis import example, given as generated, settings, strategies as st
+from jobs_incarnations import DriverWorld, NAME
+from jobs_node import CONFIG, step_fields, WAIT_S
+from platform_decoders import ANY, mutated, VALID
+
+import harness
+from cardamomgrade.client import Requester
+from cardamomgrade.emulator.program import node_settings
+from cardamomgrade.emulator.server import EmulatedPlatform, SERVERS
+from cardamomgrade.jobs.records import encode
+from cardamomgrade.jobs.spec import JobSpec, Step
+from cardamomgrade.jobs.store import Entry
+from cardamomgrade.platform import store
+from cardamomgrade.wire import HttpRequest, HttpResponse
+
+GENERATED = settings(max_examples=300, derandomize=True, deadline=None, database=None)
+SOUND = "sound"  # label of sound executors, which tasks of the tests require
+SECOND = "i-5"
+PAGE_ITEMS = 3
+JOB = "00000000000000c1"
+TASK_MS = 60
+SETTLE_S = 0.1
+ENTRY = VALID["registration"]
+HUGE = b"9" * 5000
+
+
+def text_of(**changes):
+    """Return the bytes of a registration with changed fields."""
+    return json.dumps({**ENTRY, **changes}).encode()
+
+
+def with_raw(field, raw):
+    """Return the bytes of a registration with the JSON text ``raw`` as a field."""
+    return text_of()[:-1] + b', "' + field.encode() + b'": ' + raw + b"}"
+
+
+def nested(depth):
+    return b"[" * depth + b"]" * depth
+
+
+ODD_VALUES = (
+    b"{",
+    b"null",
+    b"\xff\xfe{}",
+    b"[" * 200_000,
+    b'{"a":' * 40_000,
+    text_of() + b" " * 262_144 + b"}",
+    text_of(address="127.0.0.08:80"),
+    text_of(address="127.0.0.1:00000"),
+    text_of(address="127.0.0.1:-1"),
+    text_of(address="127.0.0.1:65536"),
+    text_of(address="127.0.0.1: 80"),
+    text_of(address="127.0.0.1:8_0"),
+    text_of(address="127.0.0.1:\u0668\u0660"),
+    text_of(address="255.255.255.255:9"),
+    text_of(address="224.0.0.1:9"),
+    text_of(address="0.0.0.0:1"),
+    text_of(service="s\r\n\x00"),
+    text_of(service=""),
+    text_of(state="asleep"),
+    text_of(labels=[[[]]]),
+    text_of(remainingMs=-(2**53)),
+    text_of(clockMs=2**53),
+    *(with_raw("slots", nested(depth)) for depth in range(880, 1000, 3)),
+    *(with_raw("labels", nested(depth)) for depth in range(880, 1000, 3)),
+    *(
+        with_raw(field, raw)
+        for field in ("capacity", "clockMs", "remainingMs", "sequence", "born", "slots")
+        for raw in (HUGE, b"-" + HUGE, b"1e400", b"NaN", b"-Infinity", HUGE[:4300])
+    ),
+    *(text_of().decode().encode(name) for name in ("utf-16", "utf-8-sig", "utf-32")),
+)
+ODD_KEYS = (b"", b"\xff\xfe", b"x" * 255, b"a\r\nb", b"x/odd", b"\xed\xa0\x80", b"i-3")
+
+
+@st.composite
+def odd_values(draw):
+    data = json.dumps(mutated(ENTRY, draw(ANY), draw)).encode()
+    return data[: draw(st.sampled_from([len(data), len(data), len(data) // 2]))]
+
+
+VALUES = st.one_of(odd_values(), st.sampled_from(ODD_VALUES), st.binary(max_size=40))
+KEYS = st.one_of(st.sampled_from(ODD_KEYS), st.binary(max_size=6))
+PAIRS = st.lists(st.tuples(KEYS, VALUES), max_size=8)
+
+
+def registration(**changes):
+    """Return a sound registration, whose label the jobs of these tests require."""
+    return text_of(service="s", labels=[SOUND, "r1"], **changes)
+
+
+class EntriesTopic:
+    """Client of the topic of executors; its answers pass the platform's decoders."""
+
+    def __init__(self, world):
+        self._world = world
+        self.reads = []
+
+    def close(self):
+        pass
+
+    def newest(self, after, on_done, timeout):
+        newest = {}
+        for offset, (key, value) in enumerate(self._world.records):
+            newest[key] = (value, offset)
+        items = [
+            {
+                "key": key.decode("utf-8", "replace"),
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (value, offset) in sorted(newest.items())
+            if value and key > after.encode()
+        ]
+        fields = {
+            "items": items[:PAGE_ITEMS],
+            "morePages": len(items) > PAGE_ITEMS,
+            "end": len(self._world.records),
+        }
+        self._answer(on_done, store._page_result, json.dumps(fields).encode())
+
+    def read(self, start, wait_ms, on_done, timeout):
+        if start < len(self._world.records):
+            self._serve_read(start, on_done)
+        else:
+            self.reads.append((start, on_done))
+
+    def _serve_read(self, start, on_done):
+        body = struct.pack(">QQ", len(self._world.records), 0)
+        for key, value in self._world.records[start:]:
+            record = bytes((len(key),)) + key + value
+            body += struct.pack(">I", len(record)) + record
+        self._answer(on_done, lambda res: store._read_result(res, start), body)
+
+    def _answer(self, on_done, decode, body):
+        result = decode(HttpResponse(200, (), body))
+        self._world.loop.call_later(0.001, lambda: on_done(result))
+
+    def written(self):
+        """Answer the reads that wait for further records."""
+        reads, self.reads = self.reads, []
+        for start, on_done in reads:
+            self._serve_read(start, on_done)
+
+
+class EntriesWorld(DriverWorld):
+    """A driver that reads the executors from a topic of raw records."""
+
+    def __init__(self, records=()):
+        super().__init__()
+        self.records = list(records)
+        self.topic = EntriesTopic(self)
+        self.start()
+        self.settle()
+
+    def executors_topic(self):
+        return self.topic
+
+    def settle(self):
+        for _ in range(20 + len(self.records) // PAGE_ITEMS):
+            self.loop.advance(0.01)
+
+    def write(self, *pairs):
+        self.records.extend(pairs)
+        self.topic.written()
+        self.settle()
+
+    def executor(self, entry, epoch):
+        # A connection is not opened, but its address must be one.
+        store.Requester(self.loop, None, entry.address)
+        return super().executor(entry, epoch)
+
+    def started_on(self, name):
+        """Return the tasks whose start was sent to an executor."""
+        return {
+            order.task
+            for client in self.clients
+            if client.entry.executor == name
+            for order, _ in client.starts
+        }
+
+    def submit(self, name, tasks=1, cores_m=1000):
+        step = Step(tasks, cores_m=cores_m, label=SOUND)
+        spec = JobSpec(name, "r-q", "s", "text", 0, (step,))
+        self.view.fold(Entry(0, f"job/{name}", encode(spec)))
+        self.settle()
+
+
+@then("an executor is used after generated entries are read in a page and in the log")
+def step_generated(context):
+    everything = [(f"o-{n}".encode(), item) for n, item in enumerate(ODD_VALUES)]
+    known = NAME.encode()
+
+    @GENERATED
+    @example(everything, everything, everything[:5])
+    @generated(PAIRS, PAIRS, PAIRS)
+    def check(first, second, third):
+        world = EntriesWorld([*first, (known, registration())])
+        world.submit(JOB)
+        assert world.started_on(NAME) == {f"{JOB}.0.0.0"}
+        world.write(*second, *((known, value) for _, value in third))
+        world.write((known, registration()), (SECOND.encode(), registration()))
+        for number in range(2, 9):
+            world.submit(f"{number:016x}")
+        # Each has 4 cores.
+        assert len(world.started_on(NAME)) == 4, world.started_on(NAME)
+        assert len(world.started_on(SECOND)) == 4, world.started_on(SECOND)
+
+    check()
+
+
+class ProcessWorld:
+    """The emulated platform on a loop of the test, and a node as a process."""
+
+    def __init__(self):
+        self.rig = harness.Rig()
+        self.platform = EmulatedPlatform(self.rig.loop, lambda task: (TASK_MS, "done"))
+        self.platform.put("keyed.op", "config", CONFIG)
+        self.folder = Path(tempfile.mkdtemp())
+        self.process = self.caller = None
+
+    def write(self, *pairs):
+        self.platform.log.append(SERVERS, pairs)
+
+    def start(self):
+        cfg = node_settings(1, self.platform)
+        path = self.folder / "n1.yaml"
+        path.write_text(yaml.safe_dump(cfg))
+        env = {"CARDAMOMGRADE_BOOT": str(path)}
+        output, errors = (self.folder / "n1.log", self.folder / "n1.err")
+        with output.open("wb") as out, errors.open("wb") as err:
+            self.process = harness.start("jobsd", env=env, output=out, log=err)
+        self.caller = Requester(self.rig.loop, self.rig.net, cfg["listen"]["front"])
+
+    def call(self, method, path, body=b""):
+        answers = []
+        req = HttpRequest(method, path, ((b"host", b"jobs.example"),), body)
+        self.caller.request(req, answers.append, 5.0)
+        self.rig.run_until(lambda: answers)
+        return answers[0]
+
+    def submit(self, job, **fields):
+        """Submit a job of one step, again until it is accepted."""
+        body = json.dumps({"spec": "text", "steps": [step_fields(**fields)]}).encode()
+        end = self.rig.loop.now() + WAIT_S
+        while self.rig.loop.now() < end:
+            answer = self.call("POST", f"/q/{job}", body)
+            if answer and answer.status == 200:
+                return
+            self.rig.run_for(SETTLE_S)
+        raise AssertionError(answer)
+
+    def wait_completed(self, job):
+        end = self.rig.loop.now() + WAIT_S
+        while self.rig.loop.now() < end:
+            answer = self.call("GET", f"/q/{job}")
+            if answer and json.loads(answer.body)["state"] == "completed":
+                return
+            self.rig.run_for(SETTLE_S)
+        raise AssertionError((answer, self.errors()))
+
+    def started_on(self, name, job):
+        return {
+            task
+            for kind, executor, task, _ in self.platform.trace
+            if kind == "start" and executor == name and task.startswith(job)
+        }
+
+    def errors(self):
+        return (self.folder / "n1.err").read_text()
+
+
+def odd_pairs(prefix):
+    """Return (key, value) pairs of odd entries, each under a key of its own."""
+    pairs = [(prefix + b"%d" % n, item) for n, item in enumerate(ODD_VALUES)]
+    return [*((key, b"{") for key in ODD_KEYS), *pairs]
+
+
+@given("an emulated platform whose list has odd entries before that of an executor")
+def step_platform(context):
+    world = context.odd = ProcessWorld()
+    world.write(*odd_pairs(b"a-"))
+    world.platform.add_executor(NAME, "s", 4000, 64_000, rack=SOUND)
+
+
+@given("a node as a process")
+def step_process(context):
+    context.odd.start()
+
+
+@then("a job is completed on that executor")
+def step_first_job(context):
+    world = context.odd
+    world.submit(JOB, tasks=2, requirements=SOUND)
+    world.wait_completed(JOB)
+    assert len(world.started_on(NAME, JOB)) == 2, world.platform.trace
+
+
+@when("odd entries and then that of another executor are written")
+def step_second(context):
+    world = context.odd
+    for key, value in odd_pairs(b"b-"):
+        world.write((key, value))
+    world.rig.run_for(SETTLE_S)
+    world.platform.add_executor(SECOND, "s", 4000, 64_000, rack=SOUND)
+
+
+@when("the entry of the first executor is replaced by odd ones, then written again")
+def step_replaced(context):
+    world = context.odd
+    for value in ODD_VALUES:
+        world.write((NAME.encode(), value))
+    world.rig.run_for(SETTLE_S)
+    world.platform.register_executor(NAME)
+    world.rig.run_for(SETTLE_S)
+
+
+@then("a job that needs both executors is completed on them")
+def step_both(context):
+    world = context.odd
+    job = "00000000000000c2"
+    world.submit(job, tasks=8, cpu=1000, requirements=SOUND)
+    world.wait_completed(job)
+    for name in (NAME, SECOND):
+        assert world.started_on(name, job), world.platform.trace
+
+
+@then("the process runs, and has reported no error")
+def step_runs(context):
+    assert context.odd.process.poll() is None, context.odd.errors()
+    assert not context.odd.errors(), context.odd.errors()
