Refuse addresses of executors whose numbers have leading zeros

Callers saw a job stay in the state running: the scheduling node sent none of the starts of a plan and reported "gaierror: Name or service not known" on its standard error.

Cause: is_address accepted "127.0.0.08:80" in a registration. inet_pton refuses such a number, so connect_ex looks the host up, which blocks the loop, and raises an error when the lookup fails. Driver._send passes that error to the loop, and the remaining start orders of the plan are lost. "010.0.0.1" was connected to as octal 8.0.0.1, and "127.0.0.1:00000" was accepted as a port.

Numbers of an address must now be in their shortest decimal form, so connect_ex gets nothing that it looks up.

--- a/src/cardamomgrade/platform/checks.py
+++ b/src/cardamomgrade/platform/checks.py
@@ -78,7 +78,8 @@
 def is_address(value):
     """Return whether a value is ``ip:port`` with an IPv4 address in decimals.
 
-    A host name would be looked up while the loop waits.
+    Any other host would be looked up while the loop waits, also a number with a leading
+    zero, and a lookup that fails raises an error.
     """
     if not isinstance(value, str) or not value.isascii():
         return False
@@ -93,8 +94,8 @@
 
 
 def _is_decimal(text, high):
-    is_plain = text.isdecimal() and len(text) <= len(str(high))
-    return is_plain and int(text) <= high
+    is_short = text.isdecimal() and len(text) <= len(str(high))
+    return is_short and int(text) <= high and str(int(text)) == text
 
 
 def born_ms(fields):
--- a/tests/jobs/odd_entries.feature
+++ b/tests/jobs/odd_entries.feature
@@ -11,3 +11,28 @@
     And the entry of the first executor is replaced by odd ones, then written again
     Then a job that needs both executors is completed on them
     And the process runs, and has reported no error
+
+  Scenario Outline: a task that may be placed at an address nobody listens on is run elsewhere
+    Given an emulated platform with an executor and an entry with address <address>
+    And a node as a process
+    Then a job of 8 tasks is completed on that executor
+    And the process runs, and has reported no error
+
+    Examples:
+      | address           |
+      | 127.0.0.08:80     |
+      | 127.0.0.1:00000   |
+      | 255.255.255.255:9 |
+      | 224.0.0.1:9       |
+      | 0.0.0.0:1         |
+
+  Scenario Outline: an address whose numbers have leading zeros is no address
+    Then an entry with address <address> is refused
+
+    Examples:
+      | address         |
+      | 127.0.0.08:80   |
+      | 010.0.0.1:80    |
+      | 127.0.0.00:80   |
+      | 127.0.0.1:00000 |
+      | 127.0.0.1:00080 |
--- a/tests/steps/jobs_odd_entries.py
+++ b/tests/steps/jobs_odd_entries.py
@@ -17,10 +17,11 @@
 from cardamomgrade.client import Requester
 from cardamomgrade.emulator.program import node_settings
 from cardamomgrade.emulator.server import EmulatedPlatform, SERVERS
+from cardamomgrade.errors import RecordError
 from cardamomgrade.jobs.records import encode
 from cardamomgrade.jobs.spec import JobSpec, Step
 from cardamomgrade.jobs.store import Entry
-from cardamomgrade.platform import store
+from cardamomgrade.platform import records, store
 from cardamomgrade.wire import HttpRequest, HttpResponse
 
 GENERATED = settings(max_examples=300, derandomize=True, deadline=None, database=None)
@@ -339,3 +340,27 @@
 def step_runs(context):
     assert context.odd.process.poll() is None, context.odd.errors()
     assert not context.odd.errors(), context.odd.errors()
+
+
+@given("an emulated platform with an executor and an entry with address {address}")
+def step_address(context, address):
+    world = context.odd = ProcessWorld()
+    world.write((b"a-1", registration(address=address)))
+    world.platform.add_executor(NAME, "s", 4000, 64_000, rack=SOUND)
+
+
+@then("a job of {tasks:d} tasks is completed on that executor")
+def step_elsewhere(context, tasks):
+    world = context.odd
+    world.submit(JOB, tasks=tasks, requirements=SOUND)
+    world.wait_completed(JOB)
+    assert len(world.started_on(NAME, JOB)) == tasks, world.platform.trace
+
+
+@then("an entry with address {address} is refused")
+def step_refused(context, address):
+    try:
+        entry = records.decode_executor(NAME, registration(address=address))
+    except RecordError:
+        return
+    raise AssertionError(entry)
