Take an executor's id from the whole key of its registration

Callers saw no task start on an executor while another writer's entry under "x/i-0" could not be read or was deleted, though the entry of i-0 itself held.

Cause: the driver took what follows the last "/" of a key as the executor's id. The keys of the topic are the ids themselves (service discovery: each under its id), so an entry under "x/i-0" or "/i-0" was applied to i-0, and unlisted it.

The driver now passes the whole key on.

Seen failing before: the new scenario.

--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -215,8 +215,7 @@
         self.request_plan()
 
     def _on_executor(self, entry):
-        _, _, name = entry.key.rpartition("/")
-        self._registrations.apply(name, entry.value)
+        self._registrations.apply(entry.key, entry.value)
         self.request_plan()
 
     def _on_executors_read(self):
--- a/tests/jobs/odd_entries.feature
+++ b/tests/jobs/odd_entries.feature
@@ -36,3 +36,8 @@
       | 127.0.0.00:80   |
       | 127.0.0.1:00000 |
       | 127.0.0.1:00080 |
+
+  Scenario: an entry whose key ends with a slash and the id of an executor is another's
+    Given an executor that runs a task
+    When odd entries and deletions are written under keys that end with "/" and its id
+    Then the next task is started on it
--- a/tests/steps/jobs_chaos.py
+++ b/tests/steps/jobs_chaos.py
@@ -303,7 +303,7 @@
 
         def read():
             if driver is not None and not driver._closed:
-                driver._on_executor(Entry(0, f"servers/{name}", value))
+                driver._on_executor(Entry(0, name, value))
 
         self.loop.call_later(self.random.uniform(0, 0.1), read)
 
@@ -361,7 +361,7 @@
             self.loop, cfg, self, term, view, queue_cfg, lambda why: None, Metrics()
         )
         for name, value in self.servers.items():
-            self.driver._on_executor(Entry(0, f"servers/{name}", value))
+            self.driver._on_executor(Entry(0, name, value))
 
     def change_scheduler(self):
         """End the driver, or cut it off from the store; then begin the next one."""
--- a/tests/steps/jobs_incarnations.py
+++ b/tests/steps/jobs_incarnations.py
@@ -151,7 +151,7 @@
         self.read_entry(json.dumps(fields).encode())
 
     def read_entry(self, value):
-        self.driver._on_executor(Entry(0, f"servers/{NAME}", value))
+        self.driver._on_executor(Entry(0, NAME, value))
         self.loop.advance(SOON_S)
 
     @property
@@ -604,7 +604,7 @@
     incarnations.log_event = context.lines.append
     context.add_cleanup(setattr, incarnations, "log_event", log_event)
     for number in range(count):
-        entry = Entry(0, f"servers/x-{number}", b"{")
+        entry = Entry(0, f"x-{number}", b"{")
         world.driver._on_executor(entry)
 
 
@@ -617,7 +617,7 @@
 def step_one_more(context, seconds):
     world = context.lives
     world.loop.time_s += seconds
-    world.driver._on_executor(Entry(0, "servers/x", b"{"))
+    world.driver._on_executor(Entry(0, "x", b"{"))
 
 
 @then("a line says that {count:d} others were not logged")
--- a/tests/steps/jobs_odd_entries.py
+++ b/tests/steps/jobs_odd_entries.py
@@ -364,3 +364,22 @@
     except RecordError:
         return
     raise AssertionError(entry)
+
+
+@given("an executor that runs a task")
+def step_running(context):
+    context.entries = EntriesWorld([(NAME.encode(), registration())])
+    context.entries.submit(JOB)
+
+
+@when('odd entries and deletions are written under keys that end with "/" and its id')
+def step_slash(context):
+    world = context.entries
+    world.write((b"x/" + NAME.encode(), b"{"), (b"/" + NAME.encode(), b""))
+
+
+@then("the next task is started on it")
+def step_next(context):
+    world = context.entries
+    world.submit(f"{2:016x}")
+    assert len(world.started_on(NAME)) == 2, world.started_on(NAME)
