Load a list of records in which a key is not UTF-8

Callers saw no task start at all: the scheduling node reported that the topic of executors is not reachable and asked for the same page for ever.

Cause: the key of a record is bytes of any writer. Where the store's answer shows one that is not UTF-8 as an unpaired surrogate, or as the raw bytes, the page was refused as malformed, with all sound entries in it. Reads of the log already put replacement characters into such keys.

Pages do the same now. An item whose offset or value is not as documented is still refused with its page, since these are the store's own.

--- a/src/cardamomgrade/platform/checks.py
+++ b/src/cardamomgrade/platform/checks.py
@@ -15,7 +15,10 @@
 
 
 def parse_json(data):
-    """Return the JSON value in bytes; raise ValueError, also for too deep nesting."""
+    """Return a JSON value from bytes or text; raise ValueError.
+
+    Nesting that is too deep for the parser is such an error too.
+    """
     try:
         return json.loads(data)
     except RecursionError as exc:
@@ -23,7 +26,7 @@
 
 
 def parse_object(data):
-    """Return the JSON object in bytes as a dict; raise ValueError."""
+    """Return a JSON object from bytes or text as a dict; raise ValueError."""
     fields = parse_json(data)
     if not isinstance(fields, dict):
         raise ValueError("not a JSON object")
@@ -65,6 +68,11 @@
     return True
 
 
+def replace_surrogates(text):
+    """Return a text with a replacement character for each unpaired surrogate."""
+    return text.encode("utf-16", "surrogatepass").decode("utf-16", "replace")
+
+
 def is_name(value):
     """Return whether a value is a text that fits into a key of the store."""
     return is_text(value) and 0 < len(value.encode()) <= NAME_LIMIT_BYTES
--- a/src/cardamomgrade/platform/store.py
+++ b/src/cardamomgrade/platform/store.py
@@ -17,7 +17,7 @@
     Trimmed,
 )
 from ..wire import HttpRequest
-from .checks import is_int, is_text, parse_object
+from .checks import is_int, is_text, parse_object, replace_surrogates
 
 TOPIC_JOBS = "keyed.jobs"
 TOPIC_OPERATOR = "keyed.op"
@@ -74,7 +74,8 @@
 
 def _decode_page(body):
     try:
-        fields = parse_object(body)
+        # Keys may be of any writer; one that is not UTF-8 must not hide the others.
+        fields = parse_object(body.decode("utf-8", "replace"))
         items, end = fields.get("items"), fields.get("end")
         if not isinstance(items, list) or not is_int(end, low=0):
             raise ValueError("no items or no end")
@@ -88,9 +89,9 @@
     if not isinstance(item, dict):
         raise ValueError("an item is no table")
     offset, key, value = item.get("offset"), item.get("key"), item.get("value")
-    if not (is_int(offset, low=0) and is_text(key) and is_text(value)):
+    if not (is_int(offset, low=0) and isinstance(key, str) and is_text(value)):
         raise ValueError("an item lacks a field or has one of the wrong type")
-    return Entry(offset, key, base64.b64decode(value))
+    return Entry(offset, replace_surrogates(key), base64.b64decode(value))
 
 
 def _int_field(body, name):
--- a/tests/jobs/odd_entries.feature
+++ b/tests/jobs/odd_entries.feature
@@ -41,3 +41,14 @@
     Given an executor that runs a task
     When odd entries and deletions are written under keys that end with "/" and its id
     Then the next task is started on it
+
+  Scenario Outline: a list with a key that is not UTF-8 is loaded
+    Given a list of executors in which the key of an odd entry is <key>
+    When the list is loaded
+    Then the executors beside it are listed
+
+    Examples:
+      | key                      |
+      | an unpaired surrogate    |
+      | bytes that are not UTF-8 |
+      | empty                    |
--- a/tests/steps/jobs_odd_entries.py
+++ b/tests/steps/jobs_odd_entries.py
@@ -383,3 +383,33 @@
     world = context.entries
     world.submit(f"{2:016x}")
     assert len(world.started_on(NAME)) == 2, world.started_on(NAME)
+
+
+BAD_KEYS = {
+    "an unpaired surrogate": b'"i-1\\udcff"',
+    "bytes that are not UTF-8": b'"i-1\xff"',
+    "empty": b'""',
+}
+
+
+@given("a list of executors in which the key of an odd entry is {key}")
+def step_bad_key(context, key):
+    value = base64.b64encode(registration()).decode()
+    items = [{"key": name, "value": value, "offset": 1} for name in ("i-0", "?", "i-2")]
+    body = json.dumps({"items": items, "morePages": False, "end": 3}).encode()
+    context.body = body.replace(b'"?"', BAD_KEYS[key])
+
+
+@when("the list is loaded")
+def step_load(context):
+    page = store._page_result(HttpResponse(200, (), context.body))
+    world = context.entries = EntriesWorld()
+    world.topic.newest = lambda after, on_done, timeout: on_done(page)
+    world.driver._executors._load("test")
+    world.settle()
+
+
+@then("the executors beside it are listed")
+def step_listed(context):
+    names = set(context.entries.driver._scheduler.executors)
+    assert names == {"i-0", "i-2"}, names
