End a load of a topic whose pages do not go on

Callers would see no task start: a node asked the store for the same page again and again, without a pause, and never had the list.

Cause: the next page is asked for after the last key of the page before. Where that key cannot be sent back as it is, as it is empty or not UTF-8 (shown with replacement characters, which sort before it), the store's answer is the same page again, if it is full: 500 such entries, or few large ones.

A load now ends when a page brought no key that was not read before. As keys beyond it are unknown, it takes nothing off the list, and TopicLoaded says that the pages do not go on; their entries are read from the log when they are written again.

--- a/src/cardamomgrade/jobs/follow.py
+++ b/src/cardamomgrade/jobs/follow.py
@@ -92,20 +92,22 @@
                 self._schedule(RETRY_S, lambda: self._load(why))
                 return
             self._succeeded(is_first=end is None)
+            known = len(entries)
             entries.update((entry.key, entry) for entry in page.entries)
             first_end = page.end if end is None else end
-            if page.more and page.entries:
+            # A key that is not UTF-8 cannot be sent back; its page may come again.
+            if page.more and len(entries) > known:
                 self._load(why, page.entries[-1].key, entries, first_end)
             else:
-                self._on_loaded(entries, first_end, why)
+                self._on_loaded(entries, first_end, why, not page.more)
 
         self._client.newest(after, done, READ_TIMEOUT_S)
 
-    def _on_loaded(self, entries, end, why):
+    def _on_loaded(self, entries, end, why, is_complete):
         deleted = [
             key
             for key, offset in self._offsets.items()
-            if key not in entries and offset < end
+            if is_complete and key not in entries and offset < end
         ]
         for key in deleted:
             self._deliver(Entry(end - 1, key, b""))
@@ -113,6 +115,7 @@
             self._deliver(entry)
         self.next_offset = max(end, 0)
         self.loaded = True
+        why = why if is_complete else f"{why}; the pages do not go on"
         log_event(TopicLoaded(self._topic, len(entries), end, why))
         self._on_read()
         self._read()
--- a/tests/jobs/odd_entries.feature
+++ b/tests/jobs/odd_entries.feature
@@ -52,3 +52,13 @@
       | an unpaired surrogate    |
       | bytes that are not UTF-8 |
       | empty                    |
+
+  Scenario Outline: a load ends when a page of the store has no further key
+    Given a store whose every page of executors has more, and the key <key> last
+    When the list is loaded page by page
+    Then it was loaded with at most 3 calls, and no executor was taken off the list
+
+    Examples:
+      | key   |
+      | i-2   |
+      | empty |
--- a/tests/steps/jobs_odd_entries.py
+++ b/tests/steps/jobs_odd_entries.py
@@ -20,7 +20,7 @@
 from cardamomgrade.errors import RecordError
 from cardamomgrade.jobs.records import encode
 from cardamomgrade.jobs.spec import JobSpec, Step
-from cardamomgrade.jobs.store import Entry
+from cardamomgrade.jobs.store import Entry, Page
 from cardamomgrade.platform import records, store
 from cardamomgrade.wire import HttpRequest, HttpResponse
 
@@ -413,3 +413,35 @@
 def step_listed(context):
     names = set(context.entries.driver._scheduler.executors)
     assert names == {"i-0", "i-2"}, names
+
+
+@given("a store whose every page of executors has more, and the key {key} last")
+def step_endless(context, key):
+    last = "" if key == "empty" else key
+    context.page = Page(
+        (Entry(1, "i-0", registration()), Entry(2, last, registration())), True, 3
+    )
+
+
+@when("the list is loaded page by page")
+def step_load_pages(context):
+    world = context.entries = EntriesWorld([(b"i-1", registration())])
+    context.calls = 0
+
+    def newest(after, on_done, timeout):
+        context.calls += 1
+        world.loop.call_later(0.001, lambda: on_done(context.page))
+
+    world.topic.newest = newest
+    world.driver._executors._load("test")
+    world.settle()
+
+
+@then(
+    "it was loaded with at most {calls:d} calls, and no executor was taken off the list"
+)
+def step_loaded(context, calls):
+    assert context.calls <= calls, context.calls
+    executors = context.entries.driver._scheduler.executors
+    assert {"i-0", "i-1"} <= set(executors), executors
+    assert all(item.listed for item in executors.values()), executors
