Refuse registrations in which a field that is not used is of another type

Another writer's entry was used as an executor, and got starts, if only slots, sequence, coldRemainingMs or version were of another type, infinite or no number: an entry with such a field names no executor to use, but these four were not read.

They are now checked where present. Missing ones and null are still accepted, as it is not known that every executor writes all of them, and further fields are ignored.

Seen failing before: the ten scenarios of refusals. After: these, the generated entries, and the registrations in the incarnations and decoders features pass.

--- a/src/cardamomgrade/platform/records.py
+++ b/src/cardamomgrade/platform/records.py
@@ -26,6 +26,7 @@
 STATUS_RUNNING = "running"
 STATUS_COMPLETED = "completed"
 CAPACITY_MAX = 10**9  # thousandths of a core, or MB; no machine has a tenth of it
+UNUSED_NUMBERS = ("slots", "sequence", "coldRemainingMs")  # of a registration
 _NUMBER = (int, float)
 _CHECKS = {int: is_int, _NUMBER: is_number, str: is_text}
 
@@ -137,6 +138,20 @@
     )
 
 
+def _check_unused(fields):
+    """Raise RecordError if an unused field of a registration is of another type.
+
+    Such an entry is another writer's, whatever its other fields say.
+    """
+    for name in UNUSED_NUMBERS:
+        value = fields.get(name)
+        if value is not None and not is_number(value):
+            raise RecordError(f"{name} = {shown(value)}; allowed: a number")
+    version = fields.get("version")
+    if not (version is None or is_text(version) or is_number(version)):
+        raise RecordError(f"version = {shown(version)}; allowed: a string")
+
+
 def decode_executor(executor, data):
     """Return the ExecutorEntry in an executor's registration; raise RecordError."""
     if not is_header_name(executor):
@@ -152,6 +167,7 @@
     labels = _get(fields, "labels", list, [])
     if not all(is_text(label) for label in labels):
         raise RecordError(f"labels = {shown(labels)}; allowed: strings")
+    _check_unused(fields)
     return ExecutorEntry(
         executor=executor,
         service=_get(fields, "service", str),
--- a/tests/jobs/odd_entries.feature
+++ b/tests/jobs/odd_entries.feature
@@ -62,3 +62,31 @@
       | key   |
       | i-2   |
       | empty |
+
+  Scenario Outline: an entry with a field of another type names no executor
+    Then an entry with <field> = <value> is refused
+
+    Examples:
+      | field           | value       |
+      | slots           | "8"         |
+      | slots           | [8]         |
+      | slots           | 1e400       |
+      | slots           | true        |
+      | sequence        | {}          |
+      | sequence        | NaN         |
+      | coldRemainingMs | "soon"      |
+      | coldRemainingMs | -1e999      |
+      | version         | ["v1"]      |
+      | version         | "\ud800"    |
+
+  Scenario Outline: an entry holds without fields that the scheduler does not use
+    Then an entry with <field> = <value> is an executor's
+
+    Examples:
+      | field           | value |
+      | slots           | null  |
+      | slots           | 8     |
+      | coldRemainingMs | 0.5   |
+      | version         | "v1"  |
+      | version         | 7     |
+      | further         | [[]]  |
--- a/tests/steps/jobs_odd_entries.py
+++ b/tests/steps/jobs_odd_entries.py
@@ -445,3 +445,18 @@
     executors = context.entries.driver._scheduler.executors
     assert {"i-0", "i-1"} <= set(executors), executors
     assert all(item.listed for item in executors.values()), executors
+
+
+@then("an entry with {field} = {value} is refused")
+def step_field_refused(context, field, value):
+    try:
+        entry = records.decode_executor(NAME, with_raw(field, value.encode()))
+    except RecordError:
+        return
+    raise AssertionError(entry)
+
+
+@then("an entry with {field} = {value} is an executor's")
+def step_field_accepted(context, field, value):
+    entry = records.decode_executor(NAME, with_raw(field, value.encode()))
+    assert entry.executor == NAME, entry
