Refuse registrations whose service is no name of usable length

Operators would miss events of a node: one entry with a service of 250,000 characters gave two lines of the log of 250 kB each (ExecutorSeen and EntryUnreadable, trial), and a line that does not fit into the buffer of 256 kB is dropped.

Cause: a service could be any text. It must now be a name, as ids and VMs must: text of 1 to 200 bytes. Errors show the first 80 characters of other values.

Seen failing before: the new scenario. After: odd_entries and decoders features pass.

--- a/src/cardamomgrade/platform/records.py
+++ b/src/cardamomgrade/platform/records.py
@@ -160,6 +160,9 @@
     state = _get(fields, "state", str)
     if state not in EXECUTOR_STATES:
         raise RecordError(f"state = {shown(state)}; allowed: ready, draining")
+    service = fields.get("service")
+    if not is_name(service):
+        raise RecordError(f"service = {shown(service)}; allowed: a name")
     address = _get(fields, "address", str)
     if not is_address(address):
         raise RecordError(f"address = {shown(address)}; allowed: ip:port")
@@ -170,7 +173,7 @@
     _check_unused(fields)
     return ExecutorEntry(
         executor=executor,
-        service=_get(fields, "service", str),
+        service=service,
         address=address,
         zone=_get(fields, "zone", str, ""),
         draining=state == "draining",
--- a/tests/jobs/odd_entries.feature
+++ b/tests/jobs/odd_entries.feature
@@ -90,3 +90,6 @@
       | version         | "v1"  |
       | version         | 7     |
       | further         | [[]]  |
+
+  Scenario: an entry whose service has 250,000 characters is refused with a short line
+    Then it is refused with an error of at most 200 characters
--- a/tests/steps/jobs_odd_entries.py
+++ b/tests/steps/jobs_odd_entries.py
@@ -460,3 +460,13 @@
 def step_field_accepted(context, field, value):
     entry = records.decode_executor(NAME, with_raw(field, value.encode()))
     assert entry.executor == NAME, entry
+
+
+@then("it is refused with an error of at most {chars:d} characters")
+def step_long_service(context, chars):
+    try:
+        records.decode_executor(NAME, text_of(service="s" * 250_000))
+    except RecordError as exc:
+        assert len(str(exc)) <= chars, len(str(exc))
+        return
+    raise AssertionError("accepted")
