Ignore the start of an incarnation that lies in the future

Callers would see the jobs of an executor not end: one entry of another writer under the executor's id, with a born in the year 2255, ended the known incarnation. The executor's own entries and each of its answers then counted as those of an earlier incarnation until the term ended, so that no answer to a start or renewal was read.

Cause: a higher born proves a restart, and any up to the year 2286 was accepted.

A born that is too high but not in the future cannot be told from a true one.

Changes jobs/incarnations.py, in Registrations.apply. Seen failing before: the new scenario.

--- a/src/cardamomgrade/jobs/incarnations.py
+++ b/src/cardamomgrade/jobs/incarnations.py
@@ -9,6 +9,8 @@
 later one, which is asked about it.
 """
 
+import time
+
 import attrs
 
 from ..errors import RecordError
@@ -16,6 +18,7 @@
 from .reports import LossCause
 
 LINE_INTERVAL_S = 5.0  # a faulty writer may write hundreds of records a second
+CLOCK_ERROR_MAX_MS = 24 * 3_600_000  # by which the wall clocks of machines may differ
 MS = 1000
 
 
@@ -90,6 +93,9 @@
             self._log_unusable(name, str(exc))
             self._scheduler.unlist_executor(name)
             return
+        if entry.born > time.time() * MS + CLOCK_ERROR_MAX_MS:
+            # It would outrank every true one; the incarnation's answers show its own.
+            entry = attrs.evolve(entry, born=0)
         known = self._scheduler.executors.get(name)
         latest = self._latest_born.get(name, 0)
         if known is not None:
--- a/tests/jobs/odd_entries.feature
+++ b/tests/jobs/odd_entries.feature
@@ -93,3 +93,9 @@
 
   Scenario: an entry whose service has 250,000 characters is refused with a short line
     Then it is refused with an error of at most 200 characters
+
+  Scenario: an entry with a start in the future does not outrank later entries of its id
+    Given an executor that runs a task
+    When an entry under its id says that it starts in 2255
+    And its own entry is written again
+    Then its task goes on, and the next one is started on it by the same agent
--- a/tests/steps/jobs_odd_entries.py
+++ b/tests/steps/jobs_odd_entries.py
@@ -470,3 +470,24 @@
         assert len(str(exc)) <= chars, len(str(exc))
         return
     raise AssertionError("accepted")
+
+
+@when("an entry under its id says that it starts in 2255")
+def step_future(context):
+    value = registration(born=9_000_000_000_000)
+    context.entries.write((NAME.encode(), value))
+
+
+@when("its own entry is written again")
+def step_own_entry(context):
+    context.entries.write((NAME.encode(), registration()))
+
+
+@then("its task goes on, and the next one is started on it by the same agent")
+def step_goes_on(context):
+    world = context.entries
+    executor = world.driver._scheduler.executors[NAME]
+    assert executor.entry.born == ENTRY["born"], executor.entry
+    world.submit(f"{2:016x}")
+    (client,) = world.clients
+    assert [order.run for order, _ in client.starts] == [1, 1], client.starts
