Go on to the next record when applying one raises an error

An error that a callback raises does not end the process: circuits writes it to standard error and goes on. But the callback's continuation is lost. In TopicFollower this was the next read, so that a node kept its term and never read the topic again, of executors, jobs or configurations, and the other records of the page were lost.

TopicFollower now logs such an error as EntryNotApplied (659, ERROR), with the record's key and offset, and delivers the next record. Ending the process would not help: a new one reads the same record. The failing record may have been applied in part; it is a fault to be fixed, not an input that is expected. Decoders still turn malformed input into RecordError, and no input is known that raises another error: the generated tests and the process scenarios check that no such line is logged.

--- a/src/cardamomgrade/jobs/follow.py
+++ b/src/cardamomgrade/jobs/follow.py
@@ -1,5 +1,9 @@
 """Follows a keyed topic of the store: loads the newest records, then reads the log."""
 
+import logging
+import traceback
+from pathlib import Path
+
 from ..journal import event, log_event
 from .store import Entry, Page, Records, Trimmed
 
@@ -7,6 +11,7 @@
 READ_TIMEOUT_S = 1.2  # covers READ_WAIT_MS and the answer of a slow store
 PROBE_TIMEOUT_S = 0.7  # for reads that do not wait for new records
 RETRY_S = 0.1
+ERROR_SHOWN_CHARS = 200
 MS = 1000
 
 
@@ -29,13 +34,28 @@
     why: str
 
 
+@event(659, logging.ERROR)
+class EntryNotApplied:
+    """Applying a record raised an error, which is a fault of this program.
+
+    The record may have been applied in part. ``detail`` has the error and its place.
+    """
+
+    topic: str
+    key: str
+    offset: int
+    detail: str
+
+
 class TopicFollower:
     """Calls ``on_entry(Entry)`` for each change of a key, in the order of the topic.
 
     ``on_read()`` is called after every successful read, ``on_fail()`` after a failed
-    one. ``pause_s`` is the pause in seconds before the next read of the log,
-    ``read_at`` the monotonic time of the last successful answer, and ``gap_s`` the
-    seconds between it and the one before, infinite for the first.
+    one. An error that ``on_entry`` raises is logged, and the next record is delivered:
+    a stored record would raise it again in a new process. ``pause_s`` is the pause in
+    seconds before the next read of the log, ``read_at`` the monotonic time of the last
+    successful answer, and ``gap_s`` the seconds between it and the one before, infinite
+    for the first.
     """
 
     def __init__(
@@ -124,7 +144,11 @@
         if entry.offset <= self._offsets.get(entry.key, -1):
             return
         self._offsets[entry.key] = entry.offset
-        self._on_entry(entry)
+        try:
+            self._on_entry(entry)
+        except Exception as exc:
+            detail = _describe(exc)
+            log_event(EntryNotApplied(self._topic, entry.key, entry.offset, detail))
 
     def _read(self):
         wait_ms = 0 if self._failing else READ_WAIT_MS
@@ -185,3 +209,10 @@
         if self._failing:
             self._failing = False
             log_event(StoreReachable(self._topic, True, ""))
+
+
+def _describe(exc):
+    """Return the text of an error and the line of code that raised it."""
+    place = traceback.extract_tb(exc.__traceback__)[-1]
+    text = repr(exc)[:ERROR_SHOWN_CHARS]
+    return f"{text} at {Path(place.filename).name}:{place.lineno}"
--- a/tests/jobs/odd_entries.feature
+++ b/tests/jobs/odd_entries.feature
@@ -99,3 +99,9 @@
     When an entry under its id says that it starts in 2255
     And its own entry is written again
     Then its task goes on, and the next one is started on it by the same agent
+
+  Scenario: an error in applying one record is logged and costs that record only
+    Given an executor that runs a task
+    When applying the next 2 of 3 entries written at once raises a RecursionError
+    Then the third is applied, and so is one that is written later
+    And 2 lines name the key and offset of the record and the error
--- a/tests/steps/jobs_odd_entries.py
+++ b/tests/steps/jobs_odd_entries.py
@@ -1,6 +1,7 @@
 """Steps for odd entries of other writers among the registrations of executors."""
 
 import base64
+import contextlib
 import json
 import struct
 import tempfile
@@ -18,6 +19,7 @@
 from cardamomgrade.emulator.program import node_settings
 from cardamomgrade.emulator.server import EmulatedPlatform, SERVERS
 from cardamomgrade.errors import RecordError
+from cardamomgrade.jobs import follow
 from cardamomgrade.jobs.records import encode
 from cardamomgrade.jobs.spec import JobSpec, Step
 from cardamomgrade.jobs.store import Entry, Page
@@ -197,8 +199,21 @@
         self.settle()
 
 
+def record_lines(context):
+    """Set ``context.lines`` to the events that followers log in this scenario."""
+    context.lines = []
+    log_event = follow.log_event
+    follow.log_event = context.lines.append
+    context.add_cleanup(setattr, follow, "log_event", log_event)
+
+
+def not_applied(lines):
+    return [line for line in lines if isinstance(line, follow.EntryNotApplied)]
+
+
 @then("an executor is used after generated entries are read in a page and in the log")
 def step_generated(context):
+    record_lines(context)
     everything = [(f"o-{n}".encode(), item) for n, item in enumerate(ODD_VALUES)]
     known = NAME.encode()
 
@@ -216,6 +231,7 @@
         # Each has 4 cores.
         assert len(world.started_on(NAME)) == 4, world.started_on(NAME)
         assert len(world.started_on(SECOND)) == 4, world.started_on(SECOND)
+        assert not not_applied(context.lines), context.lines
 
     check()
 
@@ -340,6 +356,8 @@
 def step_runs(context):
     assert context.odd.process.poll() is None, context.odd.errors()
     assert not context.odd.errors(), context.odd.errors()
+    log = (context.odd.folder / "n1.log").read_text()
+    assert "EntryNotApplied" not in log, log
 
 
 @given("an emulated platform with an executor and an entry with address {address}")
@@ -491,3 +509,39 @@
     world.submit(f"{2:016x}")
     (client,) = world.clients
     assert [order.run for order, _ in client.starts] == [1, 1], client.starts
+
+
+@when(
+    "applying the next {count:d} of 3 entries written at once raises a RecursionError"
+)
+def step_raises(context, count):
+    world = context.entries
+    apply, failing = world.driver._registrations.apply, ["o-0", "o-1"][:count]
+
+    def apply_or_raise(name, value):
+        if name in failing:
+            raise RecursionError("maximum recursion depth exceeded")
+        apply(name, value)
+
+    world.driver._registrations.apply = apply_or_raise
+    record_lines(context)
+    value = registration()
+    pairs = [(f"o-{number}".encode(), value) for number in range(3)]
+    with contextlib.suppress(RecursionError):  # a loop reports it and goes on
+        world.write(*pairs)
+
+
+@then("the third is applied, and so is one that is written later")
+def step_applied(context):
+    world = context.entries
+    world.write((b"o-3", registration()))
+    executors = world.driver._scheduler.executors
+    assert set(executors) == {NAME, "o-2", "o-3"}, executors
+
+
+@then("{count:d} lines name the key and offset of the record and the error")
+def step_error_lines(context, count):
+    lines = not_applied(context.lines)
+    shown = [(line.key, line.offset) for line in lines]
+    assert shown == [(f"o-{number}", 1 + number) for number in range(count)], shown
+    assert all("RecursionError" in line.detail for line in lines), lines
