Test waves and cardamomctl beside odd records and odd lists of VMs

A node as a process carries out a wave beside malformed configurations and waves with extreme figures, after lists of VMs with malformed or repeated items were read. cardamomctl job list, job queues and customer list answer beside malformed records of jobs and operators, and the node reports no error.

A list of VMs with one malformed item is still refused as a whole; the next sound list is used.

--- a/tests/jobs/odd_entries.feature
+++ b/tests/jobs/odd_entries.feature
@@ -105,3 +105,26 @@
     When applying the next 2 of 3 entries written at once raises a RecursionError
     Then the third is applied, and so is one that is written later
     And 2 lines name the key and offset of the record and the error
+
+  Scenario: a wave is carried out beside odd records of operators and odd lists of VMs
+    Given an emulated platform whose list has odd entries before that of an executor
+    And a node as a process
+    Then a job is completed on that executor
+    When odd records of operators are written, and odd VMs are listed for 1 s
+    And a wave over the VM of that executor is written
+    Then the wave is completed, and the VM had one upkeep
+    And the process runs, and has reported no error
+
+  Scenario Outline: cardamomctl answers beside odd records
+    Given an emulated platform whose list has odd entries before that of an executor
+    And a node as a process
+    Then a job is completed on that executor
+    When odd records are written among those of jobs and of operators
+    Then "cardamomctl <command>" ends with <status> and prints <text>
+    And the process runs, and has reported no error
+
+    Examples:
+      | command       | status | text                         |
+      | job list      | 0      | 00000000000000c1             |
+      | job queues    | 1      | no configuration is in force |
+      | customer list | 1      | the configuration cannot be read |
--- a/tests/steps/jobs_odd_entries.py
+++ b/tests/steps/jobs_odd_entries.py
@@ -545,3 +545,95 @@
     shown = [(line.key, line.offset) for line in lines]
     assert shown == [(f"o-{number}", 1 + number) for number in range(count)], shown
     assert all("RecursionError" in line.detail for line in lines), lines
+
+
+WAVE = {"wave": 900, "machines": [f"m-{NAME}"], "durationS": 20, "maxCount": 1}
+ODD_WAVES = (
+    b"[" * 200_000,
+    b"\xff",
+    b'{"wave":' + HUGE + b"}",
+    *(
+        json.dumps({**WAVE, "wave": number, **changes}).encode()
+        for number, changes in enumerate(
+            (
+                {"machines": ["m-none"] * 3},
+                {"machines": []},
+                {"machines": [[]]},
+                {"machines": {"a": 1}},
+                {"machines": ["m-none"], "durationS": 1e308},
+                {"machines": ["m-none"], "durationS": -1e308},
+                {"machines": ["m-none"], "maxCount": 2**53},
+                {"machines": ["m-none"], "maxCount": -(2**53)},
+                {"machines": ["m-none"], "wave": -(2**53)},
+                {"machines": ["x" * 200], "wave": 2**53},
+            )
+        )
+    ),
+)
+ODD_VMS = (
+    [[[]]],
+    [{"machine": "m", "pool": 7, "state": "up"}],
+    [{"machine": "m", "pool": "s", "state": "asleep", "id": "", "capacity": [[]]}],
+    [{"machine": "m", "pool": "none", "state": "up", "id": NAME}] * 3,
+    [{"machine": "x" * 300, "pool": "s", "state": "up"}],
+)
+
+
+@when("odd records of operators are written, and odd VMs are listed for {seconds:d} s")
+def step_odd_operator(context, seconds):
+    world = context.odd
+    pairs = [(b"wave/%d" % n, item) for n, item in enumerate(ODD_WAVES)]
+    pairs += [(b"config", item) for item in ODD_VALUES[:8]]
+    pairs += [(key, b"{") for key in ODD_KEYS]
+    world.platform.log.append("keyed.op", pairs)
+    for items in ODD_VMS:
+        odd = {f"odd-{number}": item for number, item in enumerate(items)}
+        world.platform.machines.update(odd)
+        world.rig.run_for(seconds / len(ODD_VMS))
+        for name in odd:
+            del world.platform.machines[name]
+
+
+@when("a wave over the VM of that executor is written")
+def step_wave(context):
+    context.odd.platform.put("keyed.op", "wave/900", WAVE)
+
+
+@then("the wave is completed, and the VM had one upkeep")
+def step_wave_done(context):
+    world = context.odd
+
+    def completed():
+        newest = world.platform.log.newest("keyed.status").get(b"wave/900")
+        return newest is not None and json.loads(newest[0])["state"] == "completed"
+
+    world.rig.run_until(completed, WAIT_S)
+    upkeeps = [item for item in world.platform.orders if item[0] == "machine-upkeep"]
+    assert upkeeps == [("machine-upkeep", {"machine": f"m-{NAME}", "wave": 900})]
+
+
+@when("odd records are written among those of jobs and of operators")
+def step_odd_jobs(context):
+    log = context.odd.platform.log
+    prefixes = (b"job/", b"cancel/", b"progress/", b"upkeep/", b"order/", b"silent/")
+    values = (b"{", b"\x81" * 5000, b"\xff", b"\x9b" + b"\xff" * 8, b"\xfb\x7f\xf0")
+    pairs = [
+        (prefix + b"odd-%d" % n, value)
+        for prefix in prefixes
+        for n, value in enumerate(values)
+    ]
+    log.append("keyed.jobs", [*pairs, *((key, b"{") for key in ODD_KEYS)])
+    log.append("keyed.op", [(b"config", b"[" * 200_000)])
+
+
+@then('"cardamomctl {command}" ends with {status:d} and prints {text}')
+def step_ctl(context, command, status, text):
+    world = context.odd
+    env = {"CARDAMOMGRADE_BOOT": str(world.folder / "n1.yaml")}
+    shown = world.folder / "ctl.txt"
+    with shown.open("wb") as file:
+        process = harness.start("ctl", *command.split(), env=env, output=file, log=file)
+    world.rig.run_until(lambda: process.poll() is not None)
+    printed = shown.read_text()
+    assert process.returncode == status, printed
+    assert text in printed and "Traceback" not in printed, printed
