--- a/src/cardamomgrade/platform/checks.py
+++ b/src/cardamomgrade/platform/checks.py
@@ -15,7 +15,10 @@
 
 
 def parse_json(data):
-    """Return the JSON value in bytes; raise ValueError, also for too deep nesting."""
+    """Return a JSON value from bytes or text; raise ValueError.
+
+    Nesting that is too deep for the parser is such an error too.
+    """
     try:
         return json.loads(data)
     except RecursionError as exc:
@@ -23,7 +26,7 @@
 
 
 def parse_object(data):
-    """Return the JSON object in bytes as a dict; raise ValueError."""
+    """Return a JSON object from bytes or text as a dict; raise ValueError."""
     fields = parse_json(data)
     if not isinstance(fields, dict):
         raise ValueError("not a JSON object")
@@ -65,6 +68,11 @@
     return True
 
 
+def replace_surrogates(text):
+    """Return a text with a replacement character for each unpaired surrogate."""
+    return text.encode("utf-16", "surrogatepass").decode("utf-16", "replace")
+
+
 def is_name(value):
     """Return whether a value is a text that fits into a key of the store."""
     return is_text(value) and 0 < len(value.encode()) <= NAME_LIMIT_BYTES
@@ -78,7 +86,8 @@
 def is_address(value):
     """Return whether a value is ``ip:port`` with an IPv4 address in decimals.
 
-    A host name would be looked up while the loop waits.
+    Any other host would be looked up while the loop waits, also a number with a leading
+    zero, and a lookup that fails raises an error.
     """
     if not isinstance(value, str) or not value.isascii():
         return False
@@ -93,8 +102,8 @@
 
 
 def _is_decimal(text, high):
-    is_plain = text.isdecimal() and len(text) <= len(str(high))
-    return is_plain and int(text) <= high
+    is_short = text.isdecimal() and len(text) <= len(str(high))
+    return is_short and int(text) <= high and str(int(text)) == text
 
 
 def born_ms(fields):
