--- a/tests/steps/jobs_node.py
+++ b/tests/steps/jobs_node.py
@@ -11,8 +11,8 @@
 from cardamomgrade.emulator.log import Reply
 from cardamomgrade.emulator.server import EmulatedPlatform, HOST
 from cardamomgrade.errors import SettingsError
-from cardamomgrade.jobs.node import Node
 from cardamomgrade.jobs.former import Incarnation
+from cardamomgrade.jobs.node import Node
 from cardamomgrade.jobs.records import (
     CancelRecord,
     decode_term,
