Notice by its clock that a later incarnation took an order

What callers saw: a task could run twice at a time when an executor started again under its id and was cut off before its registration or a report was read.

Cause: the answer to an order does not tell born. An incarnation that nobody knows yet took a start for its former one, with the longest lease, and its answer was taken for the former one's: when the executor fell silent, 4.2 s counted.

An executor's clock starts anew. An answer whose clock is below the lowest that the known incarnation's may show is a later one's: the lease counts maxHoldMs from there, and a report is requested at once beside the renewal, which shows born.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -333,6 +333,28 @@
             return False
         return boot_now - self._proven_boot_at < JUST_ANSWERED_S
 
+    def _ask(self):
+        def done(report):
+            report = self._check_incarnation(report)
+            if isinstance(report, LeaseReport) and not self._closed:
+                self._incarnation.fence(self._loop.now())
+
+        self._client.ask(done)
+
+    def _check_clock(self, answer, min_clock_ms):
+        """Return an answer to an order, without the clock of a later incarnation.
+
+        Such answers do not tell ``born``, but a clock that starts anew is below
+        ``min_clock_ms``, the lowest that this incarnation's may show. What the order
+        started there has the longest lease.
+        """
+        is_known = self._executor.entry.born and answer.clock_ms
+        if self._closed or not is_known or answer.clock_ms >= int(min_clock_ms):
+            return answer
+        self._incarnation.doubt(self._loop.now())
+        self._ask()
+        return attrs.evolve(answer, clock_ms=0)
+
     def _check_incarnation(self, answer):
         """Return an answer, or one of NO_ANSWER in place of an earlier incarnation's.
 
@@ -547,10 +569,13 @@
         if not pending.deadline_ms:
             pending.deadline_ms = self._lease.grant(self._loop.now())
 
+        min_clock_ms = self._lease.min_clock_ms(self._loop.now())
+
         def done(answer):
             if self._closed:
                 return
             born = self._executor.entry.born
+            answer = self._check_clock(answer, min_clock_ms)
             pending.attempt_ended_at = self._loop.now()
             if answer.result is OrderResult.TAKEN and answer.born >= born > 0:
                 # By a later incarnation too, which is asked for its runs then.
@@ -625,8 +650,10 @@
         if self._closed or (task, run) not in self._stopping:
             return
 
+        min_clock_ms = self._lease.min_clock_ms(self._loop.now())
+
         def done(answer):
-            answer = self._check_incarnation(answer)
+            answer = self._check_incarnation(self._check_clock(answer, min_clock_ms))
             if self._closed:
                 return
             self._lease.update_clock(self._loop.now(), answer.clock_ms)
--- a/src/cardamomgrade/jobs/former.py
+++ b/src/cardamomgrade/jobs/former.py
@@ -31,6 +31,10 @@
         """Note an answer to a call whose token is above those of all former calls."""
         self.former_until = min(self.former_until, now)
 
+    def doubt(self, now):
+        """Note that a call to it may have reached a later incarnation by now."""
+        self.former_until = max(self.former_until, now)
+
     def is_fenced(self, now):
         """Return whether no call to a former incarnation can reach it any more."""
         return self.former_until <= now
--- a/src/cardamomgrade/platform/executor.py
+++ b/src/cardamomgrade/platform/executor.py
@@ -158,6 +158,17 @@
 
         self._send(self._orders, path, fields, done, ORDER_TIMEOUT_S)
 
+    def ask(self, on_done):
+        """Request a report beside a renewal that may wait for its answer.
+
+        Calls ``on_done(LeaseReport | OrderAnswer)``; renews and acknowledges nothing.
+        """
+
+        def done(res):
+            on_done(_lease_report(res))
+
+        self._send(self._orders, "/api/hold", {"ackIndex": 0}, done, ORDER_TIMEOUT_S)
+
     def start(self, order, deadline_ms, on_done):
         """Start a run; ``deadline_ms`` is the lease's end on the executor's clock."""
         fields = {
--- a/tests/steps/jobs_chaos.py
+++ b/tests/steps/jobs_chaos.py
@@ -119,6 +119,11 @@
     def stop(self, order, on_done):
         self._order("run-stop", order, on_done)
 
+    def ask(self, on_done):
+        fields = {"ackIndex": 0, "deadlineMs": None}
+        conn = Connection(self._process())
+        self._send(conn, "hold", fields, protocol._lease_report, on_done, 0.5)
+
     def _order(self, path, order, on_done, **fields):
         fields = {"task": order.task, "run": order.run, **fields}
         conn = Connection(self._process())
--- a/tests/steps/jobs_incarnations.py
+++ b/tests/steps/jobs_incarnations.py
@@ -45,6 +45,7 @@
         self.keeps_connections = True
         self.starts = []
         self.stops = []
+        self.asks = []
         self.renewals = []
         self.waiting = None
 
@@ -66,6 +67,9 @@
         self.renewals.append((deadline_ms, stored_end))
         self.waiting = on_done
 
+    def ask(self, on_done):
+        self.asks.append(on_done)
+
     def answer(self, report):
         on_done, self.waiting = self.waiting, None
         assert not self.closed
