Place runs on a new incarnation only once it has said what it runs

What callers saw: an executor could get more than it has room for (LIMIT) after it had started again under its id.

Cause: a new incarnation got runs as soon as its registration was read. It may run what it took from calls to its former one; the scheduler learns of these runs only from its first report (StrayRun), when the new ones have been sent.

An executor takes new runs once its incarnation has answered a call with its own token: one more round trip after a restart.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -132,6 +132,7 @@
         self._driver = driver
         self._silences = silences
         self._incarnation = incarnation
+        executor.unfenced = not incarnation.is_fenced(loop.now())
         self._lease = Lease(
             loop.now(),
             executor.entry.clock_ms,
@@ -337,7 +338,7 @@
         def done(report):
             report = self._check_incarnation(report)
             if isinstance(report, LeaseReport) and not self._closed:
-                self._incarnation.fence(self._loop.now())
+                self._on_fenced()
 
         self._client.ask(done)
 
@@ -376,7 +377,7 @@
     def _on_report(self, report, sent_at):
         now = self._loop.now()
         if isinstance(report, LeaseReport):
-            self._incarnation.fence(now)
+            self._on_fenced()
             self._lease.update_clock(now, report.clock_ms)
             self._answered = True
             self._has_missed = False
@@ -418,6 +419,13 @@
                 self._silences.note(self.name, self._lease.granted_at)
         self._loop.call_later(RENEW_RETRY_S, self.renew_if_needed)
 
+    def _on_fenced(self):
+        """Take new runs: the incarnation has answered a call with its own token."""
+        self._incarnation.fence(self._loop.now())
+        if self._executor.unfenced:
+            self._executor.unfenced = False
+            self._driver.on_reachable(self.name)
+
     def _has_silence_record(self):
         return self._silences.granted_at(self.name) is not None
 
--- a/src/cardamomgrade/jobs/executors.py
+++ b/src/cardamomgrade/jobs/executors.py
@@ -28,8 +28,9 @@
     ``entry.born``; in the latter case this object stays. ``listed`` is set while the
     platform lists the executor, ``cordoned`` while it gets no new runs because its VM
     is due for upkeep or a move, and ``unreachable`` if the last request to it was not
-    answered. ``slow`` is set while tasks take much longer on it than on others of its
-    service. ``allocations`` maps the name of a task to its Allocation. ``cores_m``
+    answered, ``unfenced`` while it may run what it took from calls to its former
+    incarnation. ``slow`` is set while tasks take much longer on it than on others of
+    its service. ``allocations`` maps the name of a task to its Allocation. ``cores_m``
     (thousandths of a core), ``memory_mb`` and ``accelerators`` are the sums of the
     allocations; ``lasting_cores_m`` and ``lasting_memory_mb`` are the parts of lasting
     tasks, of which there are ``lasting_runs``. Runs are counted in ``usage``, a
@@ -42,6 +43,7 @@
         self.listed = True
         self.cordoned = False
         self.unreachable = False
+        self.unfenced = False
         self.slow = False
         self.allocations = {}
         self.cores_m = 0
@@ -60,7 +62,11 @@
     def open(self):
         """Whether new runs may be placed on the executor."""
         return not (
-            self.entry.draining or self.cordoned or self.unreachable or not self.listed
+            self.entry.draining
+            or self.cordoned
+            or self.unreachable
+            or self.unfenced
+            or not self.listed
         )
 
     def fits(self, step):
--- a/src/cardamomgrade/jobs/stalls.py
+++ b/src/cardamomgrade/jobs/stalls.py
@@ -135,7 +135,7 @@
             reason = "unlisted"
         elif entry.draining:
             reason = "draining"
-        elif item.unreachable:
+        elif item.unreachable or item.unfenced:
             reason = "unreachable"
         elif item.cordoned:
             reason = "cordoned"
