Remember attempts without an answer when an agent is replaced

What callers saw: a task could run twice at a time after an executor had changed its address, or had not been watched, and had then started again under its id.

Cause: a new agent for the same incarnation, and the agent of the next one, did not take over when an attempt of a start was given up; an attempt in flight was dropped with the connection. After one report the start counted as settled.

Both take the time over; an attempt in flight counts as given up then.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -166,11 +166,12 @@
 
         Its start orders may still take effect until their lease deadlines.
         """
-        started_by = self._loop.now() + lapse_bound_s(self._lease_ms)
-        for run in other._inherited.union(other._starts):
-            self._starts[run] = PendingStart(
-                None, started_by, attempt_ended_at=self._loop.now()
-            )
+        now = self._loop.now()
+        started_by = now + lapse_bound_s(self._lease_ms)
+        for run in other._inherited:
+            self._starts[run] = PendingStart(None, started_by, attempt_ended_at=now)
+        for run, pending in other._starts.items():
+            self._starts[run] = pending.replaced(started_by, now)
         self._inherited.clear()
         for task, run in other._stopping:
             self.stop(task, run)
--- a/src/cardamomgrade/jobs/starts.py
+++ b/src/cardamomgrade/jobs/starts.py
@@ -67,8 +67,16 @@
     def handed_over(self, now):
         """Return what the agent of the next incarnation knows about the order."""
         accepted_at = None if self.assumed else self.accepted_at
+        return self.replaced(accepted_at, now)
+
+    def replaced(self, accepted_at, now):
+        """Return what a new agent knows; the attempt in flight is given up now."""
+        in_flight = self.order is not None and self.attempt_ended_at is None
         return PendingStart(
-            None, accepted_at, given_up_at=self.given_up_at, attempt_ended_at=now
+            None,
+            accepted_at,
+            given_up_at=now if in_flight else self.given_up_at,
+            attempt_ended_at=now,
         )
 
     def accept(self, now):
