Allow for former calls to executors whose registration has no born

Cause: the bound on former calls is computed from the born of the registration. Where only reports have one, the lease of a young incarnation counted as 4.2 s.

When a report first shows born, former calls may have arrived until then.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -373,6 +373,8 @@
         else:
             entry = self._executor.entry
             self._executor.entry = attrs.evolve(entry, born=answer.born)
+            # Until now nothing told that its id may have had a former incarnation.
+            self._incarnation.doubt(self._loop.now())
         return answer
 
     def _on_report(self, report, sent_at):
