Apply the body limit of the configuration to the head and while the body is read

What callers see: clients with bodies over maxBodyBytes make a node pass its memory; so do clients that send bodies in 1-byte chunks.

Cause: the limit of the configuration was compared with the complete request, so each connection held 1 MiB before it. Each part of a body was an object of its own in a list: 48 bytes and more for one byte.

Change: the node sets the limit of its front server when a configuration takes effect; the server compares it with the announced length and with each part that arrives. A body is read into one bytearray, and one of more than 1024 chunks is refused with 413: each chunk costs the processor as much as a small request. A body over the limit is now refused before its path or key is looked at, so it gets 413 where it got 404 or 401; all are final.

--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -10,7 +10,7 @@
 from ..net import Net, parse_address
 from ..scrape import ScrapeServer
 from ..server import HttpServer, ServerLimits
-from ..wire import HttpResponse
+from ..wire import BODY_LIMIT_BYTES, HttpResponse
 from .admission import never_refused, retry_after_s
 from .calls import Answer, AnswerKind
 from .customers import Customer
@@ -336,6 +336,9 @@
         if self._queue_cfg is not None and queue_cfg.version < self._queue_cfg.version:
             return
         self._queue_cfg = queue_cfg
+        limits = self._front_server.limits
+        body_bytes = min(queue_cfg.body_limit or BODY_LIMIT_BYTES, BODY_LIMIT_BYTES)
+        self._front_server.limits = attrs.evolve(limits, body_bytes=body_bytes)
         log_event(
             ConfigInForce(
                 queue_cfg.version,
--- a/src/cardamomgrade/server.py
+++ b/src/cardamomgrade/server.py
@@ -19,6 +19,7 @@
 MESSAGE_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 60.0
 CONNECTION_LIMIT = 2000
+CHUNK_LIMIT = 1024  # of one body; each costs as much time as a small request
 
 
 @attrs.frozen
@@ -96,8 +97,8 @@
         self._http = None
         self._exchange = None
         self._head = None
-        self._body = []
-        self._size = 0
+        self._body = bytearray()
+        self._chunks = 0
         self._timer = None
         conn.on_data = self._on_data
         conn.on_close = self._on_close
@@ -166,7 +167,7 @@
             return
         data, self._buffer = self._buffer, b""
         self._http = h11.Connection(h11.SERVER, HEAD_LIMIT_BYTES)
-        self._head, self._body, self._size = None, [], 0
+        self._head, self._body, self._chunks = None, bytearray(), 0
         self._feed(data)
 
     def _on_message_timeout(self):
@@ -205,11 +206,14 @@
                     self._refuse(413, "body too large")
                     return
             elif isinstance(event, h11.Data):
-                self._body.append(bytes(event.data))
-                self._size += len(event.data)
-                if self._size > self._server.limits.body_bytes:
+                self._body += event.data
+                self._chunks += event.chunk_start
+                if len(self._body) > self._server.limits.body_bytes:
                     self._refuse(413, "body too large")
                     return
+                if self._chunks > CHUNK_LIMIT:
+                    self._refuse(413, "too many chunks")
+                    return
             elif isinstance(event, h11.EndOfMessage):
                 self._complete()
                 return
@@ -230,8 +234,9 @@
             head.method.decode("ascii"),
             head.target.decode("ascii"),
             tuple(head.headers),
-            b"".join(self._body),
+            bytes(self._body),
         )
+        self._body = bytearray()
         self._exchange = Exchange(self, req, self._conn.peer)
         self._server.on_request(self._exchange)
 
@@ -271,7 +276,7 @@
     """Listens on one or more addresses and calls ``on_request(exchange)``.
 
     ``refusal(status, detail)`` returns the response to a request that is not valid
-    HTTP or exceeds a limit.
+    HTTP or exceeds a limit. New ``limits`` may be set at any time.
     """
 
     def __init__(self, loop, net, on_request, limits=None, refusal=plain_response):
--- a/tests/steps/server.py
+++ b/tests/steps/server.py
@@ -1,5 +1,7 @@
 """Steps for the HTTP server and client modules."""
 
+import re
+
 from behave import given, then, when
 from hypothesis import given as generated, settings, strategies as st
 
@@ -9,6 +11,7 @@
 from harness import Rig
 
 HOST = "127.0.0.1"
+REPEATED = re.compile(r"\[(.*?)\]\*(\d+)")
 FIXED = settings(max_examples=150, derandomize=True, deadline=None, database=None)
 FRAGMENTS = st.sampled_from(
     [
@@ -41,7 +44,11 @@
 
 
 def raw_bytes(text):
-    """Return ``text`` as bytes: ~ is CRLF, ^ a bare LF, and a final *N is N times x."""
+    """Return ``text`` as bytes.
+
+    ~ is CRLF, ^ a bare LF, [ab]*N is N times ab, and a final *N is N times x.
+    """
+    text = REPEATED.sub(lambda match: match[1] * int(match[2]), text)
     text, _, count = text.partition("*")
     data = text.replace("~", "\r\n").replace("^", "\n").encode()
     return data + b"x" * int(count or 0)
