Limit the number of headers, and the size of a head that arrives in one piece

What callers see: clients that send heads of 3,000 short headers and no body make a node pass its memory.

Cause: parsed headers take about 35 times the memory of their text. The limit on the size of a head was applied only while the head was incomplete.

Change: 431 for more than 128 headers, and for a head of more than 16 KiB that arrives complete.

Two examples in tests/server.feature, answered 200 before, get 431.

--- a/src/cardamomgrade/server.py
+++ b/src/cardamomgrade/server.py
@@ -157,7 +157,8 @@
         if not self._buffer:
             self._set_timer(self._server.limits.message_s, self._on_message_timeout)
         self._buffer = data.lstrip(b"\r\n") if data[:2] == b"\r\n" else data
-        if HEAD_END not in self._buffer:
+        end = self._buffer.find(HEAD_END, 0, HEAD_LIMIT_BYTES + len(HEAD_END))
+        if end < 0:
             if len(self._buffer) > HEAD_LIMIT_BYTES:
                 self._refuse(431, "head too large")
             return
--- a/src/cardamomgrade/wire.py
+++ b/src/cardamomgrade/wire.py
@@ -6,6 +6,7 @@
 from .errors import WireError
 
 HEAD_LIMIT_BYTES = 16 * 1024
+HEADER_LIMIT = 128  # parsed headers take up to 35 times the memory of the head
 BODY_LIMIT_BYTES = 1024 * 1024
 HEAD_END = b"\r\n\r\n"
 HOP_BY_HOP = frozenset(
@@ -90,6 +91,8 @@
     """
     head = data[: data.index(HEAD_END)]
     lines = head.split(b"\r\n")
+    if len(lines) - 1 > HEADER_LIMIT:
+        return BadHead(431, "too many headers")
     if any(b"\r" in line or b"\n" in line for line in lines):
         return BadHead(400, "bare CR or LF in the head")
     if any(line[:1] in (b" ", b"\t") for line in lines[1:]):
--- a/tests/server.feature
+++ b/tests/server.feature
@@ -20,6 +20,8 @@
       | nonsense~~                                                                 | 400    |
       | POST / HTTP/1.1~Host: a~Content-Length: 99999999~~*2000000                 | 413    |
       | GET / HTTP/1.1~Host: a~X: *20000                                           | 431    |
+      | GET / HTTP/1.1~Host: a~[A: b~]*129~                                        | 431    |
+      | GET / HTTP/1.1~Host: a~X: [x]*20000~~                                      | 431    |
       | POST / HTTP/1.1~Host: a~Transfer-Encoding: chunked~~[1~x~]*1025            | 413    |
 
   Scenario: the server keeps working after generated requests
