Let a client that is refused while it sends read the answer

What callers see: a reset or a broken pipe in place of the 413.

Cause: the server closed the socket with unread data in it, which resets the connection. An answer that closed a connection and that its peer did not take also left the descriptor open, outside all limits.

Change: after such an answer the server ends its own side, and reads and discards for at most 2 s and 2 MiB before it closes. The connection counts towards the limit on connections until then.

--- a/src/cardamomgrade/net.py
+++ b/src/cardamomgrade/net.py
@@ -33,6 +33,7 @@
         self._sock = sock
         self._out = bytearray()
         self._closing = False
+        self._ends_writes = False
         self.peer = peer
         self.closed = False
         self.on_data = None
@@ -48,7 +49,7 @@
 
         That is when more than ``WRITE_BUFFER_LIMIT_BYTES`` are pending.
         """
-        if self.closed or self._closing:
+        if self.closed or self._closing or self._ends_writes:
             return
         if not self._out:
             data = self._send(data)
@@ -75,6 +76,18 @@
         if not self._out:
             self.abort()
 
+    def end_writes(self):
+        """Tell the peer that nothing follows the written data; go on reading."""
+        self._ends_writes = True
+        if not self._out and not self.closed:
+            self._shut_down_writes()
+
+    def _shut_down_writes(self):
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._close_sock()
+
     def abort(self):
         """Close at once; ``on_close`` is not called."""
         self.on_close = None
@@ -116,6 +129,8 @@
         self._net.watch_writes(self._sock, False)
         if self._closing:
             self.abort()
+        elif self._ends_writes:
+            self._shut_down_writes()
 
 
 class Net(BaseComponent):
--- a/src/cardamomgrade/server.py
+++ b/src/cardamomgrade/server.py
@@ -19,6 +19,8 @@
 MESSAGE_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 60.0
 CONNECTION_LIMIT = 2000
+LINGER_TIMEOUT_S = 2.0
+LINGER_LIMIT_BYTES = 2 * 1024 * 1024
 CHUNK_LIMIT = 1024  # of one body; each costs as much time as a small request
 
 
@@ -183,9 +185,30 @@
             headers=[*response_headers(response), *headers],
         )
         self._conn.write(raw.send(event) + response.body)
-        self._conn.on_data = None
-        self._conn.close()
-        self._on_close()
+        self._linger()
+
+    def _linger(self):
+        """Close when the peer has read the answer.
+
+        Closing a socket with unread data would reset the connection, and the peer could
+        lose the answer.
+        """
+        self._http, self._buffer, self._body = None, b"", bytearray()
+        if self._conn.closed:
+            self._on_close()
+            return
+        unread_bytes = LINGER_LIMIT_BYTES
+
+        def discard(data):
+            nonlocal unread_bytes
+            unread_bytes -= len(data)
+            if unread_bytes < 0:
+                self._abort_conn()
+
+        self._conn.on_data = discard
+        self._conn.pause_reads(False)
+        self._set_timer(LINGER_TIMEOUT_S, self._abort_conn)
+        self._conn.end_writes()
 
     def _feed(self, data):
         try:
@@ -258,10 +281,16 @@
             self._abort_conn()
             raise WireError(f"response is not valid HTTP: {exc}") from exc
         self._conn.write(out)
-        if http.our_state is h11.MUST_CLOSE or self._conn.closed:
-            self._conn.close()
+        if self._conn.closed:
             self._on_close()
             return
+        if http.our_state is h11.MUST_CLOSE:
+            if self._buffer or self._conn.pending:
+                self._linger()
+            else:
+                self._conn.close()
+                self._on_close()
+            return
         self._set_timer(self._server.limits.idle_s, self._abort_conn)
         self._conn.pause_reads(False)
         if self._buffer:
--- a/tests/server.feature
+++ b/tests/server.feature
@@ -58,3 +58,18 @@
       | GET    | 204    | 0    |
       | GET    | 304    | 0    |
       | HEAD   | 200    | 0    |
+
+  Scenario Outline: a client that sends on after the final answer of its connection reads it
+    Given a server that answers every request with 200
+    When a client sends "<raw>" and 1500000 bytes more before it reads
+    Then it can send all of them and reads status <status>
+
+    Examples:
+      | raw                                               | status |
+      | POST / HTTP/1.1~Host: a~Content-Length: 9999999~~ | 413    |
+      | GET / HTTP/1.1~Host: a~Connection: close~~*10     | 200    |
+
+  Scenario: a client that sends on without an end after a refusal is cut off
+    Given a server that answers every request with 200
+    When a client sends "POST / HTTP/1.1~Host: a~Content-Length: 99999999~~" and 16000000 bytes more before it reads
+    Then it cannot send all of them
--- a/tests/steps/server.py
+++ b/tests/steps/server.py
@@ -1,6 +1,7 @@
 """Steps for the HTTP server and client modules."""
 
 import re
+import socket
 
 from behave import given, then, when
 from hypothesis import given as generated, settings, strategies as st
@@ -11,6 +12,7 @@
 from harness import Rig
 
 HOST = "127.0.0.1"
+PIECE_BYTES = 65536
 REPEATED = re.compile(r"\[(.*?)\]\*(\d+)")
 FIXED = settings(max_examples=150, derandomize=True, deadline=None, database=None)
 FRAGMENTS = st.sampled_from(
@@ -109,6 +111,43 @@
     context.caller = RawCaller(context.rig, context.port, raw_bytes(text))
 
 
+@when('a client sends "{text}" and {size:d} bytes more before it reads')
+def step_sends_on(context, text, size):
+    context.sock = socket.create_connection((HOST, context.port))
+    context.add_cleanup(context.sock.close)
+    context.sock.sendall(raw_bytes(text))
+    context.rig.run_for(0.02)
+    context.sock.setblocking(False)
+    context.unsent = size
+
+    def send():
+        piece = min(context.unsent, PIECE_BYTES)
+        try:
+            context.unsent -= context.sock.send(b"x" * piece)
+        except BlockingIOError:
+            return False
+        except OSError as exc:
+            context.failure = exc
+            return True
+        return context.unsent == 0
+
+    context.rig.run_until(send)
+
+
+@then("it can send all of them and reads status {status:d}")
+def step_reads_status(context, status):
+    assert context.unsent == 0, context.failure
+    context.rig.run_for(0.02)
+    got = context.sock.recv(PIECE_BYTES)
+    assert got.startswith(b"HTTP/1.1 %d " % status), got
+    assert context.sock.recv(PIECE_BYTES) == b""
+
+
+@then("it cannot send all of them")
+def step_cut_off(context):
+    assert context.unsent, "all was sent"
+
+
 @when("a client sends {method}")
 def step_client_sends(context, method):
     context.results = []
