Let unused connections give way to new callers, and heed the limit on descriptors

What callers see: connections that send nothing shut ordinary callers out until they time out, and a node opens more descriptors than its machine allows.

Cause: a connection beyond the limit was closed, whatever the others did; the limit was 1,500 on every machine.

Change: at the limit a connection that is closing gives way, else the oldest without a complete request, else the one idle longest (overload.Turnover, no I/O). Callers have at most half of limits.maxFds (optional, 4096 where it is missing), and 1,500 as before. The ready server takes 64 connections and bodies of 1 KiB. CallersShed (660) logs what callers lost, once a second at most.

A scenario in tests/server.feature where silent clients hold all connections timed out before and passes.

--- a/scripts/catalogue.py
+++ b/scripts/catalogue.py
@@ -16,6 +16,7 @@
 from cardamomgrade.control import ControlSettings
 from cardamomgrade.entry import EntrySettings
 from cardamomgrade.jobs.mechanisms import MECHANISMS
+from cardamomgrade.jobs.settings import NodeSettings
 from cardamomgrade.platform import boot, configfile
 
 DOCS = Path(__file__).resolve().parent.parent / "docs"
@@ -116,7 +117,8 @@
         "## cardamom-jobs",
         "",
         f"Reads the platform's YAML file; `{boot.PATH_VARIABLE}` has its path. Other",
-        "fields are ignored; a missing one or one of another type is refused by name.",
+        "fields are ignored; one of another type, or a missing one without a default,",
+        "is refused by name.",
         "`--check-settings` prints what was read. SIGHUP reads the file again.",
         "",
         "| field | allowed | setting |",
@@ -124,6 +126,12 @@
     ]
     for name, field in boot.FIELDS.items():
         lines.append(f"| `{'.'.join(field.path)}` | {field.allowed} | `{name}` |")
+    for name, field in boot.LIMITS.items():
+        default = getattr(attrs.fields(NodeSettings), name).default
+        lines.append(
+            f"| `{'.'.join(field.path)}` | {field.allowed}; default `{default}` | "
+            f"`{name}` |"
+        )
     for name, (key, _) in boot.BOUNDS.items():
         lines.append(f"| `bounds.{key}` | {boot.COUNT} | `{name}` |")
     lines += [
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -19,6 +19,7 @@
 from .follow import TopicFollower
 from .mechanisms import ALL_ENABLED
 from .records import encode, KEY_TERM
+from .shedding import connection_limit, SheddingLog
 from .store import Appended, AppendFate, WriterPosition
 from .term import is_small, RESIGNED_JITTER_S, Term
 from .view import JobView
@@ -31,7 +32,7 @@
 BALANCER_DELAY_S = 2.5  # the load balancer probes each second; two must fail
 DRAIN_POLL_S = 0.1
 MAX_REPORTED_AGE_S = 3600.0  # metric value for a copy that was never read
-MAX_CONNECTIONS = 1500
+READY_LIMITS = ServerLimits(body_bytes=1024, connections=64)
 MS = 1000
 NO_CUSTOMER = Customer("")
 
@@ -148,10 +149,11 @@
             loop,
             self._net,
             self._on_request,
-            ServerLimits(connections=MAX_CONNECTIONS),
+            ServerLimits(connections=connection_limit(cfg.max_fds)),
             self._platform.bad_request,
+            SheddingLog(loop, self._metrics).note,
         )
-        self._ready_server = HttpServer(loop, self._net, self._on_ready)
+        self._ready_server = HttpServer(loop, self._net, self._on_ready, READY_LIMITS)
         self._scrape_server = ScrapeServer(loop, self._net, self._metrics, self._gauges)
 
     def start(self):
--- a/src/cardamomgrade/jobs/settings.py
+++ b/src/cardamomgrade/jobs/settings.py
@@ -14,7 +14,7 @@
     how long a shutdown may take. The platform takes ``vm_orders_per_s`` orders for VMs
     a second from all nodes together. ``core_share`` is the fraction of ``cores``
     processors that the node may use, ``link_mbps`` the capacity of its network link in
-    Mbit/s.
+    Mbit/s. ``max_fds`` is how many descriptors the process may have open.
     """
 
     node: str
@@ -33,3 +33,4 @@
     stop_ms: int
     status_ms: int
     grace_ms: int
+    max_fds: int = 4096
--- a/src/cardamomgrade/platform/boot.py
+++ b/src/cardamomgrade/platform/boot.py
@@ -23,6 +23,7 @@
 
 
 _TEXT, COUNT = "text", "a number of 0 or more"
+POSITIVE = "a number above 0"
 _NUMBER = (int, float)
 FIELDS = {
     "node": _Field(("nodeName",), str, _TEXT),
@@ -36,6 +37,10 @@
     "cores": _Field(("limits", "cores"), _NUMBER, COUNT),
     "link_mbps": _Field(("limits", "linkMbps"), _NUMBER, COUNT),
 }
+LIMITS = {
+    # optional; the default is that of NodeSettings
+    "max_fds": _Field(("limits", "maxFds"), int, POSITIVE),
+}
 BOUNDS = {
     # setting: (key in the file, factor to ms)
     "max_lease_ms": ("maxHoldMs", 1),
@@ -55,6 +60,14 @@
     return path
 
 
+def _has(tree, path):
+    for key in path:
+        if not isinstance(tree, dict) or key not in tree:
+            return False
+        tree = tree[key]
+    return True
+
+
 def _lookup(path, tree, field):
     value = tree
     for key in field.path:
@@ -86,6 +99,14 @@
     for name, (key, factor) in BOUNDS.items():
         field = _Field(("bounds", key), _NUMBER, COUNT)
         values[name] = int(_lookup(path, tree, field) * factor)
+    for name, field in LIMITS.items():
+        if _has(tree, field.path):
+            values[name] = _lookup(path, tree, field)
+            if values[name] <= 0:
+                raise SettingsError(
+                    f"{path}: {'.'.join(field.path)} = {values[name]!r}; "
+                    f"allowed: {field.allowed}"
+                )
     return NodeSettings(**values)
 
 
--- a/src/cardamomgrade/server.py
+++ b/src/cardamomgrade/server.py
@@ -4,6 +4,7 @@
 import h11
 
 from .errors import WireError
+from .overload import Turnover
 from .wire import (
     BODY_LIMIT_BYTES,
     check_head,
@@ -118,6 +119,7 @@
     def _on_close(self):
         self._timer.cancel()
         self._server.sessions.discard(self)
+        self._server.turnover.closed(self)
         if self._exchange is not None:
             self._exchange.caller_left()
 
@@ -197,6 +199,7 @@
         if self._conn.closed:
             self._on_close()
             return
+        self._server.turnover.closing(self)
         unread_bytes = LINGER_LIMIT_BYTES
 
         def discard(data):
@@ -261,6 +264,7 @@
             bytes(self._body),
         )
         self._body = bytearray()
+        self._server.turnover.began(self)
         self._exchange = Exchange(self, req, self._conn.peer)
         self._server.on_request(self._exchange)
 
@@ -291,6 +295,7 @@
                 self._conn.close()
                 self._on_close()
             return
+        self._server.turnover.answered(self)
         self._set_timer(self._server.limits.idle_s, self._abort_conn)
         self._conn.pause_reads(False)
         if self._buffer:
@@ -306,16 +311,29 @@
     """Listens on one or more addresses and calls ``on_request(exchange)``.
 
     ``refusal(status, detail)`` returns the response to a request that is not valid
-    HTTP or exceeds a limit. New ``limits`` may be set at any time.
+    HTTP or exceeds a limit. New ``limits`` may be set at any time. At the limit on
+    connections the one that the Turnover names gives way to a new one.
+    ``on_shed(reason)`` is called for each connection or request that a shared limit
+    has cost a caller.
     """
 
-    def __init__(self, loop, net, on_request, limits=None, refusal=plain_response):
+    def __init__(
+        self,
+        loop,
+        net,
+        on_request,
+        limits=None,
+        refusal=plain_response,
+        on_shed=lambda reason: None,
+    ):
         self.loop = loop
         self.on_request = on_request
         self.limits = limits or ServerLimits()
         self.refusal = refusal
         self.sessions = set()
         self.draining = False
+        self.turnover = Turnover()
+        self.on_shed = on_shed
         self._net = net
 
     def listen(self, host, port):
@@ -335,7 +353,16 @@
                 session.close_now()
 
     def _on_conn(self, conn):
-        if len(self.sessions) >= self.limits.connections or self.draining:
+        if self.draining:
             conn.abort()
             return
-        self.sessions.add(_Session(self, conn))
+        if len(self.sessions) >= self.limits.connections:
+            self.on_shed("connections")
+            session = self.turnover.first()
+            if session is None:
+                conn.abort()
+                return
+            session.close_now()
+        session = _Session(self, conn)
+        self.sessions.add(session)
+        self.turnover.opened(session)
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -18,6 +18,8 @@
       | limits.linkMbps      | fast    |
       | bounds.maxHoldMs     | soon    |
       | bounds.graceS        | true    |
+      | limits.maxFds        | 0       |
+      | limits.maxFds        | many    |
 
   Scenario: appends and reads use the store's record format
     Then an append and a read of two records match the expected bytes
--- a/tests/server.feature
+++ b/tests/server.feature
@@ -73,3 +73,14 @@
     Given a server that answers every request with 200
     When a client sends "POST / HTTP/1.1~Host: a~Content-Length: 99999999~~" and 16000000 bytes more before it reads
     Then it cannot send all of them
+
+  Scenario: connections that send nothing do not keep others out
+    Given a server with at most 3 connections
+    When 5 silent clients connect
+    Then another client gets an answer
+
+  Scenario: a request in progress keeps its connection at the limit
+    Given a server with at most 1 connection that answers after 0.1 s
+    When the raw request "GET / HTTP/1.1~Host: a~~" arrives
+    And 2 silent clients connect
+    Then the server answers 200 and stays open
--- a/tests/steps/server.py
+++ b/tests/steps/server.py
@@ -99,6 +99,33 @@
     serve(context, ok, ServerLimits(message_s=seconds))
 
 
+@given("a server with at most {count:d} connections")
+def step_small_server(context, count):
+    serve(context, ok, ServerLimits(connections=count))
+
+
+@given("a server with at most {count:d} connection that answers after {seconds:g} s")
+def step_slow_server(context, count, seconds):
+    def answer(exchange):
+        context.rig.loop.call_later(seconds, lambda: ok(exchange))
+
+    serve(context, answer, ServerLimits(connections=count))
+
+
+@when("{count:d} silent clients connect")
+def step_silent_clients(context, count):
+    context.rig.run_for(0.02)
+    context.silent = [RawCaller(context.rig, context.port, b"") for _ in range(count)]
+    context.rig.run_for(0.02)
+
+
+@then("another client gets an answer")
+def step_other_client(context):
+    request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    caller = RawCaller(context.rig, context.port, request)
+    context.rig.run_until(lambda: b"fine" in caller.got)
+
+
 @given("a server that answers {method} with {status:d}")
 def step_status_server(context, method, status):
     serve(
