Bound the memory that all callers' requests hold together

What callers see: a crowd of clients makes a node end, out of memory: with many bodies inside the limit, with data behind requests in progress, with large jobs while the store does not answer.

Cause: each connection had limits of its own, 1 MiB each of body, of data behind a request and 4 MiB of answers not taken, and their sum had none. The body of a request in progress stayed in memory beyond its connection.

Change: overload.MemoryBudget (no I/O) counts what connections hold, at most a sixth of limits.memoryMb (optional, 300 where it is missing) and 8 MiB at least. Beyond it the largest incomplete requests get 503 with Retry-After and have not run. Data behind a request is read up to 16 KiB, the next request waits until the answer before it was taken, and the kernel's buffers of a caller's connection have 64 KiB. An error in a handler closes the connection, so that its request is not counted for ever.

--- a/src/cardamomgrade/emulator/program.py
+++ b/src/cardamomgrade/emulator/program.py
@@ -91,7 +91,13 @@
         "nodeName": f"n{number}",
         "zone": "z",
         "listen": {"front": _free_address(), "ready": _free_address()},
-        "limits": {"cpuShare": 1.0, "cores": 1, "linkMbps": 1000, "maxFds": 4100},
+        "limits": {
+            "cpuShare": 1.0,
+            "cores": 1,
+            "linkMbps": 1000,
+            "maxFds": 4100,
+            "memoryMb": 300,
+        },
         "bounds": BOUNDS,
         "platform": {"address": f"{HOST}:{platform.store_port}"},
         "cloud": {
--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -8,6 +8,7 @@
 from ..journal import event, log_event
 from ..metrics import Metrics
 from ..net import Net, parse_address
+from ..overload import MemoryBudget
 from ..scrape import ScrapeServer
 from ..server import HttpServer, ServerLimits
 from ..wire import BODY_LIMIT_BYTES, HttpResponse
@@ -19,7 +20,12 @@
 from .follow import TopicFollower
 from .mechanisms import ALL_ENABLED
 from .records import encode, KEY_TERM
-from .shedding import connection_limit, SheddingLog
+from .shedding import (
+    connection_limit,
+    memory_limit_bytes,
+    SheddingLog,
+    SOCKET_BYTES,
+)
 from .store import Appended, AppendFate, WriterPosition
 from .term import is_small, RESIGNED_JITTER_S, Term
 from .view import JobView
@@ -149,9 +155,12 @@
             loop,
             self._net,
             self._on_request,
-            ServerLimits(connections=connection_limit(cfg.max_fds)),
+            ServerLimits(
+                connections=connection_limit(cfg.max_fds), socket_bytes=SOCKET_BYTES
+            ),
             self._platform.bad_request,
             SheddingLog(loop, self._metrics).note,
+            MemoryBudget(memory_limit_bytes(cfg.memory_mb)),
         )
         self._ready_server = HttpServer(loop, self._net, self._on_ready, READY_LIMITS)
         self._scrape_server = ScrapeServer(loop, self._net, self._metrics, self._gauges)
--- a/src/cardamomgrade/jobs/settings.py
+++ b/src/cardamomgrade/jobs/settings.py
@@ -14,7 +14,8 @@
     how long a shutdown may take. The platform takes ``vm_orders_per_s`` orders for VMs
     a second from all nodes together. ``core_share`` is the fraction of ``cores``
     processors that the node may use, ``link_mbps`` the capacity of its network link in
-    Mbit/s. ``max_fds`` is how many descriptors the process may have open.
+    Mbit/s. ``max_fds`` is how many descriptors the process may have open,
+    ``memory_mb`` how much memory it may use, in MiB.
     """
 
     node: str
@@ -34,3 +35,4 @@
     status_ms: int
     grace_ms: int
     max_fds: int = 4096
+    memory_mb: float = 300
--- a/src/cardamomgrade/jobs/shedding.py
+++ b/src/cardamomgrade/jobs/shedding.py
@@ -5,6 +5,10 @@
 CONNECTION_LIMIT = 1500
 MIN_CONNECTIONS = 16
 CONNECTIONS_PER_FD = 0.5  # the store, executors and listeners need the others
+MEMORY_SHARE = 1 / 6  # of the limit; the others are for jobs and scheduling
+MIN_MEMORY_BYTES = 8 * 1024 * 1024
+SOCKET_BYTES = 64 * 1024
+BYTES_PER_MB = 1024 * 1024
 LOG_INTERVAL_S = 1.0
 
 
@@ -25,6 +29,11 @@
     return min(CONNECTION_LIMIT, by_fds)
 
 
+def memory_limit_bytes(memory_mb):
+    """Return how many bytes of requests callers may hold, by the limit on memory."""
+    return max(MIN_MEMORY_BYTES, int(memory_mb * BYTES_PER_MB * MEMORY_SHARE))
+
+
 class SheddingLog:
     """Counts and logs connections and requests that a limit has cost callers."""
 
--- a/src/cardamomgrade/net.py
+++ b/src/cardamomgrade/net.py
@@ -25,7 +25,8 @@
 
     The owner sets ``on_data(data)`` and ``on_close()``. ``on_close`` is called once
     when the peer closes or an error occurs, but not when the connection is closed by
-    ``close`` or ``abort``.
+    ``close`` or ``abort``. ``on_drain()``, if set, is called once when all written data
+    has been handed to the kernel.
     """
 
     def __init__(self, net, sock, peer):
@@ -38,6 +39,7 @@
         self.closed = False
         self.on_data = None
         self.on_close = None
+        self.on_drain = None
 
     @property
     def pending(self):
@@ -131,6 +133,9 @@
             self.abort()
         elif self._ends_writes:
             self._shut_down_writes()
+        elif self.on_drain is not None:
+            callback, self.on_drain = self.on_drain, None
+            callback()
 
 
 class Net(BaseComponent):
@@ -147,10 +152,17 @@
         self._listeners = {}
         self.register(loop)
 
-    def listen(self, host, port, on_conn):
-        """Listen and call ``on_conn(conn)`` per connection; return the bound port."""
+    def listen(self, host, port, on_conn, buffer_bytes=0):
+        """Listen and call ``on_conn(conn)`` per connection; return the bound port.
+
+        ``buffer_bytes`` is the size of each of the kernel's two buffers of a
+        connection, 0 for the system's default.
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if buffer_bytes:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
         sock.bind((host, port))
         sock.listen(BACKLOG_CONNS)
         sock.setblocking(False)
--- a/src/cardamomgrade/platform/boot.py
+++ b/src/cardamomgrade/platform/boot.py
@@ -40,6 +40,7 @@
 LIMITS = {
     # optional; the default is that of NodeSettings
     "max_fds": _Field(("limits", "maxFds"), int, POSITIVE),
+    "memory_mb": _Field(("limits", "memoryMb"), _NUMBER, POSITIVE),
 }
 BOUNDS = {
     # setting: (key in the file, factor to ms)
--- a/src/cardamomgrade/server.py
+++ b/src/cardamomgrade/server.py
@@ -4,7 +4,7 @@
 import h11
 
 from .errors import WireError
-from .overload import Turnover
+from .overload import MemoryBudget, Turnover
 from .wire import (
     BODY_LIMIT_BYTES,
     check_head,
@@ -20,6 +20,11 @@
 MESSAGE_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 60.0
 CONNECTION_LIMIT = 2000
+REQUEST_BYTES = 8 * 1024  # of the parser of an incomplete request
+PARSED_HEAD_COST = 4
+KEPT_BODY_COST = 4  # decoded, encoded for the store, and its append
+UNREAD_BYTES = 128 * 1024  # in the kernel for a connection that is not read
+RETRY_AFTER = (b"retry-after", b"1")
 LINGER_TIMEOUT_S = 2.0
 LINGER_LIMIT_BYTES = 2 * 1024 * 1024
 CHUNK_LIMIT = 1024  # of one body; each costs as much time as a small request
@@ -30,13 +35,15 @@
     """Limits of a server; sizes in bytes, times in seconds.
 
     ``message_s`` is the time to receive one request, ``idle_s`` the time that a
-    connection may be open without a request.
+    connection may be open without a request. ``socket_bytes`` is the size of each
+    buffer of a connection in the kernel, 0 for the system's default.
     """
 
     body_bytes: int = BODY_LIMIT_BYTES
     connections: int = CONNECTION_LIMIT
     message_s: float = MESSAGE_TIMEOUT_S
     idle_s: float = IDLE_TIMEOUT_S
+    socket_bytes: int = 0
 
 
 def plain_response(status, text, headers=()):
@@ -52,8 +59,9 @@
     ``on_disconnect()`` is called when the caller closes the connection before that.
     """
 
-    def __init__(self, session, req, peer):
+    def __init__(self, session, req, peer, kept_bytes=0):
         self._session = session
+        self._kept_bytes = kept_bytes
         self.req = req
         self.peer = peer
         self.answered = False
@@ -62,8 +70,11 @@
     def respond(self, response, close=False):
         """Answer the request; with ``close`` also close the connection after it.
 
-        Does nothing when the request was answered before.
+        Does nothing when the request was answered before, except that the memory of a
+        request whose caller has left counts until then.
         """
+        kept_bytes, self._kept_bytes = self._kept_bytes, 0
+        self._session.release(kept_bytes)
         if self.answered:
             return
         self.answered = True
@@ -71,6 +82,8 @@
 
     def drop(self):
         """Close the caller's connection without answering."""
+        kept_bytes, self._kept_bytes = self._kept_bytes, 0
+        self._session.release(kept_bytes)
         self.answered = True
         self._session.close_now()
 
@@ -102,6 +115,12 @@
         self._head = None
         self._body = bytearray()
         self._chunks = 0
+        self._head_bytes = 0
+        self._held_bytes = 0
+        self._paused = False
+        self._blocked = False
+        self._last = False
+        self._lingering = False
         self._timer = None
         conn.on_data = self._on_data
         conn.on_close = self._on_close
@@ -120,6 +139,7 @@
         self._timer.cancel()
         self._server.sessions.discard(self)
         self._server.turnover.closed(self)
+        self._hold(0)
         if self._exchange is not None:
             self._exchange.caller_left()
 
@@ -147,15 +167,53 @@
             self._abort_conn()
 
     def _on_data(self, data):
-        if self._exchange is not None:
-            self._buffer += data
-            if len(self._buffer) > self._server.limits.body_bytes:
-                self._conn.pause_reads(True)
-            return
-        if self._http is None:
+        if self._exchange is not None or self._blocked:
+            if not self._last:
+                self._buffer += data
+            if self._last or len(self._buffer) > HEAD_LIMIT_BYTES:
+                self._pause(True)
+        elif self._http is None:
             self._start(self._buffer + data)
         else:
             self._feed(data)
+        self._update_held()
+
+    def _pause(self, paused):
+        if self._paused != paused:
+            self._paused = paused
+            self._conn.pause_reads(paused)
+
+    def _update_held(self):
+        """Count what this connection holds besides a request in progress."""
+        if self._conn.closed or self._lingering:
+            return
+        size = len(self._buffer) + len(self._body) + self._conn.pending
+        if self._http is not None and self._exchange is None:
+            size += self._head_bytes
+        if self._paused and not self._last:
+            size += UNREAD_BYTES
+        if size != self._held_bytes:
+            self._hold(size)
+
+    def _hold(self, size):
+        grows, self._held_bytes = size > self._held_bytes, size
+        if self._server.budget.hold(self, size) and grows:
+            self._server.free_memory()
+
+    def release(self, kept_bytes):
+        """Stop counting a request that was in progress."""
+        self._server.budget.release(kept_bytes)
+
+    def give_up_memory(self):
+        """Refuse an incomplete request, or answer no more than the one in progress."""
+        if self._conn.pending:
+            self._abort_conn()
+        elif self._exchange is not None or self._blocked:
+            self._last, self._buffer = True, b""
+            self._pause(True)
+            self._update_held()
+        else:
+            self._refuse(503, "out of memory for requests", (RETRY_AFTER,))
 
     def _start(self, data):
         if not self._buffer:
@@ -171,6 +229,7 @@
             self._refuse(problem.status, problem.detail)
             return
         data, self._buffer = self._buffer, b""
+        self._head_bytes = REQUEST_BYTES + PARSED_HEAD_COST * end
         self._http = h11.Connection(h11.SERVER, HEAD_LIMIT_BYTES)
         self._head, self._body, self._chunks = None, bytearray(), 0
         self._feed(data)
@@ -178,8 +237,8 @@
     def _on_message_timeout(self):
         self._refuse(408, "request not received in time")
 
-    def _refuse(self, status, detail):
-        headers = (("connection", "close"),)
+    def _refuse(self, status, detail, headers=()):
+        headers = ((b"connection", b"close"), *headers)
         response = self._server.refusal(status, detail)
         raw = h11.Connection(h11.SERVER)
         event = h11.Response(
@@ -195,7 +254,9 @@
         Closing a socket with unread data would reset the connection, and the peer could
         lose the answer.
         """
+        self._lingering = True
         self._http, self._buffer, self._body = None, b"", bytearray()
+        self._hold(0)
         if self._conn.closed:
             self._on_close()
             return
@@ -209,7 +270,7 @@
                 self._abort_conn()
 
         self._conn.on_data = discard
-        self._conn.pause_reads(False)
+        self._pause(False)
         self._set_timer(LINGER_TIMEOUT_S, self._abort_conn)
         self._conn.end_writes()
 
@@ -263,10 +324,22 @@
             tuple(head.headers),
             bytes(self._body),
         )
+        kept_bytes = self._head_bytes + KEPT_BODY_COST * len(self._body)
         self._body = bytearray()
+        if self._held_bytes:
+            self._hold(0)
+        if not self._server.budget.keep(kept_bytes):
+            self._server.on_shed("memory")
+            self._refuse(503, "out of memory for requests", (RETRY_AFTER,))
+            return
         self._server.turnover.began(self)
-        self._exchange = Exchange(self, req, self._conn.peer)
-        self._server.on_request(self._exchange)
+        exchange = Exchange(self, req, self._conn.peer, kept_bytes)
+        self._exchange = exchange
+        try:
+            self._server.on_request(exchange)
+        except Exception:
+            exchange.drop()
+            raise
 
     def answer(self, exchange, response, close):
         """Write the response; close, or continue with the next pipelined request."""
@@ -274,7 +347,7 @@
             return
         http, self._http, self._exchange = self._http, None, None
         headers = response_headers(response)
-        if close or self._server.draining:
+        if close or self._last or self._server.draining:
             headers.append((b"connection", b"close"))
         try:
             out = http.send(h11.Response(status_code=response.status, headers=headers))
@@ -289,7 +362,7 @@
             self._on_close()
             return
         if http.our_state is h11.MUST_CLOSE:
-            if self._buffer or self._conn.pending:
+            if self._buffer or self._paused or self._conn.pending:
                 self._linger()
             else:
                 self._conn.close()
@@ -297,14 +370,28 @@
             return
         self._server.turnover.answered(self)
         self._set_timer(self._server.limits.idle_s, self._abort_conn)
-        self._conn.pause_reads(False)
-        if self._buffer:
-            data, self._buffer = self._buffer, b""
-            self._server.loop.call_later(0, lambda: self._resume(data))
-
-    def _resume(self, data):
-        if not self._conn.closed:
+        if self._conn.pending:
+            # A peer that takes no answers gets no further ones.
+            self._blocked = True
+            self._conn.on_drain = self._resume
+            self._update_held()
+        elif self._buffer or self._paused:
+            self._blocked = True
+            self._server.loop.call_later(0, self._resume)
+
+    def _resume(self):
+        self._blocked = False
+        if self._conn.closed:
+            return
+        if self._last:
+            self._linger()
+            return
+        data, self._buffer = self._buffer, b""
+        if data:
             self._on_data(data)
+        if self._exchange is None and not self._blocked:
+            self._pause(False)
+            self._update_held()
 
 
 class HttpServer:
@@ -314,7 +401,7 @@
     HTTP or exceeds a limit. New ``limits`` may be set at any time. At the limit on
     connections the one that the Turnover names gives way to a new one.
     ``on_shed(reason)`` is called for each connection or request that a shared limit
-    has cost a caller.
+    has cost a caller. ``budget`` is the MemoryBudget of all connections.
     """
 
     def __init__(
@@ -325,6 +412,7 @@
         limits=None,
         refusal=plain_response,
         on_shed=lambda reason: None,
+        budget=None,
     ):
         self.loop = loop
         self.on_request = on_request
@@ -334,11 +422,18 @@
         self.draining = False
         self.turnover = Turnover()
         self.on_shed = on_shed
+        self.budget = budget or MemoryBudget()
         self._net = net
 
     def listen(self, host, port):
         """Start listening and return the bound port."""
-        return self._net.listen(host, port, self._on_conn)
+        return self._net.listen(host, port, self._on_conn, self.limits.socket_bytes)
+
+    def free_memory(self):
+        """Make connections give up memory until the budget holds."""
+        for session in self.budget.excess_holders():
+            self.on_shed("memory")
+            session.give_up_memory()
 
     def drain(self):
         """Close idle connections now and the others after their response."""
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -20,6 +20,7 @@
       | bounds.graceS        | true    |
       | limits.maxFds        | 0       |
       | limits.maxFds        | many    |
+      | limits.memoryMb      | -1      |
 
   Scenario: appends and reads use the store's record format
     Then an append and a read of two records match the expected bytes
--- a/tests/server.feature
+++ b/tests/server.feature
@@ -84,3 +84,29 @@
     When the raw request "GET / HTTP/1.1~Host: a~~" arrives
     And 2 silent clients connect
     Then the server answers 200 and stays open
+
+  Scenario: an incomplete request is refused with 503 when memory is short
+    Given a server with 100000 bytes for requests
+    When the raw request "POST / HTTP/1.1~Host: a~Content-Length: 300000~~*200000" arrives
+    Then the server answers 503 and closes
+    And it said when to try again
+    And no memory is counted any more
+
+  Scenario: a request in progress is answered when memory is short
+    Given a server with 100000 bytes for requests that answers after 0.1 s
+    When the raw request "GET /a HTTP/1.1~Host: a~~*200000" arrives
+    Then the server answers 200 and closes
+    And no memory is counted any more
+
+  Scenario: the memory of a request counts until it was answered, also without its caller
+    Given a server with 100000 bytes for requests that answers after 0.1 s
+    When the raw request "POST / HTTP/1.1~Host: a~Content-Length: 5000~~*5000" arrives
+    And its client leaves
+    Then at least 5000 bytes are counted
+    And no memory is counted any more
+
+  Scenario: a client that takes no answers gets no further ones
+    Given a server that answers every request with 100000 bytes
+    When a client sends 200 requests and reads nothing
+    Then the server has not answered them all and holds at most one answer
+    And the client gets all answers when it reads
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -55,7 +55,7 @@
     assert (cfg.grace_ms, cfg.upkeep_ms, cfg.status_ms) == (6000, 2500, 120_000)
     assert (cfg.core_share, cfg.cores, cfg.link_mbps) == (0.537, 2, 1000.0)
     assert (cfg.machine_lease_ms, cfg.max_lease_ms) == (3000, 10_000)
-    assert cfg.max_fds == 4096  # the default
+    assert (cfg.max_fds, cfg.memory_mb) == (4096, 300)  # the defaults
 
 
 @then("unknown fields are ignored")
--- a/tests/steps/server.py
+++ b/tests/steps/server.py
@@ -7,6 +7,7 @@
 from hypothesis import given as generated, settings, strategies as st
 
 from cardamomgrade.client import ClientConn
+from cardamomgrade.overload import MemoryBudget
 from cardamomgrade.server import HttpServer, ServerLimits
 from cardamomgrade.wire import HttpRequest, HttpResponse
 from harness import Rig
@@ -112,6 +113,85 @@
     serve(context, answer, ServerLimits(connections=count))
 
 
+def serve_within(context, size, on_request):
+    serve(context, on_request)
+    context.server.budget = MemoryBudget(size)
+
+
+@given("a server with {size:d} bytes for requests")
+def step_budget_server(context, size):
+    serve_within(context, size, ok)
+
+
+@given("a server with {size:d} bytes for requests that answers after {seconds:g} s")
+def step_slow_budget_server(context, size, seconds):
+    def answer(exchange):
+        context.rig.loop.call_later(seconds, lambda: ok(exchange))
+
+    serve_within(context, size, answer)
+
+
+@when("its client leaves")
+def step_leaves(context):
+    context.rig.run_until(lambda: context.server.budget.kept_bytes)
+    context.caller.conn.abort()
+    context.rig.run_for(0.02)
+
+
+@then("it said when to try again")
+def step_retry_after(context):
+    assert b"retry-after: 1" in context.caller.got.lower(), context.caller.got
+
+
+@then("at least {size:d} bytes are counted")
+def step_counted(context, size):
+    assert context.server.budget.kept_bytes >= size
+
+
+@then("no memory is counted any more")
+def step_nothing_counted(context):
+    budget = context.server.budget
+    context.rig.run_until(lambda: not (budget.kept_bytes or budget.held_bytes))
+
+
+@given("a server that answers every request with {size:d} bytes")
+def step_large_answers(context, size):
+    context.answered = []
+
+    def answer(exchange):
+        context.answered.append(exchange)
+        exchange.respond(HttpResponse(200, (), b"x" * size))
+
+    context.answer_bytes = size
+    serve(context, answer, ServerLimits(socket_bytes=PIECE_BYTES))
+
+
+@when("a client sends {count:d} requests and reads nothing")
+def step_reads_nothing(context, count):
+    context.count = count
+    request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    caller = context.caller = RawCaller(context.rig, context.port, b"")
+    context.rig.run_until(lambda: caller.conn)
+    caller.conn.pause_reads(True)
+    caller.conn.write(request * count)
+    context.rig.run_for(0.3)
+
+
+@then("the server has not answered them all and holds at most one answer")
+def step_few_answers(context):
+    assert 0 < len(context.answered) < context.count / 2, len(context.answered)
+    (session,) = context.server.sessions
+    assert session._conn.pending < 2 * context.answer_bytes, session._conn.pending
+
+
+@then("the client gets all answers when it reads")
+def step_all_answers(context):
+    caller, wanted = context.caller, context.count * context.answer_bytes
+    caller.conn.pause_reads(False)
+    context.rig.run_until(lambda: caller.got.count(b"x") >= wanted or caller.closed)
+    assert not caller.closed
+
+
 @when("{count:d} silent clients connect")
 def step_silent_clients(context, count):
     context.rig.run_for(0.02)
