Keep one timer for each connection instead of two for each request

What callers see: nothing; many small requests make a node's memory grow.

Cause: a request set a timer for its reception and one for the idle time after it. The loop keeps a cancelled timer until it is due, up to 60 s later.

Change: a connection keeps its deadline, and its timer is set again only where the deadline has become earlier.

--- a/src/cardamomgrade/server.py
+++ b/src/cardamomgrade/server.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 server that reads complete requests and writes responses in order."""
 
+import math
+
 import attrs
 import h11
 
@@ -122,21 +124,38 @@
         self._last = False
         self._lingering = False
         self._timer = None
+        self._due = math.inf
+        self._on_due = None
         conn.on_data = self._on_data
         conn.on_close = self._on_close
         self._set_timer(server.limits.idle_s, self._abort_conn)
 
     def _set_timer(self, delay, callback):
+        self._due, self._on_due = self._server.loop.now() + delay, callback
+        # A later deadline is left to the timer that is set: each request sets two, and
+        # the loop keeps a cancelled timer until it is due.
+        if self._timer is None or self._timer.due > self._due:
+            self._stop_timer()
+            self._timer = self._server.loop.call_later(delay, self._check_due)
+
+    def _stop_timer(self):
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._server.loop.call_later(delay, callback)
+
+    def _check_due(self):
+        self._timer = None
+        left = self._due - self._server.loop.now()
+        if left <= 0:
+            self._on_due()
+        elif left < math.inf:
+            self._timer = self._server.loop.call_later(left, self._check_due)
 
     def _abort_conn(self):
         self._conn.abort()
         self._on_close()
 
     def _on_close(self):
-        self._timer.cancel()
+        self._stop_timer()
         self._server.sessions.discard(self)
         self._server.turnover.closed(self)
         self._hold(0)
@@ -315,7 +334,7 @@
             self._conn.write(self._http.send(event))
 
     def _complete(self):
-        self._timer.cancel()
+        self._due = math.inf
         self._buffer = self._http.trailing_data[0]
         head = self._head
         req = HttpRequest(
--- a/tests/server.feature
+++ b/tests/server.feature
@@ -110,3 +110,8 @@
     When a client sends 200 requests and reads nothing
     Then the server has not answered them all and holds at most one answer
     And the client gets all answers when it reads
+
+  Scenario: requests of one connection leave no timers behind
+    Given a server that answers every request with 200
+    When the raw request "[GET / HTTP/1.1~Host: a~~]*300" arrives
+    Then 300 answers arrive and the loop has at most 10 timers
--- a/tests/steps/server.py
+++ b/tests/steps/server.py
@@ -192,6 +192,13 @@
     assert not caller.closed
 
 
+@then("{count:d} answers arrive and the loop has at most {limit:d} timers")
+def step_timers(context, count, limit):
+    context.rig.run_until(lambda: context.caller.got.count(b"fine") == count)
+    found = len(context.rig.loop._heap)
+    assert found <= limit, found
+
+
 @when("{count:d} silent clients connect")
 def step_silent_clients(context, count):
     context.rig.run_for(0.02)
