--- a/src/cardamomgrade/jobs/node.py
+++ b/src/cardamomgrade/jobs/node.py
@@ -8,9 +8,10 @@
 from ..journal import event, log_event
 from ..metrics import Metrics
 from ..net import Net, parse_address
+from ..overload import MemoryBudget
 from ..scrape import ScrapeServer
 from ..server import HttpServer, ServerLimits
-from ..wire import HttpResponse
+from ..wire import BODY_LIMIT_BYTES, HttpResponse
 from .admission import never_refused, retry_after_s
 from .calls import Answer, AnswerKind
 from .customers import Customer
@@ -19,6 +20,12 @@
 from .follow import TopicFollower
 from .mechanisms import ALL_ENABLED
 from .records import encode, KEY_TERM
+from .shedding import (
+    connection_limit,
+    memory_limit_bytes,
+    SheddingLog,
+    SOCKET_BYTES,
+)
 from .store import Appended, AppendFate, WriterPosition
 from .term import is_small, RESIGNED_JITTER_S, Term
 from .view import JobView
@@ -31,7 +38,7 @@
 BALANCER_DELAY_S = 2.5  # the load balancer probes each second; two must fail
 DRAIN_POLL_S = 0.1
 MAX_REPORTED_AGE_S = 3600.0  # metric value for a copy that was never read
-MAX_CONNECTIONS = 1500
+READY_LIMITS = ServerLimits(body_bytes=1024, connections=64)
 MS = 1000
 NO_CUSTOMER = Customer("")
 
@@ -148,10 +155,14 @@
             loop,
             self._net,
             self._on_request,
-            ServerLimits(connections=MAX_CONNECTIONS),
+            ServerLimits(
+                connections=connection_limit(cfg.max_fds), socket_bytes=SOCKET_BYTES
+            ),
             self._platform.bad_request,
+            SheddingLog(loop, self._metrics).note,
+            MemoryBudget(memory_limit_bytes(cfg.memory_mb)),
         )
-        self._ready_server = HttpServer(loop, self._net, self._on_ready)
+        self._ready_server = HttpServer(loop, self._net, self._on_ready, READY_LIMITS)
         self._scrape_server = ScrapeServer(loop, self._net, self._metrics, self._gauges)
 
     def start(self):
@@ -336,6 +347,9 @@
         if self._queue_cfg is not None and queue_cfg.version < self._queue_cfg.version:
             return
         self._queue_cfg = queue_cfg
+        limits = self._front_server.limits
+        body_bytes = min(queue_cfg.body_limit or BODY_LIMIT_BYTES, BODY_LIMIT_BYTES)
+        self._front_server.limits = attrs.evolve(limits, body_bytes=body_bytes)
         log_event(
             ConfigInForce(
                 queue_cfg.version,
--- a/src/cardamomgrade/net.py
+++ b/src/cardamomgrade/net.py
@@ -25,7 +25,8 @@
 
     The owner sets ``on_data(data)`` and ``on_close()``. ``on_close`` is called once
     when the peer closes or an error occurs, but not when the connection is closed by
-    ``close`` or ``abort``.
+    ``close`` or ``abort``. ``on_drain()``, if set, is called once when all written data
+    has been handed to the kernel.
     """
 
     def __init__(self, net, sock, peer):
@@ -33,10 +34,12 @@
         self._sock = sock
         self._out = bytearray()
         self._closing = False
+        self._ends_writes = False
         self.peer = peer
         self.closed = False
         self.on_data = None
         self.on_close = None
+        self.on_drain = None
 
     @property
     def pending(self):
@@ -48,7 +51,7 @@
 
         That is when more than ``WRITE_BUFFER_LIMIT_BYTES`` are pending.
         """
-        if self.closed or self._closing:
+        if self.closed or self._closing or self._ends_writes:
             return
         if not self._out:
             data = self._send(data)
@@ -75,6 +78,18 @@
         if not self._out:
             self.abort()
 
+    def end_writes(self):
+        """Tell the peer that nothing follows the written data; go on reading."""
+        self._ends_writes = True
+        if not self._out and not self.closed:
+            self._shut_down_writes()
+
+    def _shut_down_writes(self):
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._close_sock()
+
     def abort(self):
         """Close at once; ``on_close`` is not called."""
         self.on_close = None
@@ -116,6 +131,11 @@
         self._net.watch_writes(self._sock, False)
         if self._closing:
             self.abort()
+        elif self._ends_writes:
+            self._shut_down_writes()
+        elif self.on_drain is not None:
+            callback, self.on_drain = self.on_drain, None
+            callback()
 
 
 class Net(BaseComponent):
@@ -132,10 +152,17 @@
         self._listeners = {}
         self.register(loop)
 
-    def listen(self, host, port, on_conn):
-        """Listen and call ``on_conn(conn)`` per connection; return the bound port."""
+    def listen(self, host, port, on_conn, buffer_bytes=0):
+        """Listen and call ``on_conn(conn)`` per connection; return the bound port.
+
+        ``buffer_bytes`` is the size of each of the kernel's two buffers of a
+        connection, 0 for the system's default.
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if buffer_bytes:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
         sock.bind((host, port))
         sock.listen(BACKLOG_CONNS)
         sock.setblocking(False)
--- a/src/cardamomgrade/server.py
+++ b/src/cardamomgrade/server.py
@@ -1,20 +1,10 @@
 """HTTP/1.1 server that reads complete requests and writes responses in order."""
 
 import attrs
-import h11
 
-from .errors import WireError
-from .wire import (
-    BODY_LIMIT_BYTES,
-    check_head,
-    find_header,
-    has_body,
-    HEAD_END,
-    HEAD_LIMIT_BYTES,
-    HttpRequest,
-    HttpResponse,
-    response_headers,
-)
+from .exchange import Session
+from .overload import MemoryBudget, Turnover
+from .wire import BODY_LIMIT_BYTES, HttpResponse
 
 MESSAGE_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 60.0
@@ -26,13 +16,15 @@
     """Limits of a server; sizes in bytes, times in seconds.
 
     ``message_s`` is the time to receive one request, ``idle_s`` the time that a
-    connection may be open without a request.
+    connection may be open without a request. ``socket_bytes`` is the size of each
+    buffer of a connection in the kernel, 0 for the system's default.
     """
 
     body_bytes: int = BODY_LIMIT_BYTES
     connections: int = CONNECTION_LIMIT
     message_s: float = MESSAGE_TIMEOUT_S
     idle_s: float = IDLE_TIMEOUT_S
+    socket_bytes: int = 0
 
 
 def plain_response(status, text, headers=()):
@@ -42,250 +34,46 @@
     )
 
 
-class Exchange:
-    """One request, to be answered once.
-
-    ``on_disconnect()`` is called when the caller closes the connection before that.
-    """
-
-    def __init__(self, session, req, peer):
-        self._session = session
-        self.req = req
-        self.peer = peer
-        self.answered = False
-        self.on_disconnect = None
-
-    def respond(self, response, close=False):
-        """Answer the request; with ``close`` also close the connection after it.
-
-        Does nothing when the request was answered before.
-        """
-        if self.answered:
-            return
-        self.answered = True
-        self._session.answer(self, response, close)
-
-    def drop(self):
-        """Close the caller's connection without answering."""
-        self.answered = True
-        self._session.close_now()
-
-    def respond_partially(self, response):
-        """Send the head and half of the body, then close; used by test stand-ins."""
-        self.answered = True
-        self._session.answer_partially(response)
-
-    def caller_left(self):
-        """Call ``on_disconnect`` unless answered; called by the session."""
-        if not self.answered:
-            self.answered = True
-            if self.on_disconnect is not None:
-                self.on_disconnect()
-
-
-class _Session:
-    """A caller's connection, which handles one request at a time.
-
-    Pipelined requests wait in the buffer.
-    """
-
-    def __init__(self, server, conn):
-        self._server = server
-        self._conn = conn
-        self._buffer = b""
-        self._http = None
-        self._exchange = None
-        self._head = None
-        self._body = []
-        self._size = 0
-        self._timer = None
-        conn.on_data = self._on_data
-        conn.on_close = self._on_close
-        self._set_timer(server.limits.idle_s, self._abort_conn)
-
-    def _set_timer(self, delay, callback):
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = self._server.loop.call_later(delay, callback)
-
-    def _abort_conn(self):
-        self._conn.abort()
-        self._on_close()
-
-    def _on_close(self):
-        self._timer.cancel()
-        self._server.sessions.discard(self)
-        if self._exchange is not None:
-            self._exchange.caller_left()
-
-    def is_answering(self, exchange):
-        """Return whether ``exchange`` belongs to this connection."""
-        return self._exchange is exchange
-
-    def close_now(self):
-        """Close at once, without answering a request that is being read or handled."""
-        self._abort_conn()
-
-    def answer_partially(self, response):
-        """Send half of the body under a content-length of all of it, then close."""
-        raw = h11.Connection(h11.SERVER)
-        event = h11.Response(
-            status_code=response.status, headers=response_headers(response)
-        )
-        self._conn.write(raw.send(event) + response.body[: len(response.body) // 2])
-        self._conn.close()
-        self._on_close()
-
-    def close_idle(self):
-        """Close now unless a request is being read or handled."""
-        if self._exchange is None and self._http is None and not self._buffer:
-            self._abort_conn()
-
-    def _on_data(self, data):
-        if self._exchange is not None:
-            self._buffer += data
-            if len(self._buffer) > self._server.limits.body_bytes:
-                self._conn.pause_reads(True)
-            return
-        if self._http is None:
-            self._start(self._buffer + data)
-        else:
-            self._feed(data)
-
-    def _start(self, data):
-        if not self._buffer:
-            self._set_timer(self._server.limits.message_s, self._on_message_timeout)
-        self._buffer = data.lstrip(b"\r\n") if data[:2] == b"\r\n" else data
-        if HEAD_END not in self._buffer:
-            if len(self._buffer) > HEAD_LIMIT_BYTES:
-                self._refuse(431, "head too large")
-            return
-        problem = check_head(self._buffer)
-        if problem is not None:
-            self._refuse(problem.status, problem.detail)
-            return
-        data, self._buffer = self._buffer, b""
-        self._http = h11.Connection(h11.SERVER, HEAD_LIMIT_BYTES)
-        self._head, self._body, self._size = None, [], 0
-        self._feed(data)
-
-    def _on_message_timeout(self):
-        self._refuse(408, "request not received in time")
-
-    def _refuse(self, status, detail):
-        headers = (("connection", "close"),)
-        response = self._server.refusal(status, detail)
-        raw = h11.Connection(h11.SERVER)
-        event = h11.Response(
-            status_code=response.status,
-            headers=[*response_headers(response), *headers],
-        )
-        self._conn.write(raw.send(event) + response.body)
-        self._conn.on_data = None
-        self._conn.close()
-        self._on_close()
-
-    def _feed(self, data):
-        try:
-            self._http.receive_data(data)
-            self._pump()
-        except h11.RemoteProtocolError as exc:
-            self._refuse(exc.error_status_hint, str(exc))
-
-    def _pump(self):
-        while True:
-            event = self._http.next_event()
-            if isinstance(event, h11.Request):
-                self._head = event
-                if event.method == b"CONNECT":
-                    self._refuse(501, "CONNECT is not supported")
-                    return
-                declared = int(find_header(event.headers, "content-length", "0"))
-                if declared > self._server.limits.body_bytes:
-                    self._refuse(413, "body too large")
-                    return
-            elif isinstance(event, h11.Data):
-                self._body.append(bytes(event.data))
-                self._size += len(event.data)
-                if self._size > self._server.limits.body_bytes:
-                    self._refuse(413, "body too large")
-                    return
-            elif isinstance(event, h11.EndOfMessage):
-                self._complete()
-                return
-            else:
-                self._continue()
-                return
-
-    def _continue(self):
-        if self._http.they_are_waiting_for_100_continue:
-            event = h11.InformationalResponse(status_code=100, headers=())
-            self._conn.write(self._http.send(event))
-
-    def _complete(self):
-        self._timer.cancel()
-        self._buffer = self._http.trailing_data[0]
-        head = self._head
-        req = HttpRequest(
-            head.method.decode("ascii"),
-            head.target.decode("ascii"),
-            tuple(head.headers),
-            b"".join(self._body),
-        )
-        self._exchange = Exchange(self, req, self._conn.peer)
-        self._server.on_request(self._exchange)
-
-    def answer(self, exchange, response, close):
-        """Write the response; close, or continue with the next pipelined request."""
-        if self._conn.closed:
-            return
-        http, self._http, self._exchange = self._http, None, None
-        headers = response_headers(response)
-        if close or self._server.draining:
-            headers.append((b"connection", b"close"))
-        try:
-            out = http.send(h11.Response(status_code=response.status, headers=headers))
-            if response.body and has_body(exchange.req.method, response.status):
-                out += http.send(h11.Data(data=response.body))
-            out += http.send(h11.EndOfMessage())
-        except h11.LocalProtocolError as exc:
-            self._abort_conn()
-            raise WireError(f"response is not valid HTTP: {exc}") from exc
-        self._conn.write(out)
-        if http.our_state is h11.MUST_CLOSE or self._conn.closed:
-            self._conn.close()
-            self._on_close()
-            return
-        self._set_timer(self._server.limits.idle_s, self._abort_conn)
-        self._conn.pause_reads(False)
-        if self._buffer:
-            data, self._buffer = self._buffer, b""
-            self._server.loop.call_later(0, lambda: self._resume(data))
-
-    def _resume(self, data):
-        if not self._conn.closed:
-            self._on_data(data)
-
-
 class HttpServer:
     """Listens on one or more addresses and calls ``on_request(exchange)``.
 
     ``refusal(status, detail)`` returns the response to a request that is not valid
-    HTTP or exceeds a limit.
+    HTTP or exceeds a limit. New ``limits`` may be set at any time. At the limit on
+    connections the one that the Turnover names gives way to a new one.
+    ``on_shed(reason)`` is called for each connection or request that a shared limit
+    has cost a caller. ``budget`` is the MemoryBudget of all connections.
     """
 
-    def __init__(self, loop, net, on_request, limits=None, refusal=plain_response):
+    def __init__(
+        self,
+        loop,
+        net,
+        on_request,
+        limits=None,
+        refusal=plain_response,
+        on_shed=lambda reason: None,
+        budget=None,
+    ):
         self.loop = loop
         self.on_request = on_request
         self.limits = limits or ServerLimits()
         self.refusal = refusal
         self.sessions = set()
         self.draining = False
+        self.turnover = Turnover()
+        self.on_shed = on_shed
+        self.budget = budget or MemoryBudget()
         self._net = net
 
     def listen(self, host, port):
         """Start listening and return the bound port."""
-        return self._net.listen(host, port, self._on_conn)
+        return self._net.listen(host, port, self._on_conn, self.limits.socket_bytes)
+
+    def free_memory(self):
+        """Make connections give up memory until the budget holds."""
+        for session in self.budget.excess_holders():
+            self.on_shed("memory")
+            session.give_up_memory()
 
     def drain(self):
         """Close idle connections now and the others after their response."""
@@ -300,7 +88,16 @@
                 session.close_now()
 
     def _on_conn(self, conn):
-        if len(self.sessions) >= self.limits.connections or self.draining:
+        if self.draining:
             conn.abort()
             return
-        self.sessions.add(_Session(self, conn))
+        if len(self.sessions) >= self.limits.connections:
+            self.on_shed("connections")
+            session = self.turnover.first()
+            if session is None:
+                conn.abort()
+                return
+            session.close_now()
+        session = Session(self, conn)
+        self.sessions.add(session)
+        self.turnover.opened(session)
--- a/tests/steps/server.py
+++ b/tests/steps/server.py
@@ -1,14 +1,20 @@
 """Steps for the HTTP server and client modules."""
 
+import re
+import socket
+
 from behave import given, then, when
 from hypothesis import given as generated, settings, strategies as st
 
 from cardamomgrade.client import ClientConn
+from cardamomgrade.overload import MemoryBudget
 from cardamomgrade.server import HttpServer, ServerLimits
 from cardamomgrade.wire import HttpRequest, HttpResponse
 from harness import Rig
 
 HOST = "127.0.0.1"
+PIECE_BYTES = 65536
+REPEATED = re.compile(r"\[(.*?)\]\*(\d+)")
 FIXED = settings(max_examples=150, derandomize=True, deadline=None, database=None)
 FRAGMENTS = st.sampled_from(
     [
@@ -41,7 +47,11 @@
 
 
 def raw_bytes(text):
-    """Return ``text`` as bytes: ~ is CRLF, ^ a bare LF, and a final *N is N times x."""
+    """Return ``text`` as bytes.
+
+    ~ is CRLF, ^ a bare LF, [ab]*N is N times ab, and a final *N is N times x.
+    """
+    text = REPEATED.sub(lambda match: match[1] * int(match[2]), text)
     text, _, count = text.partition("*")
     data = text.replace("~", "\r\n").replace("^", "\n").encode()
     return data + b"x" * int(count or 0)
@@ -90,6 +100,119 @@
     serve(context, ok, ServerLimits(message_s=seconds))
 
 
+@given("a server with at most {count:d} connections")
+def step_small_server(context, count):
+    serve(context, ok, ServerLimits(connections=count))
+
+
+@given("a server with at most {count:d} connection that answers after {seconds:g} s")
+def step_slow_server(context, count, seconds):
+    def answer(exchange):
+        context.rig.loop.call_later(seconds, lambda: ok(exchange))
+
+    serve(context, answer, ServerLimits(connections=count))
+
+
+def serve_within(context, size, on_request):
+    serve(context, on_request)
+    context.server.budget = MemoryBudget(size)
+
+
+@given("a server with {size:d} bytes for requests")
+def step_budget_server(context, size):
+    serve_within(context, size, ok)
+
+
+@given("a server with {size:d} bytes for requests that answers after {seconds:g} s")
+def step_slow_budget_server(context, size, seconds):
+    def answer(exchange):
+        context.rig.loop.call_later(seconds, lambda: ok(exchange))
+
+    serve_within(context, size, answer)
+
+
+@when("its client leaves")
+def step_leaves(context):
+    context.rig.run_until(lambda: context.server.budget.kept_bytes)
+    context.caller.conn.abort()
+    context.rig.run_for(0.02)
+
+
+@then("it said when to try again")
+def step_retry_after(context):
+    assert b"retry-after: 1" in context.caller.got.lower(), context.caller.got
+
+
+@then("at least {size:d} bytes are counted")
+def step_counted(context, size):
+    assert context.server.budget.kept_bytes >= size
+
+
+@then("no memory is counted any more")
+def step_nothing_counted(context):
+    budget = context.server.budget
+    context.rig.run_until(lambda: not (budget.kept_bytes or budget.held_bytes))
+
+
+@given("a server that answers every request with {size:d} bytes")
+def step_large_answers(context, size):
+    context.answered = []
+
+    def answer(exchange):
+        context.answered.append(exchange)
+        exchange.respond(HttpResponse(200, (), b"x" * size))
+
+    context.answer_bytes = size
+    serve(context, answer, ServerLimits(socket_bytes=PIECE_BYTES))
+
+
+@when("a client sends {count:d} requests and reads nothing")
+def step_reads_nothing(context, count):
+    context.count = count
+    request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    caller = context.caller = RawCaller(context.rig, context.port, b"")
+    context.rig.run_until(lambda: caller.conn)
+    caller.conn.pause_reads(True)
+    caller.conn.write(request * count)
+    context.rig.run_for(0.3)
+
+
+@then("the server has not answered them all and holds at most one answer")
+def step_few_answers(context):
+    assert 0 < len(context.answered) < context.count / 2, len(context.answered)
+    (session,) = context.server.sessions
+    assert session._conn.pending < 2 * context.answer_bytes, session._conn.pending
+
+
+@then("the client gets all answers when it reads")
+def step_all_answers(context):
+    caller, wanted = context.caller, context.count * context.answer_bytes
+    caller.conn.pause_reads(False)
+    context.rig.run_until(lambda: caller.got.count(b"x") >= wanted or caller.closed)
+    assert not caller.closed
+
+
+@then("{count:d} answers arrive and the loop has at most {limit:d} timers")
+def step_timers(context, count, limit):
+    context.rig.run_until(lambda: context.caller.got.count(b"fine") == count)
+    found = len(context.rig.loop._heap)
+    assert found <= limit, found
+
+
+@when("{count:d} silent clients connect")
+def step_silent_clients(context, count):
+    context.rig.run_for(0.02)
+    context.silent = [RawCaller(context.rig, context.port, b"") for _ in range(count)]
+    context.rig.run_for(0.02)
+
+
+@then("another client gets an answer")
+def step_other_client(context):
+    request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+    caller = RawCaller(context.rig, context.port, request)
+    context.rig.run_until(lambda: b"fine" in caller.got)
+
+
 @given("a server that answers {method} with {status:d}")
 def step_status_server(context, method, status):
     serve(
@@ -102,6 +225,43 @@
     context.caller = RawCaller(context.rig, context.port, raw_bytes(text))
 
 
+@when('a client sends "{text}" and {size:d} bytes more before it reads')
+def step_sends_on(context, text, size):
+    context.sock = socket.create_connection((HOST, context.port))
+    context.add_cleanup(context.sock.close)
+    context.sock.sendall(raw_bytes(text))
+    context.rig.run_for(0.02)
+    context.sock.setblocking(False)
+    context.unsent = size
+
+    def send():
+        piece = min(context.unsent, PIECE_BYTES)
+        try:
+            context.unsent -= context.sock.send(b"x" * piece)
+        except BlockingIOError:
+            return False
+        except OSError as exc:
+            context.failure = exc
+            return True
+        return context.unsent == 0
+
+    context.rig.run_until(send)
+
+
+@then("it can send all of them and reads status {status:d}")
+def step_reads_status(context, status):
+    assert context.unsent == 0, context.failure
+    context.rig.run_for(0.02)
+    got = context.sock.recv(PIECE_BYTES)
+    assert got.startswith(b"HTTP/1.1 %d " % status), got
+    assert context.sock.recv(PIECE_BYTES) == b""
+
+
+@then("it cannot send all of them")
+def step_cut_off(context):
+    assert context.unsent, "all was sent"
+
+
 @when("a client sends {method}")
 def step_client_sends(context, method):
     context.results = []
