Limit the longer lease of a new scheduler to executors that have restarted

Cause: born shows the age of an executor, not whether it has had a former incarnation that an earlier scheduler called.

A record keeps the newest born that a scheduler has known of each executor, and whether it had restarted. It is stored before or with the first start there, so that an executor without a record was never called, and one with its first born has no former calls. Records of executors that are gone are deleted.

--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -17,6 +17,7 @@
     encode,
     KEY_LEARNED,
     PREFIX_CANCEL,
+    PREFIX_EXECUTOR,
     PREFIX_JOB,
     PREFIX_PROGRESS,
 )
@@ -33,7 +34,7 @@
 DURATIONS_SAVE_INTERVAL_S = 2.0  # a new scheduler lacks at most the runs of this time
 REFUSAL_BACKOFF_MS = 1000  # an executor that refused a start is retried after this
 JOB_RETENTION_MARGIN_S = 30.0  # beyond status_ms, in which callers may query a job
-FIRST_EPOCH = 1
+STORED_EXECUTORS_S = 60.0  # an executor that is cut off registers again by then
 EPOCH_SPREAD_S = 1.0  # until every executor has received the new epoch
 MS = 1000
 
@@ -114,7 +115,9 @@
         self._jobs_topic = platform.jobs_topic()
         self._writer = Writer(loop, self._jobs_topic, term, self.depose, metrics)
         self._silences = SilentExecutors(loop, self._writer, view.silent)
-        self._incarnations = Incarnations(loop.now(), term.epoch > FIRST_EPOCH)
+        self._incarnations = Incarnations(
+            loop.now(), view.known_executors, self._store_executor
+        )
         self._registrations = Registrations(
             loop,
             platform.decode_executor,
@@ -297,8 +300,13 @@
             incarnation,
         )
 
+    def _store_executor(self, name, record):
+        value = encode(record) if record is not None else b""
+        self._writer.store([(PREFIX_EXECUTOR + name, value)])
+
     def _forget_executor(self, name):
         self._scheduler.forget_executor(name)
+        self._incarnations.forget(name)
         agent = self._agents.pop(name, None)
         if agent is not None:
             agent.close()
@@ -321,6 +329,14 @@
                 self._add_agent(name)
                 self._agents[name].replace(agent)
 
+    def _forget_unregistered(self, now):
+        """Forget executors of earlier terms that are gone."""
+        if not self._executors.loaded or now - self._started_at < STORED_EXECUTORS_S:
+            return
+        for name in self._incarnations.unseen():
+            if not self._scheduler.has_runs(name):
+                self._incarnations.forget(name)
+
     def _forget_unlisted(self):
         for name, executor in list(self._scheduler.executors.items()):
             if not executor.listed and self._agents[name].finished:
@@ -332,15 +348,15 @@
         self._timers = [self._loop.call_later(TICK_S, self._tick)]
         now = self._loop.now()
         self._scheduler.next_due_ms(time.time() * MS)
-        lapse_s = lapse_bound_s(self._unregistered_lease_ms)
         for name in self._scheduler.unregistered_executors():
-            if now - self._last_grant_at(name) > lapse_s:
+            if now > self._unregistered_lapse_at(name):
                 self._scheduler.mark_runs_lapsed(name, now * MS)
         for name in self._silences.names():
             if not self._scheduler.has_runs(name):
                 self._silences.clear(name)
         self._scheduler.log_stalls(now * MS)
         self._forget_unlisted()
+        self._forget_unregistered(now)
         self._replace_unwatching_agents(now)
         self._forget_jobs(now)
         if now - self._durations_saved_at > DURATIONS_SAVE_INTERVAL_S:
@@ -351,15 +367,13 @@
         if self._executors.loaded:
             self._vms.refresh()
 
-    @property
-    def _unregistered_lease_ms(self):
-        """The longest lease that an unregistered executor may have, in ms.
-
-        Where ids return, it may have started again and taken calls to its former
-        incarnation.
-        """
-        may_return = self._incarnations.ids_return or not self._executors.loaded
-        return self._cfg.max_lease_ms if may_return else self._lease_ms
+    def _unregistered_lapse_at(self, name):
+        """Return when every lease of an unregistered executor has certainly lapsed."""
+        former_until = self._incarnations.former_until(
+            name, self._loop.now(), time.time()
+        )
+        own = self._last_grant_at(name) + lapse_bound_s(self._lease_ms)
+        return max(own, former_until + lapse_bound_s(self._cfg.max_lease_ms))
 
     def _last_grant_at(self, name):
         """Return by when the lease of an unregistered executor was last granted."""
--- a/src/cardamomgrade/jobs/former.py
+++ b/src/cardamomgrade/jobs/former.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from .records import ExecutorRecord
+
 TOKENS_PER_TERM = 2**16  # all tokens of a term are below those of the next one
 LATE_CALL_S = 12.0  # by then the platform has carried out a call that got no answer
 UNNOTICED_S = 3.0  # for which a scheduler may not know that an executor started again
@@ -47,35 +49,67 @@
 class Incarnations:
     """The newest incarnation of each executor that one term's scheduler has known.
 
-    ``predecessor`` is whether another term came before, which began at ``now``.
+    ``stored`` maps the executors that earlier schedulers have known to their
+    ExecutorRecords; ``store(name, record)`` stores one. The term begins at ``now``.
     """
 
-    def __init__(self, now, predecessor):
-        sent_until = now if predecessor else float("-inf")
-        self._predecessor_until = sent_until + LATE_CALL_S
+    def __init__(self, now, stored, store):
+        self._predecessor_until = now + LATE_CALL_S
+        self._stored = dict(stored)
+        self._store = store
         self._newest = {}
-        self.ids_return = False
 
     def newest(self, name, born, now, wall_s):
         """Return the newest Incarnation of an executor, which was born at ``born``.
 
         ``born`` is in Unix ms, 0 where executors tell none: their ids do not return.
-        ``wall_s`` is the Unix time. The predecessor may have called a former
-        incarnation of one that began lately.
+        ``wall_s`` is the Unix time.
         """
         known = self._newest.get(name)
         if known is None:
-            until = float("-inf")
-            if born:
-                began_at = now - (wall_s - born / MS) + CLOCK_ERROR_S
-                noticed_at = began_at + UNNOTICED_S
-                until = min(self._predecessor_until, noticed_at + LATE_CALL_S)
+            until = self._predecessor_calls_until(name, born, now, wall_s)
             known = self._newest[name] = Incarnation(former_until=until)
-        self.ids_return = self.ids_return or born > 0
+        self._remember(name, born, known.number > 0)
         return known
 
+    def former_until(self, name, now, wall_s):
+        """Return until when former calls may reach an executor without registration."""
+        stored = self._stored.get(name)
+        born = stored.born if stored is not None else 0
+        return self._predecessor_calls_until(name, born, now, wall_s)
+
+    def _predecessor_calls_until(self, name, born, now, wall_s):
+        """Return until when calls of earlier terms to former incarnations may arrive.
+
+        An executor that no earlier scheduler has known was never called, and one whose
+        only incarnation it has known has no former ones.
+        """
+        stored = self._stored.get(name)
+        if not born or stored is None or stored == ExecutorRecord(born, False):
+            return float("-inf")
+        began_at = now - (wall_s - born / MS) + CLOCK_ERROR_S
+        return min(self._predecessor_until, began_at + UNNOTICED_S + LATE_CALL_S)
+
     def begin(self, name, now):
         """Note that a later incarnation began; calls to the known one end now."""
         known = self._newest.get(name)
         number = known.number + 1 if known is not None else 0
         self._newest[name] = Incarnation(number, now + LATE_CALL_S)
+
+    def forget(self, name):
+        """Forget what is stored of an executor that is gone."""
+        if self._stored.pop(name, None) is not None:
+            self._store(name, None)
+
+    def unseen(self):
+        """Return the executors that are stored and have not registered in this term."""
+        return [name for name in self._stored if name not in self._newest]
+
+    def _remember(self, name, born, restarted):
+        stored = self._stored.get(name)
+        if stored is not None and born:
+            restarted = restarted or stored.restarted or stored.born != born
+        record = ExecutorRecord(born, restarted)
+        if born and record != stored:
+            self._stored[name] = record
+            self._store(name, record)
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -40,6 +40,7 @@
 PREFIX_ORDER = "order/"
 PREFIX_APPEND = "append/"
 PREFIX_SILENT = "silent/"
+PREFIX_EXECUTOR = "executor/"
 
 
 @unique
@@ -156,6 +157,18 @@
     age_ms: int
 
 
+@attrs.frozen
+class ExecutorRecord:
+    """The newest incarnation of an executor that a scheduler has known.
+
+    ``born`` is its start in Unix ms, ``restarted`` whether a scheduler has known an
+    earlier one of the same id.
+    """
+
+    born: int
+    restarted: bool
+
+
 @attrs.frozen
 class LearnedRecord:
     """Run times learned per queue, as (queue, mean_ms, estimate_error, mean_error).
@@ -307,6 +320,14 @@
     return record
 
 
+def decode_known_executor(data):
+    """Return the ExecutorRecord of an ``executor/`` key; raise RecordError."""
+    record = _load(ExecutorRecord, data)
+    if not isinstance(record.born, int) or not isinstance(record.restarted, bool):
+        raise RecordError(f"ExecutorRecord: {record!r}")
+    return record
+
+
 def decode_learned(data):
     """Return the LearnedRecord of the ``learned`` key; raise RecordError."""
     record = _load(LearnedRecord, data)
--- a/src/cardamomgrade/jobs/view.py
+++ b/src/cardamomgrade/jobs/view.py
@@ -9,6 +9,7 @@
 from .records import (
     decode_append,
     decode_job,
+    decode_known_executor,
     decode_learned,
     decode_load,
     decode_order,
@@ -24,6 +25,7 @@
     KEY_TERM,
     PREFIX_APPEND,
     PREFIX_CANCEL,
+    PREFIX_EXECUTOR,
     PREFIX_JOB,
     PREFIX_ORDER,
     PREFIX_PROGRESS,
@@ -78,7 +80,8 @@
     ``upkeeps`` maps an ``upkeep_name`` to its UpkeepRecord, and ``orders`` a VM to the
     StoredOrder of its lease.
     ``silent`` maps an executor with a SilentRecord to a time of ``now`` by which its
-    lease was granted for the last time.
+    lease was granted for the last time. ``known_executors`` maps an executor to its
+    ExecutorRecord.
 
     ``load`` is a LoadRecord and ``share_load`` a ShareLoadRecord, or None.
 
@@ -95,6 +98,7 @@
         self.upkeeps = {}
         self.orders = {}
         self.silent = {}
+        self.known_executors = {}
         self.learned = None
         self.load = None
         self.share_load = None
@@ -112,6 +116,7 @@
             (PREFIX_ORDER, self._fold_order),
             (PREFIX_APPEND, self._fold_append),
             (PREFIX_SILENT, self._fold_silent),
+            (PREFIX_EXECUTOR, self._fold_executor),
         )
 
     def find(self, name):
@@ -213,3 +218,9 @@
             self.silent[name] = self._now() - decode_silent(value).age_ms / MS
         else:
             self.silent.pop(name, None)
+
+    def _fold_executor(self, name, value):
+        if value:
+            self.known_executors[name] = decode_known_executor(value)
+        else:
+            self.known_executors.pop(name, None)
--- a/tests/jobs/former_calls.feature
+++ b/tests/jobs/former_calls.feature
@@ -14,27 +14,43 @@
     When it is silent for 6 s
     Then run 2 is over
 
-  Scenario: a new scheduler allows for a lease that its predecessor extended on a young incarnation
+  Scenario Outline: a new scheduler allows for a lease that its predecessor extended on a young incarnation
     Guards against two runs at once after a restart and a change of scheduler.
-    Given a scheduler that inherits run 1 on an executor that started 3 s ago, as its predecessor scheduled
+    Given a scheduler that inherits run 1 on an executor that started 3 s ago, <how>
     When the executor is silent for 11 s
     Then run 1 is not over
     When it is silent for 14 s
     Then run 1 is over, and no run is started
 
+    Examples:
+      | how                                |
+      | again                              |
+      | which its predecessor had not read |
+
   Scenario: a new scheduler allows for such a lease from the first answer on
-    Given a scheduler that inherits run 1 on an executor that started 3 s ago, as its predecessor scheduled
+    Given a scheduler that inherits run 1 on an executor that started 3 s ago, again
     When the executor reports run 1
     And the executor is silent for 6 s
     Then run 1 is not over
     When it is silent for 6 s
     Then run 1 is over, and no run is started
 
-  Scenario: a new scheduler counts the usual lease of an executor that started long ago
-    Given a scheduler that inherits run 1 on an executor that started 60 s ago, as its predecessor scheduled
+  Scenario Outline: a new scheduler counts the usual lease of an executor without former calls
+    Guards against tasks that wait for executors that are lost beside a scheduler.
+    Given a scheduler that inherits run 1 on an executor that started <seconds> s ago, <how>
     When the executor is silent for 6 s
     Then run 1 is over, and no run is started
 
+    Examples:
+      | seconds | how                |
+      | 60      | again              |
+      | 3       | for the first time |
+
+  Scenario: a new scheduler allows for such a lease on an executor that is not registered
+    Given a scheduler that inherits run 1 on an unregistered executor, which started 3 s ago, again
+    Then run 1 lapses only 10 s after the start of the term or later
+    And run 1 lapses within 14 s
+
   Scenario: an attempt without an answer may reach the next incarnation, though another one was accepted
     Given a scheduler and an executor born at 1000 that took the second attempt of run 1, while the first had no answer
     When the executor registers with born 2000 and port 2
--- a/tests/steps/jobs_former_calls.py
+++ b/tests/steps/jobs_former_calls.py
@@ -15,7 +15,7 @@
 from cardamomgrade.client import Failure
 from cardamomgrade.emulator.server import FIRST_CLOCK_MS, MAX_LEASE_MS
 from cardamomgrade.jobs import driver as driver_module, incarnations
-from cardamomgrade.jobs.records import encode, ProgressRecord
+from cardamomgrade.jobs.records import encode, ExecutorRecord, Phase, ProgressRecord
 from cardamomgrade.jobs.reports import (
     LeaseReport,
     OrderAnswer,
@@ -246,21 +246,59 @@
     assert world.is_placed(2)
 
 
-@given(
-    "a scheduler that inherits run 1 on an executor that started {seconds:d} s ago, "
-    "as its predecessor scheduled"
-)
-def step_inherits_young(context, seconds):
+def inherit(context, seconds, how):
+    """Begin a term whose predecessor started run 1 on an executor of that age."""
+    context.born = int((time.time() - seconds) * 1000)
+    record = {
+        "again": ExecutorRecord(context.born, True),
+        "which its predecessor had not read": ExecutorRecord(
+            context.born - 9000, False
+        ),
+        "for the first time": ExecutorRecord(context.born, False),
+    }[how]
     world = context.lives = DriverWorld()
     world.add_job()
     row = (0, 0, 0, 1, 1, NAME, 0, "")
     world.view.fold(Entry(1, f"progress/{JOB}", encode(ProgressRecord(1, (row,)))))
+    world.view.fold(Entry(2, f"executor/{NAME}", encode(record)))
     world.start(epoch=2)
-    context.born = int((time.time() - seconds) * 1000)
+    return world
+
+
+@given(
+    "a scheduler that inherits run 1 on an executor that started {seconds:d} s ago, "
+    "{how}"
+)
+def step_inherits_young(context, seconds, how):
+    world = inherit(context, seconds, how)
     world.register(context.born, 1)
     assert world.is_placed(1)
 
 
+@given(
+    "a scheduler that inherits run 1 on an unregistered executor, which started "
+    "{seconds:d} s ago, {how}"
+)
+def step_inherits_unregistered(context, seconds, how):
+    inherit(context, seconds, how).driver._executors.loaded = True
+
+
+@then("run 1 lapses only {seconds:d} s after the start of the term or later")
+def step_lapses_late(context, seconds):
+    world = context.lives
+    for _ in range(seconds * 10 - 2):
+        world.loop.advance(0.1)
+    assert world.task().phase == Phase.PLACED, world.task()
+
+
+@then("run 1 lapses within {seconds:d} s")
+def step_lapses(context, seconds):
+    world = context.lives
+    for _ in range(seconds * 10):
+        world.loop.advance(0.1)
+    assert world.task().phase != Phase.PLACED, world.task()
+
+
 @when("the executor is silent for {seconds:d} s")
 @when("it is silent for {seconds:d} s")
 def step_silent(context, seconds):
