--- a/tests/steps/jobs_former_calls.py
+++ b/tests/steps/jobs_former_calls.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from contextlib import contextmanager
 from types import SimpleNamespace
 
 import jobs_chaos
@@ -27,6 +28,7 @@
 AGED_CLOCK_MS = 400_000
 TROUBLE_S = 60.0
 QUIET_S = 400.0  # tasks of 12 s that run alone after losses take turns
+LATEST_CALL_S = 12.0
 GIVEN_UP_SHARE = 0.5  # of the calls that the client gave up and that are taken late
 WALL_S = 1_764_700_000.0  # Unix time at which the simulated time is 0
 CONTACT_S = 0.3  # a call that was given up reaches no incarnation that is younger
@@ -74,7 +76,7 @@
         loop.call_later(
             timeout + wait_ms / 1000, lambda: finish(Failure(True, "no answer"))
         )
-        expires = loop.now() + 12.0
+        expires = loop.now() + LATEST_CALL_S
 
         def arrive():
             name = conn.process.name
@@ -88,8 +90,8 @@
                 if world.random.random() > GIVEN_UP_SHARE:
                     return
                 age_s = loop.now() - world.begun_at[process]
-                if age_s < CONTACT_S:
-                    loop.call_later(CONTACT_S - age_s, arrive)
+                if age_s < world.contact_s:
+                    loop.call_later(world.contact_s - age_s, arrive)
                     return
             res = world.serve(process, path, {**fields, "epoch": self.epoch})
             if world.random.random() > world.loss and not world.is_cut(name):
@@ -104,7 +106,8 @@
 
     client_class = FormerCallsClient
 
-    def __init__(self, seed):
+    def __init__(self, seed, contact_s=CONTACT_S):
+        self.contact_s = contact_s
         self.last = {}
         self.dark = set()
         self.begun_at = {}
@@ -198,27 +201,18 @@
                 self.step()
 
 
-class simulated_wall:  # noqa: N801
-    """Context in which drivers read the wall clock of a world."""
-
-    def __init__(self, world):
-        self.clock = SimpleNamespace(time=world.wall)
-
-    def __enter__(self):
-        self.saved = [(item, item.time) for item in self.modules()]
-        for item, _ in self.saved:
-            item.time = self.clock
-
-    def modules(self):
-        return [
-            item
-            for item in (driver_module, incarnations, jobs_chaos)
-            if hasattr(item, "time")
-        ]
-
-    def __exit__(self, *exc):
-        for item, saved in self.saved:
-            item.time = saved
+@contextmanager
+def simulated_wall(world):
+    """Let drivers read the wall clock of a world."""
+    modules = (driver_module, incarnations, jobs_chaos)
+    saved = [(module, module.time) for module in modules]
+    for module in modules:
+        module.time = SimpleNamespace(time=world.wall)
+    try:
+        yield
+    finally:
+        for module, value in saved:
+            module.time = value
 
 
 def report_run(world, born, run):
@@ -385,9 +379,20 @@
 
 @when("former calls with seeds {first:d} to {last:d} are replayed")
 def step_replay(context, first, last):
+    replay(context, first, last, CONTACT_S)
+
+
+@when(
+    "former calls with seeds {first:d} to {last:d} are replayed, late ones at any time"
+)
+def step_replay_any(context, first, last):
+    replay(context, first, last, 0.0)
+
+
+def replay(context, first, last, contact_s):
     context.former = []
     for seed in range(first, last + 1):
-        world = FormerCallsWorld(seed)
+        world = FormerCallsWorld(seed, contact_s)
         try:
             world.play()
         except AssertionError as exc:
