Draw the restarts of both replays, and play their seeds, in one place

The replay of unnoticed restarts had a copy of the restart of the replay of former calls with two other draws, and the loop over seeds stood in three steps. The draws are an attribute and a method now, the loop is play_seeds.

--- a/tests/steps/jobs_chaos.py
+++ b/tests/steps/jobs_chaos.py
@@ -453,16 +453,22 @@
         pass
 
 
-@when("days with seeds {first:d} to {last:d} are replayed")
-def step_replay(context, first, last):
-    context.worlds = []
-    for seed in range(first, last + 1):
-        world = ChaosWorld(seed)
+def play_seeds(make_world, seeds):
+    """Play the world of each seed; return (seed, world) pairs."""
+    worlds = []
+    for seed in seeds:
+        world = make_world(seed)
         try:
             world.play()
         except AssertionError as exc:
             raise AssertionError(f"seed {seed}: task ran twice: {exc}") from exc
-        context.worlds.append((seed, world))
+        worlds.append((seed, world))
+    return worlds
+
+
+@when("days with seeds {first:d} to {last:d} are replayed")
+def step_replay(context, first, last):
+    context.worlds = play_seeds(ChaosWorld, range(first, last + 1))
 
 
 @then("no task ran twice at a time, and all jobs are completed")
--- a/tests/steps/jobs_former_calls.py
+++ b/tests/steps/jobs_former_calls.py
@@ -10,7 +10,7 @@
 
 import jobs_chaos
 from behave import given, then, when
-from jobs_chaos import ChaosWorld, Client, Connection, STEP_S
+from jobs_chaos import ChaosWorld, Client, Connection, play_seeds, STEP_S
 from jobs_incarnations import begin, DriverWorld, JOB, NAME, SOON_S, TASK
 
 from cardamomgrade.client import Failure
@@ -105,6 +105,7 @@
     """Executors that restart dark, take former calls and are cut off soon after."""
 
     client_class = FormerCallsClient
+    cut_after_s = (0.5, 3.0)
 
     def __init__(self, seed, contact_s=CONTACT_S):
         self.contact_s = contact_s
@@ -164,7 +165,7 @@
         self.processes.remove(process)
         del self.ports[port, name]
         dark_s = self.random.uniform(0.1, 0.8)
-        registered_at = self.random.choice((0.0, 0.05, 0.3))
+        registered_at = self.registration_delay_s()
 
         def back():
             self.dark.discard(process)
@@ -175,13 +176,16 @@
 
         self.loop.call_later(dark_s, back)
         if self.random.random() < 0.7:
-            cut_at = dark_s + self.random.uniform(0.5, 3.0)
+            cut_at = dark_s + self.random.uniform(*self.cut_after_s)
             self.loop.call_later(cut_at, cut)
             if self.random.random() < 0.4:
                 self.loop.call_later(
                     self.random.uniform(dark_s, cut_at), self.kill_scheduler
                 )
 
+    def registration_delay_s(self):
+        return self.random.choice((0.0, 0.05, 0.3))
+
     def kill_scheduler(self):
         if self.driver is not None:
             self.change_scheduler()
@@ -390,14 +394,8 @@
 
 
 def replay(context, first, last, contact_s):
-    context.former = []
-    for seed in range(first, last + 1):
-        world = FormerCallsWorld(seed, contact_s)
-        try:
-            world.play()
-        except AssertionError as exc:
-            raise AssertionError(f"seed {seed}: task ran twice: {exc}") from exc
-        context.former.append((seed, world))
+    seeds = range(first, last + 1)
+    context.former = play_seeds(lambda seed: FormerCallsWorld(seed, contact_s), seeds)
 
 
 @then("no task runs twice at a time after a restart, and all jobs are completed")
--- a/tests/steps/jobs_unnoticed_restarts.py
+++ b/tests/steps/jobs_unnoticed_restarts.py
@@ -19,6 +19,7 @@
     An executor that is cut off reaches the store only once the cut is over.
     """
 
+    cut_after_s = (0.0, 1.0)
     suppressed = False
 
     def register(self, process):
@@ -40,34 +41,8 @@
 
         self.loop.call_later(registered_at, register)
 
-    def restart(self):
-        process = self.random.choice([item for item in self.processes if item.alive])
-        name, port = process.name, process.port
-        if self.is_cut(name):
-            return
-        process.alive = False
-        self.dark.add(process)
-        process.state.shut_down()
-        self.processes.remove(process)
-        del self.ports[port, name]
-        dark_s = self.random.uniform(0.1, 0.8)
-        registered_at = self.random.uniform(0.0, LATEST_REGISTRATION_S)
-
-        def back():
-            self.dark.discard(process)
-            self.begin_later(name, 0, port, registered_at)
-
-        def cut():
-            self.cut_until[name] = self.loop.now() + self.random.uniform(3.0, 11.0)
-
-        self.loop.call_later(dark_s, back)
-        if self.random.random() < 0.7:
-            cut_at = dark_s + self.random.uniform(0.0, 1.0)
-            self.loop.call_later(cut_at, cut)
-            if self.random.random() < 0.4:
-                self.loop.call_later(
-                    self.random.uniform(dark_s, cut_at), self.kill_scheduler
-                )
+    def registration_delay_s(self):
+        return self.random.uniform(0.0, LATEST_REGISTRATION_S)
 
 
 @when("unnoticed restarts with seeds {first:d} to {last:d} are replayed")
