Count a crash only against runs that have begun on the executor

What callers saw: a job was shown as failed within a second after a rack had lost power once, though one executor crashed under its task and no run failed (LOST). A job that lasts was stopped for good.

Cause: begun_runs() took a start order without an answer for a run that had begun. After a rack is back under new ids, the order to an executor whose end nobody has noticed is reset and its repetition gets 421. The task went from one such executor to the next within 30 ms each, every one counted as a crash, and the third gave it up.

The hypothesis that one executor was counted twice is out: three names.

Change: a loss counts as a crash only if the run has begun there: the executor accepted the order, listed the run, or answered a check right before the order was sent. A repeated run is sent only after such a check, so that a task that crashes its executor before the answer to its start is out counts from its second run on; a run without that evidence starts elsewhere and counts nothing. What is known of a repeated run is stored (begun_run in its row), since the scheduler may end between the order and the verdict; a successor counts inherited runs only by that. A run that an incarnation had begun and the next one does not know counts as a crash, where it counted as silence.

Why it works: an order can have ended only an executor that lived when it was sent.

The simulated pool of losses.feature says which runs began; executors of the simulated drivers answer the check.

--- a/src/cardamomgrade/emulator/server.py
+++ b/src/cardamomgrade/emulator/server.py
@@ -43,7 +43,8 @@
     """An executor with its server; a ``silent`` one answers no request.
 
     ``clock_offset_ms`` is that of its clock to the loop's, and ``entry`` its
-    registration. ``requests`` has the path and fields of every call.
+    registration. ``requests`` has the path and fields of every call. Calls in
+    ``stale_sessions``, connections of before a loss of power, are reset.
     """
 
     executor: EmulatedExecutor
@@ -54,6 +55,7 @@
     clock_offset_ms: float = CLOCK_OFFSET_MS
     entry: dict = attrs.field(factory=dict)
     requests: list = attrs.field(factory=list)
+    stale_sessions: tuple = ()
 
 
 class EmulatedPlatform:
@@ -217,6 +219,28 @@
         if register:
             self.register_executor(name)
 
+    def lose_power(self, name):
+        """Stop an executor: its runs are gone, and its calls get no answer."""
+        instance = self.instances[name]
+        instance.executor.shut_down()
+        instance.silent = True
+
+    def restore_power(self, name, new_name):
+        """Start and register the next incarnation of a stopped executor under an id.
+
+        Earlier connections are reset once they are used. The registration of the former
+        incarnation stays.
+        """
+        instance = self.instances[new_name] = self.instances[name]
+        instance.executor = EmulatedExecutor(new_name, self._plan, self._record_run)
+        instance.clock_offset_ms = FIRST_CLOCK_MS - self.loop.now() * MS
+        instance.stale_sessions = tuple(instance.server.sessions)
+        instance.silent = False
+        for machine in self.machines.values():
+            if machine["id"] == name:
+                machine["id"] = new_name
+        self.register_executor(new_name)
+
     def register_executor(self, name):
         """Write the registration of an executor's current incarnation."""
         instance = self.instances[name]
@@ -240,6 +264,9 @@
         instance.calls += 1
         if instance.silent:
             return
+        if any(item.is_answering(exchange) for item in instance.stale_sessions):
+            exchange.drop()
+            return
         req = exchange.req
         if req.header("x-expect-instance") != instance.executor.name:
             exchange.respond(HttpResponse(421))
--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -9,6 +9,7 @@
 from ..journal import event, log_event
 from .incarnations import is_earlier, is_later
 from .lease import lapse_bound_s, Lease
+from .liveness import Liveness
 from .reports import LeaseReport, LossCause, OrderAnswer, OrderResult
 from .starts import PendingStart
 
@@ -96,8 +97,9 @@
     """Sends orders to one executor and renews its lease while it has runs.
 
     ``driver`` has the callbacks ``on_runs_ended``, ``on_executor_gone``,
-    ``on_lease_lapsed``, ``on_run_withdrawn``, ``on_run_missing``,
-    ``on_start_refused``, ``on_reachable``, ``on_incarnation`` and ``on_fenced``, and
+    ``on_lease_lapsed``, ``on_run_begun``, ``on_start_checked``, ``on_start_absent``,
+    ``on_run_withdrawn``, ``on_run_missing``, ``on_start_refused``, ``on_reachable``,
+    ``on_incarnation`` and ``on_fenced``, and
     ``on_running``, which returns whether to request reports more often. Leases are
     granted only while its ``may_grant()`` is true, since a successor that cannot reach
     an executor counts its lease from the start of its own term. ``inherited`` is
@@ -157,6 +159,7 @@
         self._wait_ms = RENEW_WAIT_MS
         self._answered = False
         self._proven_at = self._proven_boot_at = float("-inf")
+        self._liveness = Liveness(loop, self._ask)
         self._closed = False
         if self._has_silence_record():
             self._mark_unreachable("it was silent before")
@@ -335,11 +338,17 @@
             return False
         return boot_now - self._proven_boot_at < JUST_ANSWERED_S
 
-    def _ask(self):
+    def _ask(self, on_done=None):
+        """Request a report beside the renewals; ``on_done`` gets it unless closed."""
+
         def done(report):
             report = self._check_incarnation(report)
-            if isinstance(report, LeaseReport) and not self._closed:
+            if self._closed:
+                return
+            if isinstance(report, LeaseReport):
                 self._on_fenced()
+            if on_done is not None:
+                on_done(report)
 
         self._client.ask(done)
 
@@ -382,6 +391,7 @@
         if isinstance(report, LeaseReport):
             self._on_fenced()
             self._lease.update_clock(now, report.clock_ms)
+            self._liveness.record_answer()
             self._answered = True
             self._has_missed = False
             self._proven_at = sent_at
@@ -401,19 +411,24 @@
             self._has_missed = True
             self._renew()
             return
+        self._on_silent(report.result)
+
+    def _on_silent(self, result):
+        """Give no new runs to an executor whose answer was no report."""
+        now = self._loop.now()
         self._answered = False
-        if report.result is OrderResult.FENCED:
+        if result is OrderResult.FENCED:
             self._driver.on_fenced(self.name)
             return
         # Where ids outlive incarnations, the address of the registration may be older
         # than the incarnation that an earlier scheduler placed runs on.
         may_be_elsewhere = self._executor.entry.born and self._inherited
-        if report.result is OrderResult.WRONG_LIFE and not may_be_elsewhere:
+        if result is OrderResult.WRONG_LIFE and not may_be_elsewhere:
             self._report_gone("another incarnation answers at its address")
             return
         was_unreachable = self._executor.unreachable
         if not was_unreachable:
-            self._mark_unreachable(report.result.value)
+            self._mark_unreachable(result.value)
         if self._executor.allocations:
             if self._lease.has_lapsed(now):
                 self._report_lapsed()
@@ -528,6 +543,7 @@
                     self._starts[task, allocation.run] = accepted
                 if (task, allocation.run) in self._starts:
                     self._starts[task, allocation.run].report(sent_at)
+                    self._confirm(task, allocation.run)
                 continue
             pending = self._starts.get((task, allocation.run))
             if is_inherited and self._executor.entry.born:
@@ -535,6 +551,9 @@
                 self._driver.on_run_missing(self.name, task, allocation.run)
             elif is_inherited:
                 self._driver.on_run_withdrawn(self.name, task, allocation.run)
+            elif pending is not None and pending.checked and pending.is_absent(sent_at):
+                pending.checked = False
+                self._driver.on_start_absent(task, allocation.run)
             elif pending is not None and pending.is_unanswered:
                 # It may still arrive, until the executor has taken an order to stop it.
                 self.stop(task, allocation.run)
@@ -549,12 +568,19 @@
         watch_closely = self._driver.on_running(self.name, report.running)
         self._wait_ms = WATCHED_WAIT_MS if watch_closely else RENEW_WAIT_MS
 
+    def _confirm(self, task, run):
+        pending = self._starts[task, run]
+        if not pending.confirmed:
+            pending.confirmed = True
+            self._driver.on_run_begun(task, run)
+
     # Orders
 
     def start(self, order):
         """Send a Start order, which must be stored already.
 
-        It is withdrawn if the lease may not be granted.
+        It is withdrawn if the lease may not be granted, or if it is a repeated run and
+        the executor does not answer right before.
         """
         if self._has_silence_record():
             self._driver.on_run_withdrawn(self.name, order.task, order.run)
@@ -577,8 +603,13 @@
         if not self._may_send_start(pending):
             self._loop.call_later(START_RETRY_S, lambda: self._send_start(pending))
             return
+        if self._must_check(pending):
+            self._check(pending)
+            return
         if not pending.deadline_ms:
             pending.deadline_ms = self._lease.grant(self._loop.now())
+        if pending.checked:
+            self._driver.on_start_checked(order.task, order.run)
 
         min_clock_ms = self._lease.min_clock_ms(self._loop.now())
 
@@ -599,6 +630,27 @@
         pending.attempt_ended_at = None
         self._client.start(order, pending.deadline_ms, done)
 
+    def _must_check(self, pending):
+        if pending.order.run == 1 or pending.maybe_received:
+            return False
+        pending.checked = self._liveness.is_fresh
+        return not pending.checked
+
+    def _check(self, pending):
+        def done(report, in_time):
+            if isinstance(report, LeaseReport) and in_time:
+                self._liveness.record_answer()
+                self._send_start(pending)
+            elif isinstance(report, LeaseReport):
+                self._check(pending)
+            else:
+                if self._starts.get((pending.order.task, pending.order.run)) is pending:
+                    self._give_up_start(pending)
+                if not (self._closed or self._executor.unreachable):
+                    self._on_silent(report.result)
+
+        self._liveness.check(done)
+
     def _give_up_start(self, pending):
         """Withdraw a start, or stop its run if it may have been received."""
         order = pending.order
@@ -624,6 +676,9 @@
         self._lease.update_clock(now, answer.clock_ms)
         if result is OrderResult.TAKEN:
             pending.accept(now)
+            self._liveness.record_answer()
+            if self._starts.get((order.task, order.run)) is pending:
+                self._confirm(order.task, order.run)
             return
         # The run that is reported proves that the only attempt has been carried out.
         is_first = not pending.maybe_received
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -418,6 +418,22 @@
         self._end_numbers[agent] = max(self._end_numbers.get(agent, 0), newest)
         self.request_plan()
 
+    def on_run_begun(self, task, run):
+        """Record that an executor has said that it began a run."""
+        self._record_begun(task, run)
+
+    def on_start_checked(self, task, run):
+        """Take a run for begun whose executor answered right before its start."""
+        self._record_begun(task, run)
+
+    def _record_begun(self, task, run):
+        if self._scheduler.record_begun(task, run):
+            self.request_plan()
+
+    def on_start_absent(self, task, run):
+        """Take a run for not begun again, as a report lacks it."""
+        self._scheduler.clear_begun(task, run)
+
     def on_run_withdrawn(self, name, task, run):
         """Cancel the placement of a run that did not and will not begin."""
         self._scheduler.withdraw(name, task, run)
@@ -441,7 +457,7 @@
     def on_lease_lapsed(self, name):
         """Mark the runs of an executor, which may still exist, as lapsed."""
         begun = self._agents[name].begun_runs()
-        self._scheduler.mark_runs_lapsed(name, self._loop.now() * MS, begun=begun)
+        self._scheduler.mark_runs_lapsed(name, self._loop.now() * MS, received=begun)
         self.request_plan()
 
     def on_executor_gone(self, name, cause):
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -33,6 +33,8 @@
     another scheduler placed it. ``copies`` describes ``others`` and ``copy_run``;
     ``copied`` is set once it has had a copy that was not lost. ``losses`` counts the
     executors that were lost under it, the latest one under ``charged_run``.
+    ``begun_run`` is the newest of its runs that is known to have begun, or whose
+    executor answered right before its start was sent.
     """
 
     id: TaskId
@@ -49,6 +51,7 @@
     copied: bool = False
     losses: int = 0
     charged_run: int = 0
+    begun_run: int = 0
     name: str = attrs.field(init=False)
 
     @name.default
@@ -65,7 +68,6 @@
         Versions that know no copies read the last one.
         """
         others = [(run, Phase.PLACED, name) for run, name in stored_others(self)]
-        losses = (self.losses,) if self.losses else ()
         return [
             (
                 self.id.occurrence,
@@ -76,11 +78,17 @@
                 executor,
                 self.failures,
                 self.checkpoint,
-                *losses,
+                *self._loss_fields(),
             )
             for run, phase, executor in (*others, stored_run(self))
         ]
 
+    def _loss_fields(self):
+        """Return the last fields of its TaskRecords, without those not needed."""
+        if self.begun_run > 1:
+            return (self.losses, self.begun_run)
+        return (self.losses,) if self.losses else ()
+
 
 @attrs.define(eq=False)
 class StepState:
@@ -141,7 +149,7 @@
                 restore_other(task)
             task.run, task.executor = item.run, item.executor
             task.failures, task.checkpoint = item.failures, item.checkpoint
-            task.losses = item.losses
+            task.losses, task.begun_run = item.losses, item.begun_run
             job._set_phase(task, Phase(item.phase))
             job._started = True
         for task in job._tasks():
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -73,7 +73,8 @@
 class TaskRecord:
     """One task that was started at least once; ``run`` is its latest run.
 
-    ``losses`` counts the executors that were lost under it.
+    ``losses`` counts the executors that were lost under it, and ``begun_run`` is the
+    newest run that is known to have begun, 0 if that is the first or none.
     """
 
     occurrence: int
@@ -85,9 +86,13 @@
     failures: int
     checkpoint: str
     losses: int = 0
+    begun_run: int = 0
 
 
 TASK_FIELDS = len(attrs.fields(TaskRecord))
+TASK_FIELDS_MIN = sum(
+    item.default is attrs.NOTHING for item in attrs.fields(TaskRecord)
+)
 
 
 @attrs.frozen
@@ -95,8 +100,8 @@
     """The scheduler's decisions about a job: a JobState and the tasks started so far.
 
     ``rows`` holds the fields of a TaskRecord each. Every node reads every record, but
-    only a new scheduler needs the tasks. A row without losses lacks that field, so that
-    versions that do not know it can read the row.
+    only a new scheduler needs the tasks. A row lacks the last fields if it has nothing
+    to say there, so that versions that do not know them can read the row.
     """
 
     state: int
@@ -280,15 +285,15 @@
     try:
         JobState(record.state)
         complete = all(
-            TASK_FIELDS - 1 <= len(row) <= TASK_FIELDS for row in record.rows
+            TASK_FIELDS_MIN <= len(row) <= TASK_FIELDS for row in record.rows
         )
-        counts = [row[-1] for row in record.rows if len(row) == TASK_FIELDS]
+        counts = [count for row in record.rows for count in row[TASK_FIELDS_MIN:]]
     except (TypeError, ValueError) as exc:
         raise RecordError(f"ProgressRecord: {exc}") from exc
     if not complete:
         raise RecordError("ProgressRecord: a row has too few or too many fields")
     if not all(isinstance(count, int) and count >= 0 for count in counts):
-        raise RecordError(f"ProgressRecord: {counts!r} are no counts of losses")
+        raise RecordError(f"ProgressRecord: {counts!r} are no losses and runs")
     return record
 
 
--- a/src/cardamomgrade/jobs/reports.py
+++ b/src/cardamomgrade/jobs/reports.py
@@ -32,8 +32,8 @@
 
     ``CRASHED``: another incarnation has taken the executor's place; ``SILENT``: its
     lease lapsed while it did not answer; ``MISSING``: it does not know the run, which
-    it may have had before it started again; ``LEFT``: it drained, or an order for its
-    VM ended it.
+    it had before it started again if the run has begun; ``LEFT``: it drained, or an
+    order for its VM ended it.
     """
 
     CRASHED = "crashed"
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -340,12 +340,12 @@
 
     # Ends of runs
 
-    def mark_runs_lapsed(self, name, now_ms, cause=LossCause.SILENT, begun=None):
+    def mark_runs_lapsed(self, name, now_ms, cause=LossCause.SILENT, received=None):
         """Mark all runs of an executor that is known to run nothing as lapsed.
 
-        ``cause`` and ``begun`` are those of ``lose_runs``.
+        ``cause`` and ``received`` are those of ``lose_runs``.
         """
-        self.lose_runs(name, self._runs_on(name), cause, now_ms, begun)
+        self.lose_runs(name, self._runs_on(name), cause, now_ms, received)
 
     def _runs_on(self, name):
         executor = self.executors.get(name)
@@ -353,30 +353,57 @@
         runs = {task: item.run for task, item in allocations.items()}
         return runs | self._orphans.runs_on(name)
 
-    def lose_runs(self, name, runs, cause, now_ms, begun=None):
+    def lose_runs(self, name, runs, cause, now_ms, received=None):
         """Mark runs, by task, as lapsed since their executor was lost for a LossCause.
 
         An executor that drains, or that an order for its VM may have ended, has left.
-        ``begun`` are the runs, (task, run), that may have begun there, None for all;
-        only those are lost with it.
+        ``received`` are the runs, (task, run), whose orders may have arrived there,
+        None for all; only those are lost with it. A run that has not begun there cannot
+        be why it crashed, and does not count against its task.
         """
         executor = self.executors.get(name)
         is_draining = executor is not None and executor.entry.draining
         if cause is not LossCause.MISSING and (is_draining or name in self._ending):
             cause = LossCause.LEFT
         lost = set(self._runs_on(name).items())
-        if begun is not None:
-            lost &= begun
+        if received is not None:
+            lost &= received
         finite = sum(not self._is_lasting(task) for task, _ in lost)
         for task, run in runs.items():
             loss = None
             if (task, run) in lost:
-                log_event(RunLost(task, run, name, cause.value, len(lost) - 1))
-                if cause is not LossCause.LEFT:
+                begun = self._has_begun(task, run)
+                beside = len(lost) - 1
+                log_event(RunLost(task, run, name, cause.value, beside, begun))
+                if cause is LossCause.SILENT or begun and cause is not LossCause.LEFT:
                     loss = self._loss(task, run, cause, finite, now_ms)
             confirmed = cause is LossCause.MISSING
             self.end(name, task, run, Outcome.LAPSED, "", now_ms, confirmed, loss)
 
+    def _has_begun(self, task_name, run):
+        _, task = self._find_run(task_name, run)
+        return task is not None and task.begun_run == run
+
+    def record_begun(self, task_name, run):
+        """Record that a run has begun; return whether its job has to be stored.
+
+        That is so for repeated runs: the loss of a single first one, if a scheduler is
+        lost beside it, need not count.
+        """
+        job, task = self._find_run(task_name, run)
+        if task is None or task.begun_run == run:
+            return False
+        task.begun_run = run
+        if run > 1:
+            self._mark_dirty(job)
+        return run > 1
+
+    def clear_begun(self, task_name, run):
+        """Take back that a run has begun."""
+        _, task = self._find_run(task_name, run)
+        if task is not None and task.begun_run == run:
+            task.begun_run = 0
+
     def _is_lasting(self, task_name):
         task_id = parse_task(task_name)
         job = self.jobs.get(task_id.job) if task_id is not None else None
@@ -391,7 +418,7 @@
         others = finite - (not step.lasting)
         age_ms = now_ms - task.placed_ms if task.placed_ms else 0.0
         return Loss(
-            crashed=cause is LossCause.CRASHED,
+            crashed=cause is not LossCause.SILENT,
             alone=step.gang or not others,
             settled=step.lasting and age_ms >= SETTLED_MS,
         )
--- a/src/cardamomgrade/jobs/scheduler_events.py
+++ b/src/cardamomgrade/jobs/scheduler_events.py
@@ -30,7 +30,7 @@
 class RunLost:
     """A run was lost with its executor, which had ``beside`` other runs.
 
-    ``cause`` is a LossCause.
+    ``cause`` is a LossCause. A run that has not ``begun`` counts no loss of its task.
     """
 
     task: str
@@ -38,6 +38,7 @@
     executor: str
     cause: str
     beside: int
+    begun: bool
 
 
 @event(654)
--- a/src/cardamomgrade/jobs/starts.py
+++ b/src/cardamomgrade/jobs/starts.py
@@ -18,6 +18,8 @@
     said itself that it accepted the order. ``attempt_ended_at`` is when the latest
     attempt had an answer or was given up, or None while it is in flight. ``assumed`` is
     set while ``accepted_at`` is no answer to the latest attempt, which may yet arrive.
+    ``checked`` is set if the executor answered right before the order and has not shown
+    since that it lacks the run, ``confirmed`` once the driver was told that it began.
     """
 
     order: object
@@ -29,6 +31,8 @@
     settled: bool = False
     attempt_ended_at: float | None = None
     assumed: bool = False
+    checked: bool = False
+    confirmed: bool = False
 
     @property
     def is_unanswered(self):
@@ -90,6 +94,14 @@
             self.accepted_at = accepted_at
             self.assumed = True
 
+    def is_absent(self, sent_at):
+        """Return whether a report requested at ``sent_at`` that lacks it refutes it.
+
+        The order was not carried out by then, though it may be later.
+        """
+        was_given_up = self.maybe_received and self.given_up_at < sent_at
+        return was_given_up and self.accepted_at is None
+
     def report(self, sent_at):
         """Note that the incarnation lists the run, asked at ``sent_at``."""
         self.reported = True
--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -108,6 +108,7 @@
         self.runs[run] = True
         if start.executor in self.down:
             return
+        self.scheduler.record_begun(start.task, start.run)
         if start.task in self.deadly:
             self.at(CRASH_MS, lambda: self.crash(start.executor, run))
         spec = self.specs[parse_task(start.task).job]
--- a/tests/steps/jobs_agent_reports.py
+++ b/tests/steps/jobs_agent_reports.py
@@ -58,6 +58,8 @@
 
     executor: object
     said: list = attrs.field(factory=list)
+    begun: list = attrs.field(factory=list)
+    checked: set = attrs.field(factory=set)
     agent: object = None
     lost: object = None
 
@@ -87,6 +89,18 @@
     def on_running(self, name, running):
         return False
 
+    def on_run_begun(self, task, run):
+        self.begun.append((task, run))
+
+    def on_start_checked(self, task, run):
+        self.checked.add((task, run))
+
+    def on_start_absent(self, task, run):
+        self.checked.remove((task, run))
+
+    def on_reachable(self, name):
+        pass
+
 
 class AgentFixture:
     """An agent, its simulated executor, and the driver that it reports to."""
--- a/tests/steps/jobs_incarnations.py
+++ b/tests/steps/jobs_incarnations.py
@@ -70,6 +70,13 @@
     def ask(self, on_done):
         self.asks.append(on_done)
 
+    def answer_asks(self, report):
+        """Answer the requests for a report that are not renewals; return how many."""
+        asks, self.asks = self.asks, []
+        for on_done in asks:
+            on_done(report)
+        return len(asks)
+
     def answer(self, report):
         on_done, self.waiting = self.waiting, None
         assert not self.closed
@@ -169,6 +176,12 @@
         report = LeaseReport(1000, running, tuple(ended), born=born)
         self.client.answer(report)
         self.loop.advance(SOON_S)
+        self.answer_checks(born, running)
+
+    def answer_checks(self, born, running=()):
+        """Answer the check before a repeated start, if there is one."""
+        if self.client.answer_asks(LeaseReport(1000, running, (), born=born)):
+            self.loop.advance(SOON_S)
 
     def task(self):
         (task,) = self.driver._scheduler.jobs[JOB]._tasks()
@@ -370,6 +383,7 @@
     world.loop.advance(0.3)
     if world.client.waiting and not world.driver._scheduler.executors[NAME].allocations:
         world.report(world.client.entry.born)
+    world.answer_checks(world.client.entry.born)
 
 
 @when("the store takes nothing for {seconds:d} s")
--- a/tests/steps/jobs_silent_agent.py
+++ b/tests/steps/jobs_silent_agent.py
@@ -92,14 +92,23 @@
     def start(self, order, deadline, on_done):
         self.starts.append((deadline, on_done))
 
+    def ask(self, on_done):
+        on_done(LeaseReport(1, (RunningTask(TASK, 1, "", 0, 0),), ()))
+
     # The driver
 
+    def on_start_checked(self, task, run):
+        pass
+
     def on_reachable(self, name):
         pass
 
     def on_running(self, name, running):
         return False
 
+    def on_run_begun(self, task, run):
+        pass
+
     def on_run_withdrawn(self, name, task, run):
         self.withdrawn.append((name, task, run))
 
