Take silence for a crash only once the incarnation is known to be over

What callers saw: a job whose executor was cut off for 5 s five times was shown as failed (LOST); no executor crashed and no run failed.

Cause: losses.py counted the loss of a run with a silent executor like a crash and gave the task up at the fifth. A loss was taken back only if the executor's agent still lived when it answered: the entry of an executor that is cut off longer than three heartbeats is removed, its agent is dropped with it, and the agent of the new entry asks an executor without runs for nothing. Which run was charged was not stored either, so that a loss was never taken back after a change of the scheduler.

Change: the loss of a run that had begun on a silent executor is a Suspicion of its task, stored with it. It is dropped when the same incarnation answers (a listed executor with a suspicion is asked, also without runs), or when an order ended its VM, and counts as a crash when another incarnation answers at its address or registers under its id, or when two VM lists in a row show its id on no VM that is up. A task with two crashes or suspicions runs alone, as before. Only crashes give a task up.

Why it works: an executor that was cut off comes back as the same incarnation, a crashed one as another; the verdict waits for that.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -99,7 +99,7 @@
     ``driver`` has the callbacks ``on_runs_ended``, ``on_executor_gone``,
     ``on_lease_lapsed``, ``on_run_begun``, ``on_start_checked``, ``on_start_absent``,
     ``on_run_withdrawn``, ``on_run_missing``, ``on_start_refused``, ``on_reachable``,
-    ``on_incarnation`` and ``on_fenced``, and
+    ``on_incarnation``, ``on_cleared`` and ``on_fenced``, and
     ``on_running``, which returns whether to request reports more often. Leases are
     granted only while its ``may_grant()`` is true, since a successor that cannot reach
     an executor counts its lease from the start of its own term. ``inherited`` is
@@ -253,8 +253,8 @@
         is_probe = executor.unreachable and executor.listed
         unacknowledged = self._acknowledged_end < self._received_end
         is_fenced = self._incarnation.is_fenced(self._loop.now())
-        is_needed = bool(executor.allocations) or unacknowledged
-        return is_needed or is_probe or not is_fenced
+        is_needed = executor.allocations or unacknowledged or executor.suspect
+        return bool(is_needed or is_probe or not is_fenced)
 
     def asked_at(self, executor):
         """Return when an Executor was last asked for a report, or -inf if never."""
@@ -392,6 +392,8 @@
             self._on_fenced()
             self._lease.update_clock(now, report.clock_ms)
             self._liveness.record_answer()
+            if self._executor.suspect:
+                self._driver.on_cleared(self.name)
             self._answered = True
             self._has_missed = False
             self._proven_at = sent_at
--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -350,7 +350,8 @@
         self._scheduler.next_due_ms(time.time() * MS)
         for name in self._scheduler.unregistered_executors():
             if now > self._unregistered_lapse_at(name):
-                self._scheduler.mark_runs_lapsed(name, now * MS)
+                born = self._incarnations.stored_born(name)
+                self._scheduler.mark_runs_lapsed(name, now * MS, born=born)
         for name in self._silences.names():
             if not self._scheduler.has_runs(name):
                 self._silences.clear(name)
@@ -468,6 +469,10 @@
         agent = self._agents.get(name)
         begun = agent.begun_runs() if agent is not None else None
         self._scheduler.mark_runs_lapsed(name, self._loop.now() * MS, cause, begun)
+        if cause is LossCause.CRASHED:
+            self._scheduler.convict(name)
+        else:
+            self._scheduler.acquit(name)
         self._forget_executor(name)
         self.request_plan()
 
@@ -476,6 +481,14 @@
         self._registrations.on_answer(name, born, clock_ms)
         self.request_plan()
 
+    def on_cleared(self, name):
+        """Drop what an executor was suspected of, as the same incarnation answers."""
+        born = self._scheduler.executors[name].entry.born
+        if born:
+            self._scheduler.convict(name, born)
+        self._scheduler.acquit(name)
+        self.request_plan()
+
     def on_fenced(self, name):
         """End the term, as an executor has received a newer epoch."""
         self.depose(f"executor {name} has received a newer epoch")
--- a/src/cardamomgrade/jobs/executors.py
+++ b/src/cardamomgrade/jobs/executors.py
@@ -29,7 +29,8 @@
     platform lists the executor, ``cordoned`` while it gets no new runs because its VM
     is due for upkeep or a move, and ``unreachable`` if the last request to it was not
     answered, ``unfenced`` while it may run what it took from calls to its former
-    incarnation. ``slow`` is set while tasks take much longer on it than on others of
+    incarnation, ``suspect`` while it is not known whether it crashed when it was
+    silent. ``slow`` is set while tasks take much longer on it than on others of
     its service. ``allocations`` maps the name of a task to its Allocation. ``cores_m``
     (thousandths of a core), ``memory_mb`` and ``accelerators`` are the sums of the
     allocations; ``lasting_cores_m`` and ``lasting_memory_mb`` are the parts of lasting
@@ -44,6 +45,7 @@
         self.cordoned = False
         self.unreachable = False
         self.unfenced = False
+        self.suspect = False
         self.slow = False
         self.allocations = {}
         self.cores_m = 0
--- a/src/cardamomgrade/jobs/former.py
+++ b/src/cardamomgrade/jobs/former.py
@@ -72,10 +72,14 @@
         self._remember(name, born, known.number > 0)
         return known
 
+    def stored_born(self, name):
+        """Return the newest ``born`` that was stored of an executor, or 0."""
+        stored = self._stored.get(name)
+        return stored.born if stored is not None else 0
+
     def former_until(self, name, now, wall_s):
         """Return until when former calls may reach an executor without registration."""
-        stored = self._stored.get(name)
-        born = stored.born if stored is not None else 0
+        born = self.stored_born(name)
         return self._predecessor_calls_until(name, born, now, wall_s)
 
     def _predecessor_calls_until(self, name, born, now, wall_s):
--- a/src/cardamomgrade/jobs/incarnations.py
+++ b/src/cardamomgrade/jobs/incarnations.py
@@ -123,6 +123,8 @@
         )
         self._scheduler.put_executor(entry)
         if known is None:
+            if entry.born:
+                self._scheduler.convict(name, entry.born)
             self._add_agent(name)
         elif has_moved:
             agent = self._agents[name]
@@ -164,6 +166,7 @@
         now_ms = self._loop.now() * MS
         begun = agent.begun_runs()
         self._scheduler.lose_runs(name, dict(over), LossCause.CRASHED, now_ms, begun)
+        self._scheduler.convict(name, entry.born)
         executor.unreachable = False
         self._scheduler.reset_executor(name)
         self._scheduler.put_executor(entry)
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -17,7 +17,7 @@
     stored_others,
     stored_run,
 )
-from .losses import charge, discharge, is_given_up, runs_alone
+from .losses import acquit, charge, convict, is_given_up, runs_alone, Suspicion
 from .records import JobState, Phase, ProgressRecord
 from .reports import Outcome
 from .spec import longest_chain_ms, TaskId
@@ -32,9 +32,9 @@
     end of that run is confirmed. ``run_ms`` is how long the run that is done took, 0 if
     another scheduler placed it. ``copies`` describes ``others`` and ``copy_run``;
     ``copied`` is set once it has had a copy that was not lost. ``losses`` counts the
-    executors that were lost under it, the latest one under ``charged_run``.
-    ``begun_run`` is the newest of its runs that is known to have begun, or whose
-    executor answered right before its start was sent.
+    executors that crashed under it, ``suspicions`` are the Suspicions of those that may
+    have crashed. ``begun_run`` is the newest of its runs that is known to have begun,
+    or whose executor answered right before its start was sent.
     """
 
     id: TaskId
@@ -50,7 +50,7 @@
     copy_run: int = 0
     copied: bool = False
     losses: int = 0
-    charged_run: int = 0
+    suspicions: tuple = ()
     begun_run: int = 0
     name: str = attrs.field(init=False)
 
@@ -85,9 +85,12 @@
 
     def _loss_fields(self):
         """Return the last fields of its TaskRecords, without those not needed."""
-        if self.begun_run > 1:
-            return (self.losses, self.begun_run)
-        return (self.losses,) if self.losses else ()
+        suspicions = tuple(map(attrs.astuple, self.suspicions))
+        begun_run = self.begun_run if self.begun_run > 1 else 0
+        fields = [self.losses, begun_run, suspicions]
+        while fields and not fields[-1]:
+            fields.pop()
+        return fields
 
 
 @attrs.define(eq=False)
@@ -150,6 +153,7 @@
             task.run, task.executor = item.run, item.executor
             task.failures, task.checkpoint = item.failures, item.checkpoint
             task.losses, task.begun_run = item.losses, item.begun_run
+            task.suspicions = tuple(Suspicion(*row) for row in item.suspicions)
             job._set_phase(task, Phase(item.phase))
             job._started = True
         for task in job._tasks():
@@ -351,10 +355,36 @@
                 return None
         return task if task.executor == executor else None
 
-    def discharge(self, task_id, run):
-        """Take back the loss of a run whose executor answers; return if it counted."""
+    def suspected(self):
+        """Return (name, executor) for each Suspicion of a task."""
+        return [
+            (task.name, item.executor)
+            for task in self._tasks()
+            for item in task.suspicions
+        ]
+
+    def acquit(self, task_id, executor, run=0):
+        """Drop the Suspicions of a task against an executor, or only that of a run."""
         task = self._find(task_id)
-        return task is not None and discharge(task, run)
+        if task is not None:
+            acquit(task, executor, run)
+
+    def convict(self, task_id, executor, born=0):
+        """Count a task's Suspicions against an executor whose incarnation is over.
+
+        ``born`` is that of a later one, or 0. Returns the TaskState, or None if none
+        counted. A task that runs elsewhere by now is given up once that run is lost.
+        """
+        task = self._find(task_id)
+        if task is None or not convict(task, executor, born):
+            return None
+        if task.phase is Phase.WAITING:
+            self._give_up_if_due(task)
+        return task
+
+    def _give_up_if_due(self, task):
+        if is_given_up(task) and not task.others:
+            self._exhaust(task)
 
     def tasks_alone(self):
         """Return whether any task must run alone, after losses."""
@@ -371,6 +401,7 @@
             return
         task.executor = ""
         self._set_phase(task, Phase.WAITING)
+        self._give_up_if_due(task)
 
     def _forget_copy(self, task):
         """Allow a task another copy, if its current run is a copy that is lost."""
@@ -408,9 +439,8 @@
             self._count_failure(task, step)
         if loss is not None:
             charge(task, loss)
-            if is_given_up(task, loss) and not task.others:
-                self._exhaust(task)
         if outcome is Outcome.LAPSED:
+            self._give_up_if_due(task)
             self._forget_copy(task)
         if task.phase is Phase.PLACED and self._needs_no_run(task):
             return
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -73,8 +73,9 @@
 class TaskRecord:
     """One task that was started at least once; ``run`` is its latest run.
 
-    ``losses`` counts the executors that were lost under it, and ``begun_run`` is the
-    newest run that is known to have begun, 0 if that is the first or none.
+    ``losses`` counts the executors that crashed under it, ``begun_run`` is the newest
+    run that is known to have begun, 0 if that is the first or none, and ``suspicions``
+    has the fields of each Suspicion.
     """
 
     occurrence: int
@@ -87,6 +88,7 @@
     checkpoint: str
     losses: int = 0
     begun_run: int = 0
+    suspicions: tuple = ()
 
 
 TASK_FIELDS = len(attrs.fields(TaskRecord))
@@ -287,13 +289,19 @@
         complete = all(
             TASK_FIELDS_MIN <= len(row) <= TASK_FIELDS for row in record.rows
         )
-        counts = [count for row in record.rows for count in row[TASK_FIELDS_MIN:]]
+        tails = [row[TASK_FIELDS_MIN:] for row in record.rows]
+        counts = [count for tail in tails for count in tail[:2]]
+        suspicions = [
+            tuple(map(type, item)) for tail in tails for item in sum(tail[2:], [])
+        ]
     except (TypeError, ValueError) as exc:
         raise RecordError(f"ProgressRecord: {exc}") from exc
     if not complete:
         raise RecordError("ProgressRecord: a row has too few or too many fields")
     if not all(isinstance(count, int) and count >= 0 for count in counts):
         raise RecordError(f"ProgressRecord: {counts!r} are no losses and runs")
+    if any(item != (int, str, int, bool) for item in suspicions):
+        raise RecordError("ProgressRecord: a suspicion has fields of other types")
     return record
 
 
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -39,13 +39,14 @@
 from .quotas import CustomerUsage, Quota
 from .ready import ready_job, ReadyJobs
 from .records import encode, Phase, PREFIX_PROGRESS
-from .reports import LossCause, Outcome
+from .reports import LossCause, Outcome, STATE_UP
 from .scheduler_events import (
     CopyStarted,
     ExecutorAside,
     ExecutorSeen,
     JobChanged,
     RunLost,
+    SuspicionEnded,
     TaskEnded,
     TaskGivenUp,
     TaskStarted,
@@ -54,6 +55,7 @@
 from .speculation import choose_copies, choose_no_copies, Speculation
 from .speeds import NoSpeeds, Speeds
 from .stalls import count_executor_states, SERVICE_LINES_MAX, stall_event, StallWatch
+from .suspects import SuspectExecutors
 from .urgency import Forecast, HOPELESS_FACTOR, Rank, rank_of
 from .waiting import ALL_STARTABLE
 
@@ -122,6 +124,7 @@
         self._room_key = choose("packing", room_key_by_load, room_key_spread)
         self.lookahead = choose("look-ahead", LookAhead, NoLookAhead)()
         self._isolation = Isolation()
+        self._suspects = SuspectExecutors()
         self._health = Health(
             FAILURE_STREAK_JOBS,
             QUARANTINE_MIN_MS,
@@ -166,6 +169,8 @@
             self._allocate(job, task)
         if job.tasks_alone():
             self._isolation.watch(spec.job)
+        for task_name, executor in job.suspected():
+            self._suspect(executor, task_name)
         self._services_to_plan.add(self.service_of(spec))
         self._stop_unwanted(job)
         is_demand = not job.state.final and not spec.lasting
@@ -285,6 +290,7 @@
         if executor is None:
             executor = self.executors[entry.executor] = Executor(entry, self.usage)
             executor.cordoned = entry.executor in self._cordoned
+            executor.suspect = entry.executor in self._suspects
             self._orphans.adopt(executor)
             self._log_executor(entry)
         elif (executor.entry.draining, executor.listed) != (entry.draining, True):
@@ -340,12 +346,14 @@
 
     # Ends of runs
 
-    def mark_runs_lapsed(self, name, now_ms, cause=LossCause.SILENT, received=None):
+    def mark_runs_lapsed(
+        self, name, now_ms, cause=LossCause.SILENT, received=None, born=0
+    ):
         """Mark all runs of an executor that is known to run nothing as lapsed.
 
-        ``cause`` and ``received`` are those of ``lose_runs``.
+        ``cause``, ``received`` and ``born`` are those of ``lose_runs``.
         """
-        self.lose_runs(name, self._runs_on(name), cause, now_ms, received)
+        self.lose_runs(name, self._runs_on(name), cause, now_ms, received, born)
 
     def _runs_on(self, name):
         executor = self.executors.get(name)
@@ -353,15 +361,17 @@
         runs = {task: item.run for task, item in allocations.items()}
         return runs | self._orphans.runs_on(name)
 
-    def lose_runs(self, name, runs, cause, now_ms, received=None):
+    def lose_runs(self, name, runs, cause, now_ms, received=None, born=0):
         """Mark runs, by task, as lapsed since their executor was lost for a LossCause.
 
         An executor that drains, or that an order for its VM may have ended, has left.
         ``received`` are the runs, (task, run), whose orders may have arrived there,
         None for all; only those are lost with it. A run that has not begun there cannot
-        be why it crashed, and does not count against its task.
+        be why it crashed, and does not count against its task. ``born`` is that of an
+        executor that is not registered.
         """
         executor = self.executors.get(name)
+        born = executor.entry.born if executor is not None else born
         is_draining = executor is not None and executor.entry.draining
         if cause is not LossCause.MISSING and (is_draining or name in self._ending):
             cause = LossCause.LEFT
@@ -375,8 +385,8 @@
                 begun = self._has_begun(task, run)
                 beside = len(lost) - 1
                 log_event(RunLost(task, run, name, cause.value, beside, begun))
-                if cause is LossCause.SILENT or begun and cause is not LossCause.LEFT:
-                    loss = self._loss(task, run, cause, finite, now_ms)
+                if begun and cause is not LossCause.LEFT:
+                    loss = self._loss(task, run, cause, finite, now_ms, born)
             confirmed = cause is LossCause.MISSING
             self.end(name, task, run, Outcome.LAPSED, "", now_ms, confirmed, loss)
 
@@ -409,7 +419,7 @@
         job = self.jobs.get(task_id.job) if task_id is not None else None
         return job is not None and job.spec.steps[task_id.step].lasting
 
-    def _loss(self, task_name, run, cause, finite, now_ms):
+    def _loss(self, task_name, run, cause, finite, now_ms, born):
         """Return the Loss of a run from an executor with so many ``finite`` runs."""
         job, task = self._find_run(task_name, run)
         if task is None:
@@ -421,8 +431,71 @@
             crashed=cause is not LossCause.SILENT,
             alone=step.gang or not others,
             settled=step.lasting and age_ms >= SETTLED_MS,
+            born=born,
         )
 
+    def _suspect(self, name, task_name):
+        self._suspects.add(name, task_name)
+        if name in self.executors:
+            self.executors[name].suspect = True
+
+    def acquit(self, name):
+        """Drop the Suspicions against an executor that answers, or that was ended."""
+        if name in self._suspects:
+            self._judge(name, lambda job, task_id: job.acquit(task_id, name))
+
+    def convict(self, name, born=0):
+        """Count the Suspicions against an executor whose incarnation is over.
+
+        With ``born``, that of a later one, they stay if they may be against that one.
+        An incarnation that drained, or that an order for its VM may have ended, has not
+        crashed.
+        """
+        if name not in self._suspects:
+            return
+        executor = self.executors.get(name)
+        if name in self._ending or (executor is not None and executor.entry.draining):
+            self.acquit(name)
+        else:
+            self._judge(name, lambda job, task_id: job.convict(task_id, name, born))
+
+    def _judge(self, name, apply):
+        names = self._suspects.tasks(name)
+        self._suspects.discard(name)
+        if name in self.executors:
+            self.executors[name].suspect = False
+        for task_name in names:
+            task_id = parse_task(task_name)
+            job = self.jobs.get(task_id.job)
+            if job is None or job.state.final:
+                continue
+            if (task_name, name) not in job.suspected():
+                continue
+            task = apply(job, task_id)
+            if (task_name, name) in job.suspected():
+                self._suspect(name, task_name)
+                continue
+            losses = task.losses if task is not None else 0
+            log_event(SuspicionEnded(task_name, name, task is not None, losses))
+            self._services_to_plan.add(self.service_of(job.spec))
+            self._changed[job.spec.job] = job
+            if task is not None:
+                self._watch_losses(job, task, name)
+                self._mark_dirty(job)
+            if job.state.final:
+                self._isolation.forget(job.spec.job)
+                self._stop_all(job)
+
+    def judge_suspects(self, listed):
+        """Count the Suspicions against executors that are on no VM that is up.
+
+        ``listed`` is the platform's list of ListedVm.
+        """
+        up = {item.executor for item in listed if item.state == STATE_UP}
+        if up - {""}:
+            for name in self._suspects.find_ended(up):
+                self.convict(name)
+
     def end(
         self,
         name,
@@ -456,7 +529,7 @@
         job, task = self._find_run(task_name, run, name)
         task_id = parse_task(task_name)
         if job is not None and confirmed and loss is None:
-            job.discharge(task_id, run)
+            job.acquit(task_id, name, run)
         if task is None and job is not None:
             task = job.lapsed_task(task_id, run, name)
             if task is None and outcome is Outcome.DONE:
@@ -474,6 +547,8 @@
         self._record_health(executor, task, outcome, now_ms, was_probe)
         if loss is not None:
             self._watch_losses(job, task, name)
+            if any(item.executor == name for item in task.suspicions):
+                self._suspect(name, task_name)
         if task.phase is Phase.DONE:
             step = job.spec.steps[task.id.step]
             core_ms = step.reserved_cores_m * self._expected_ms(job.spec, step) / MS
--- a/src/cardamomgrade/jobs/scheduler_events.py
+++ b/src/cardamomgrade/jobs/scheduler_events.py
@@ -41,9 +41,22 @@
     begun: bool
 
 
+@event(661)
+class SuspicionEnded:
+    """It is known whether an executor that was silent under a task had ``crashed``.
+
+    ``losses`` counts the crashes under the task.
+    """
+
+    task: str
+    executor: str
+    crashed: bool
+    losses: int
+
+
 @event(654)
 class TaskGivenUp:
-    """A task starts no more, since ``losses`` executors were lost under it."""
+    """A task starts no more, since ``losses`` executors crashed under it."""
 
     task: str
     executor: str
--- a/src/cardamomgrade/jobs/vms.py
+++ b/src/cardamomgrade/jobs/vms.py
@@ -160,6 +160,7 @@
                 return
             if isinstance(listed, tuple):
                 self._vms_by_name = {item.vm: item for item in listed}
+                self._scheduler.judge_suspects(listed)
                 self._plan_vms()
 
         self._machines.list_vms(done)
--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -9,7 +9,13 @@
 
 from cardamomgrade.jobs.queues import Queue, QueueConfig, Service
 from cardamomgrade.jobs.records import decode_progress, encode
-from cardamomgrade.jobs.reports import ExecutorEntry, LossCause, Outcome
+from cardamomgrade.jobs.reports import (
+    ExecutorEntry,
+    ListedVm,
+    LossCause,
+    Outcome,
+    STATE_UP,
+)
 from cardamomgrade.jobs.scheduler import Scheduler
 from cardamomgrade.jobs.spec import JobSpec, parse_task, Step
 
@@ -19,6 +25,7 @@
 BROKEN_MS = 100  # until the members of a gang end after one of them is lost
 NOTICE_MS = 200  # until an executor that crashed counts as unreachable
 LAPSE_MS = 4200
+UNLISTED_MS = 4500  # three heartbeats
 CORES_M = 8000
 WALL_MS = 1_800_000_000_000
 CONFIG = QueueConfig(
@@ -45,6 +52,7 @@
         self.starts = {}
         self.runs = {}
         self.down = set()
+        self.lives = set()
         self.crashes = 0
         self.most_held = 0.0
         self._events = []
@@ -59,6 +67,11 @@
             name, "s", "127.0.0.1:1", "z", False, CORES_M, 64_000, 0, ("a",), "r1", 0
         )
         self.scheduler.put_executor(entry)
+        self.lives.add(name)
+
+    def _listed(self):
+        """Return the platform's list of VMs, with the incarnations not replaced yet."""
+        return [ListedVm(f"m-{name}", "s", STATE_UP, name) for name in self.lives]
 
     def at(self, delay_ms, action):
         """Call ``action`` after ``delay_ms``."""
@@ -89,6 +102,7 @@
             self.now_ms += STEP_MS
             while self._events and self._events[0][0] <= self.now_ms:
                 heappop(self._events)[2]()
+            self.scheduler.judge_suspects(self._listed())
             for start in self.scheduler.plan(self.now_ms, WALL_MS + self.now_ms):
                 self._begin(start)
                 self._count_held(start)
@@ -134,6 +148,41 @@
         else:
             self.at(self.back_ms, lambda: self._replace(name))
 
+    def executor_of(self, task_name):
+        """Return the executor of a task, which must be placed."""
+        job = self.scheduler.jobs[parse_task(task_name).job]
+        names = [item.executor for item in job.placed() if item.name == task_name]
+        assert len(names) == 1, (task_name, job.state)
+        return names[0]
+
+    def cut(self, name, for_ms):
+        """Cut an executor off; its runs go on until its lease lapses.
+
+        It is unlisted after three heartbeats, and listed again when it is back.
+        """
+        entry = self.scheduler.executors[name].entry
+        self.down.add(name)
+        self.at(NOTICE_MS, lambda: self._set_unreachable(name, True))
+        self.at(LAPSE_MS, lambda: self._lapse_cut(name, for_ms))
+        self.at(UNLISTED_MS, lambda: self._unlist_cut(name))
+        self.at(for_ms, lambda: self._heal(name, entry))
+
+    def _lapse_cut(self, name, for_ms):
+        if for_ms >= LAPSE_MS:
+            self._drop_runs(name)
+            self.scheduler.mark_runs_lapsed(name, self.now_ms)
+
+    def _unlist_cut(self, name):
+        if name in self.down:
+            self.scheduler.forget_executor(name)
+
+    def _heal(self, name, entry):
+        self.down.discard(name)
+        self.scheduler.put_executor(entry)
+        self._set_unreachable(name, False)
+        if self.scheduler.executors[name].suspect:
+            self.scheduler.acquit(name)
+
     def _set_unreachable(self, name, value):
         executor = self.scheduler.executors.get(name)
         if executor is not None:
@@ -147,8 +196,10 @@
 
     def _replace(self, name):
         self._drop_runs(name)
+        self.lives.discard(name)
         if name in self.scheduler.executors:
             self.scheduler.mark_runs_lapsed(name, self.now_ms, LossCause.CRASHED)
+            self.scheduler.convict(name)
             self.scheduler.forget_executor(name)
         self._join()
 
@@ -156,6 +207,7 @@
         self.scheduler.mark_runs_lapsed(name, self.now_ms)
         self.down.discard(name)
         self._set_unreachable(name, False)
+        self.scheduler.acquit(name)
         for _, task, run in self._drop_runs(name):
             self.scheduler.end(name, task, run, Outcome.LAPSED, "", self.now_ms)
 
--- a/tests/jobs/losses.feature
+++ b/tests/jobs/losses.feature
@@ -57,3 +57,39 @@
     When a lasting task is lost, runs again for 11 s, and is lost again
     And the first of its executors answers after all
     Then its stored record can be read and counts 0 losses
+
+  Scenario Outline: a task whose executors are cut off again and again is not given up
+    Guards against LOST: silence counted as a crash, and the job failed at the fifth cut.
+    When the executor of a job's only task is cut off for <cut> ms, 7 times
+    And 5 s pass
+    Then no job has failed
+    And no task is suspected of a crash
+
+    Examples: shorter than a lease, longer, and until the executor is unlisted
+      | cut  |
+      | 3000 |
+      | 4500 |
+      | 9000 |
+
+  Scenario: a task is not given up while its executors are silent, however many are lost
+    When the executors of a job's only task are lost for good one after the other, 6 times
+    Then no job has failed
+
+  Scenario Outline: tasks under which executors crash for longer than a lease are given up
+    Guards against BUDGET: such an executor is silent first, and known to be over later.
+    Given executors that are back <ms> ms after a crash
+    When 3 jobs come each second for 5 s, none with such a task
+    And a job has such a task alone
+    And another scheduler takes over every <takeover> s, for 30 s
+    And 90 s pass
+    Then none of these tasks starts three times more after three crashes
+    And the jobs with such a task have failed
+    And the other jobs are completed
+
+    Examples:
+      | ms    | takeover |
+      | 3000  | 2        |
+      | 5000  | 100      |
+      | 7000  | 100      |
+      | 7000  | 5        |
+      | 10000 | 100      |
--- a/tests/steps/jobs_losses.py
+++ b/tests/steps/jobs_losses.py
@@ -5,7 +5,7 @@
 from cardamomgrade.jobs.records import decode_progress, encode, JobState
 from cardamomgrade.jobs.reports import Outcome
 from cardamomgrade.jobs.spec import Step
-from crashes import CrashWorld
+from crashes import CrashWorld, LAPSE_MS
 
 STARTS_AFTER_CRASHES = 3  # a task must not start so often again
 CRASHES_ALLOWED = 3  # after so many executors have crashed under it
@@ -13,6 +13,7 @@
     "whose runs may have copies": {"speculative": True},
     "of a lasting step": {"lasting": True},
     "of a gang": {"gang": True},
+    "alone": {"tasks": 1},
 }
 
 
@@ -36,7 +37,7 @@
 
 @when("a job has such a task {kind}")
 def step_kind(context, kind):
-    step = Step(4, cores_m=900, memory_mb=100, **STEPS[kind])
+    step = Step(**{"tasks": 4, "cores_m": 900, "memory_mb": 100, **STEPS[kind]})
     context.world.at(500, lambda: context.world.add(step, deadly=True))
 
 
@@ -57,6 +58,40 @@
         context.world.at(number * seconds * 1000, context.world.take_over)
 
 
+@given("executors that are back {ms:d} ms after a crash")
+def step_back(context, ms):
+    context.world.back_ms = ms
+
+
+@when("the executor of a job's only task is cut off for {cut_ms:d} ms, {count:d} times")
+def step_cut_off(context, cut_ms, count):
+    world = context.world
+    context.task = f"{world.add(Step(1, cores_m=900, lasting=True))}.0.0.0"
+    for _ in range(count):
+        world.run_for(500)
+        world.cut(world.executor_of(context.task), cut_ms)
+        world.run_for(cut_ms + 4500)
+
+
+@when(
+    "the executors of a job's only task are lost for good one after the other, "
+    "{count:d} times"
+)
+def step_lost_for_good(context, count):
+    world = context.world
+    task = f"{world.add(Step(1, cores_m=900, lasting=True))}.0.0.0"
+    for _ in range(count):
+        world.run_for(500)
+        world.cut(world.executor_of(task), 10**9)
+        world.run_for(LAPSE_MS + 500)
+
+
+@then("no task is suspected of a crash")
+def step_unsuspected(context):
+    jobs = context.world.scheduler.jobs.values()
+    assert not [item for job in jobs for item in job.suspected()]
+
+
 @when("{seconds:d} s pass")
 def step_pass(context, seconds):
     context.world.run_for(seconds * 1000)
--- a/tests/steps/jobs_speculation.py
+++ b/tests/steps/jobs_speculation.py
@@ -278,6 +278,7 @@
     world, start = context.jobs, run_of(context, which)
     world.running.remove(start)
     world.scheduler.unlist_executor(start.executor)
+    world.scheduler.record_begun(start.task, start.run)
     world.scheduler.mark_runs_lapsed(start.executor, world.now_ms)
 
 
@@ -368,10 +369,10 @@
 @then("a report that the lost run is {outcome} changes nothing")
 def step_plain_late(context, outcome):
     world, before = context.jobs, attrs.asdict(late_task(context))
-    assert (before["losses"], before["charged_run"]) == (1, context.late.run)
+    assert [item["run"] for item in before["suspicions"]] == [context.late.run]
     assert not world.end(context.late, Outcome(outcome))
     # The executor did not crash, as it answers.
-    expected = before | {"losses": 0, "charged_run": 0}
+    expected = before | {"suspicions": ()}
     assert attrs.asdict(late_task(context)) == expected
     assert allocated(world) == {key(context.copy)}
 
