Show a job as pending until an executor has begun a run of it

Cause: JobProgress took a job for started when place() ordered its first run, and never took that back; the state is stored with the order, so that every node showed it.

A delay in reading the records is out: the nodes had read the state, which said running.

Change: a job has begun once an executor accepted the order, listed the run or its end. The order of a job that has not begun is stored with the state pending. Running is stored with the next record of the job, at the latest 1 s after the confirmation (a count may be 2 s old): a record of its own for each start would cost as much as the start. It never goes back to pending. A new scheduler takes over what is stored.

The fixture of the scheduler's steps says that its executors begin what they are told to.

--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -405,6 +405,7 @@
         self._availability.record_ended((item.task, item.run) for item in ends)
         for item in ends:
             self._metrics.count("run_ends", outcome=item.outcome.value)
+            self._scheduler.record_begun(item.task, item.run)
             self._scheduler.end(
                 name,
                 item.task,
@@ -421,14 +422,14 @@
 
     def on_run_begun(self, task, run):
         """Record that an executor has said that it began a run."""
-        self._record_begun(task, run)
+        self._record_begun(task, run, certain=True)
 
     def on_start_checked(self, task, run):
         """Take a run for begun whose executor answered right before its start."""
-        self._record_begun(task, run)
+        self._record_begun(task, run, certain=False)
 
-    def _record_begun(self, task, run):
-        if self._scheduler.record_begun(task, run):
+    def _record_begun(self, task, run, certain):
+        if self._scheduler.record_begun(task, run, certain):
             self.request_plan()
 
     def on_start_absent(self, task, run):
--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -135,7 +135,8 @@
         self.failed = False
         self._steps = {}
         self._occurrences = 0
-        self._started = False
+        self._placed = False
+        self._begun = False
         self._unfinished = 0
 
     @classmethod
@@ -155,7 +156,8 @@
             task.losses, task.begun_run = item.losses, item.begun_run
             task.suspicions = tuple(Suspicion(*row) for row in item.suspicions)
             job._set_phase(task, Phase(item.phase))
-            job._started = True
+            job._placed = True
+        job._begun = job._placed and record.state != JobState.PENDING
         for task in job._tasks():
             if task.others:
                 task.copy_run = task.run
@@ -172,7 +174,7 @@
             return JobState.FAILED
         if self._all_done():
             return JobState.COMPLETED
-        return JobState.RUNNING if self._started else JobState.PENDING
+        return JobState.RUNNING if self._begun else JobState.PENDING
 
     def _all_done(self):
         if self.spec.lasting or self._occurrences < max(1, self.spec.repeat):
@@ -256,10 +258,19 @@
         step.waiting += (phase is Phase.WAITING) - (task.phase is Phase.WAITING)
         task.phase = phase
 
+    @property
+    def placed_once(self):
+        """Whether any run was ever placed, which an executor may not have begun."""
+        return self._placed
+
     @property
     def begun(self):
-        """Whether any task has ever started."""
-        return self._started
+        """Whether an executor has said that it began a run."""
+        return self._begun
+
+    def record_begun(self):
+        """Record that an executor has said so."""
+        self._begun = True
 
     @property
     def run_count(self):
@@ -299,7 +310,7 @@
         task.run = newest_run(task) + 1
         task.executor = executor
         self._set_phase(task, Phase.PLACED)
-        self._started = True
+        self._placed = True
         return task.run
 
     def place_gang(self, step, executors):
--- a/src/cardamomgrade/jobs/scheduler.py
+++ b/src/cardamomgrade/jobs/scheduler.py
@@ -17,6 +17,7 @@
 from ..health import Health
 from ..journal import log_event
 from .copies import active_runs, place_copy
+from .deferred import DeferredStores
 from .demand import Demand, linear_growth, no_growth
 from .durations import CallerEstimates, Durations
 from .executors import Executor, LargestRoom
@@ -125,6 +126,7 @@
         self.lookahead = choose("look-ahead", LookAhead, NoLookAhead)()
         self._isolation = Isolation()
         self._suspects = SuspectExecutors()
+        self._deferred = DeferredStores()
         self._health = Health(
             FAILURE_STREAK_JOBS,
             QUARANTINE_MIN_MS,
@@ -218,9 +220,12 @@
 
     def _mark_dirty(self, job):
         self._dirty[job.spec.job] = self._changed[job.spec.job] = job
-        state = job.state
-        if state.final:
+        if job.state.final:
             self._pool_needs.work.drop(job.spec.job)
+        self._log_state(job)
+
+    def _log_state(self, job):
+        state = job.state
         if state is not self._logged_states.get(job.spec.job):
             self._logged_states[job.spec.job] = state
             log_event(JobChanged(job.spec.job, job.spec.queue, state.name.lower()))
@@ -254,6 +259,8 @@
     def take_dirty(self):
         """Return (key, value) records of the jobs changed since the last call."""
         dirty, self._dirty = self._dirty, {}
+        for name in dirty:
+            self._deferred.discard(name)
         return [
             (PREFIX_PROGRESS + name, encode(job.record()))
             for name, job in dirty.items()
@@ -394,13 +401,21 @@
         _, task = self._find_run(task_name, run)
         return task is not None and task.begun_run == run
 
-    def record_begun(self, task_name, run):
-        """Record that a run has begun; return whether its job has to be stored.
+    def record_begun(self, task_name, run, certain=True):
+        """Record that a run has begun; return whether its job has to be stored at once.
 
         That is so for repeated runs: the loss of a single first one, if a scheduler is
-        lost beside it, need not count.
+        lost beside it, need not count. ``certain`` means that the executor said so.
         """
-        job, task = self._find_run(task_name, run)
+        task_id = parse_task(task_name)
+        job = self.jobs.get(task_id.job) if task_id is not None else None
+        if job is None:
+            return False
+        if certain and not job.begun:
+            job.record_begun()
+            self._deferred.add(job.spec.job)
+            self._log_state(job)
+        task = job.running_task(task_id, run)
         if task is None or task.begun_run == run:
             return False
         task.begun_run = run
@@ -689,6 +704,8 @@
             self.replan_executor(name)
         for item in self._speeds.update(self.executors, self._pools, now_ms):
             log_event(item)
+        for name in self._deferred.due(now_ms):
+            self._mark_dirty(self.jobs[name])
         changed, self._changed = self._changed, {}
         for job in changed.values():
             self._evaluate(job, wall_ms)
@@ -733,7 +750,7 @@
         room = LargestRoom.of(roomy)
         blocked_vms = self._isolation.count(service)
         for item in ready:
-            job, begun, count = item.job, item.job.begun, len(starts)
+            job, was_placed, count = item.job, item.job.placed_once, len(starts)
             customer = job.spec.customer
             for step in item.steps:
                 if not room.may_fit(step.step):
@@ -761,7 +778,7 @@
                 roomy = with_room()
                 room = LargestRoom.of(roomy)
                 self._evaluate(job, wall_ms)
-                if not begun:
+                if not was_placed:
                     self._shares.on_begun(job.spec.job, service, wall_ms)
                     age_ms = wall_ms - job.spec.accepted_ms
                     self._start_delays_ms.append(max(0.0, age_ms))
@@ -890,7 +907,7 @@
             remaining_ms=job.critical_path_ms(expected_ms, unfinished_only=True),
             objective_ms=stretch * job.critical_path_ms(expected_ms) + target_ms,
             core_ms=job.core_ms(expected_ms),
-            begun=job.begun,
+            begun=job.placed_once,
             lasting=job.spec.lasting,
             shares=self.cfg.customers is not None,
             excess=self._shares.is_excess(job.spec.job),
@@ -1023,6 +1040,7 @@
         del self.jobs[name]
         self._isolation.forget(name)
         self._shares.forget(name)
+        self._deferred.discard(name)
         self._dirty.pop(name, None)
         self._changed.pop(name, None)
         for ready in self._ready.values():
--- a/tests/steps/jobs_scheduler.py
+++ b/tests/steps/jobs_scheduler.py
@@ -65,6 +65,8 @@
 
     def plan(self):
         starts = self.scheduler.plan(self.now_ms, self.wall_ms)
+        for start in starts:
+            self.scheduler.record_begun(start.task, start.run)
         self.running.extend(starts)
         return starts
 
