Let a lasting job go on without a task that is given up

Cause: a task that is given up makes its job fail, and a failed job's tasks are all stopped, whatever its availability budget.

Change: a lasting task is given up by itself while others of its job go on; the job stays running. Only a job with nothing left, or a gang, fails. The scenario of a lasting step used to expect that the job fails; the users' term says that it may. It now expects, as strictly, that the task starts no more, also by the next scheduler, while the three others run and the job is not failed; a job with a single lasting task still fails.

--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -394,9 +394,28 @@
         return task
 
     def _give_up_if_due(self, task):
-        if is_given_up(task) and not task.others:
+        if not is_given_up(task) or task.others:
+            return
+        if self._has_lasting_besides(task):
+            self._set_phase(task, Phase.EXHAUSTED)
+        else:
             self._exhaust(task)
 
+    def _has_lasting_besides(self, task):
+        """Return whether a lasting task leaves others that go on without it.
+
+        Ending them would cost the job's callers more than the task that is given up.
+        """
+        step = self._steps[task.id.occurrence, task.id.step].step
+        return (
+            step.lasting
+            and not step.gang
+            and any(
+                item is not task and item.phase is not Phase.EXHAUSTED
+                for item in self._tasks()
+            )
+        )
+
     def tasks_alone(self):
         """Return whether any task must run alone, after losses."""
         return any(
--- a/tests/steps/jobs_losses.py
+++ b/tests/steps/jobs_losses.py
@@ -14,6 +14,7 @@
     "of a lasting step": {"lasting": True},
     "of a gang": {"gang": True},
     "alone": {"tasks": 1},
+    "alone in a lasting step": {"tasks": 1, "lasting": True},
 }
 
 
@@ -111,6 +112,16 @@
     assert world.states(world.deadly_jobs()) == {JobState.FAILED}
 
 
+@then("the job with such a task runs its {count:d} other tasks, and is not failed")
+def step_goes_on(context, count):
+    world = context.world
+    (name,) = world.deadly_jobs()
+    job = world.scheduler.jobs[name]
+    assert job.state is JobState.RUNNING, job.state
+    running = {task.name for task in job.placed()}
+    assert len(running - world.deadly) == count and not running & world.deadly, running
+
+
 @then("the other jobs are completed")
 def step_others(context):
     world = context.world
