Check that an executor answers before a first run, unless it was just heard of

What callers saw: jobs that came while a rack was dark stood still for 4.2 s each time that one of its executors was chosen, with room free elsewhere.

Cause: an executor without runs is asked for nothing, so that its end is noticed with the first order only. A start that may have arrived binds its task until the lease is over.

Change: a first run, too, is sent only after an answered check if the executor has not answered for 1.5 s. Executors with runs answer each second and need none, so that the cost is a request and a round trip for the first run on an idle executor.

Executors of the simulated drivers answer the check.

--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -9,7 +9,7 @@
 from ..journal import event, log_event
 from .incarnations import is_earlier, is_later
 from .lease import lapse_bound_s, Lease
-from .liveness import Liveness
+from .liveness import FRESH_S, HEARD_S, Liveness
 from .reports import LeaseReport, LossCause, OrderAnswer, OrderResult
 from .starts import PendingStart
 
@@ -581,8 +581,8 @@
     def start(self, order):
         """Send a Start order, which must be stored already.
 
-        It is withdrawn if the lease may not be granted, or if it is a repeated run and
-        the executor does not answer right before.
+        It is withdrawn if the lease may not be granted, or if the executor does not
+        answer a check, which repeated runs and executors that were not heard of need.
         """
         if self._has_silence_record():
             self._driver.on_run_withdrawn(self.name, order.task, order.run)
@@ -633,10 +633,12 @@
         self._client.start(order, pending.deadline_ms, done)
 
     def _must_check(self, pending):
-        if pending.order.run == 1 or pending.maybe_received:
+        if pending.maybe_received:
             return False
-        pending.checked = self._liveness.is_fresh
-        return not pending.checked
+        pending.checked = self._liveness.has_answered(FRESH_S)
+        is_first = pending.order.run == 1
+        may_skip = is_first and self._liveness.has_answered(HEARD_S)
+        return not (pending.checked or may_skip)
 
     def _check(self, pending):
         def done(report, in_time):
--- a/src/cardamomgrade/jobs/liveness.py
+++ b/src/cardamomgrade/jobs/liveness.py
@@ -1,11 +1,13 @@
-"""Checks that an executor answers right before a run is started on it again.
+"""Checks that an executor answers right before a run is started on it.
 
 An executor without runs is not asked for reports, so that nothing shows that it went
-down. If the start of a repeated run gets no answer and another incarnation takes the
-executor's place, only such a check tells whether the run may have ended the former one.
+down, and a start that it may have received binds its task until the lease is over. If
+the start of a repeated run gets no answer and another incarnation takes the executor's
+place, only a check tells whether the run may have ended the former one.
 """
 
-FRESH_S = 0.05  # an answer as old as this needs no check; no incarnation begins so fast
+FRESH_S = 0.05  # of an answer before a repeated run; no incarnation begins so fast
+HEARD_S = 1.5  # of an answer before a first run; executors with runs answer each second
 CHECK_AGE_MAX_S = 1.0  # beyond the client's timeout only if this machine was suspended
 
 
@@ -25,10 +27,9 @@
         """Note that the incarnation has answered just now."""
         self._answered_at = self._loop.boot_now()
 
-    @property
-    def is_fresh(self):
-        """Whether the incarnation has answered so lately that no check is needed."""
-        return self._loop.boot_now() - self._answered_at < FRESH_S
+    def has_answered(self, within_s):
+        """Return whether the incarnation has answered in the last ``within_s``."""
+        return self._loop.boot_now() - self._answered_at < within_s
 
     def check(self, on_done):
         """Call ``on_done(report, in_time)``, where ``report`` is what ``ask`` returned.
--- a/tests/jobs/liveness.feature
+++ b/tests/jobs/liveness.feature
@@ -1,4 +1,4 @@
-Feature: checks that an executor answers before a run is started on it again
+Feature: checks that an executor answers before a run is started on it
 
   Scenario: executors that were down when a task was ordered there do not count as crashed under it
     Guards against LOST: a rack loses power under a task once, and its job is shown as
@@ -9,6 +9,24 @@
     Then that job is not failed, and 1 executor was lost under its task
     And its tasks are done in the end
 
+  Scenario: a first run is not bound to executors that went down while they were idle
+    Guards against tasks that wait for the lease of an executor that was down when they
+    were ordered there.
+    Given 1 nodes on an emulated platform with 4 executors
+    And each of them has run a task
+    When 3 of them are idle for 2 s and lose power
+    Then a job that comes then is completed within 3 s
+
+  Scenario Outline: a first run needs a check unless its executor has just been heard of
+    Given an agent that was heard of <ago> s ago
+    When it is told to start run 1 of a task
+    Then the executor was asked <times> times for a report before that
+
+    Examples:
+      | ago | times |
+      | 1   | 0     |
+      | 2   | 1     |
+
   Scenario: a repeated run is started once its executor has answered
     Given an agent that is told to start run 2 of a task
     Then the executor was not told to start run 2
--- a/tests/steps/jobs_agent_reports.py
+++ b/tests/steps/jobs_agent_reports.py
@@ -48,6 +48,9 @@
         self.orders.append(("stop", order.task, order.run))
         on_done(OrderAnswer(OrderResult.TAKEN, 1000))
 
+    def ask(self, on_done):
+        on_done(LeaseReport(1000, (), ()))
+
     def close(self):
         pass
 
--- a/tests/steps/jobs_incarnations.py
+++ b/tests/steps/jobs_incarnations.py
@@ -202,6 +202,7 @@
     world.register(born, 1)
     world.add_job()
     world.loop.advance(SOON_S)
+    world.answer_checks(born)
     ((world.order, world.on_started),) = world.client.starts
     world.agent = world.driver._agents[NAME]
     assert world.is_placed(1)
--- a/tests/steps/jobs_liveness.py
+++ b/tests/steps/jobs_liveness.py
@@ -1,4 +1,4 @@
-"""Steps for checks that an executor answers before a run is started on it again."""
+"""Steps for checks that an executor answers before a run is started on it."""
 
 from behave import given, then, when
 from jobs_agent_reports import AgentFixture, OTHER_JOB, SimulatedClient, TASK
@@ -66,6 +66,23 @@
     context.nodes.wait_state("completed")
 
 
+@when("{count:d} of them are idle for {seconds:d} s and lose power")
+def step_idle_down(context, count, seconds):
+    world = context.nodes
+    world.rig.run_for(seconds)
+    for name in list(world.platform.instances)[:count]:
+        world.platform.lose_power(name)
+
+
+@then("a job that comes then is completed within {seconds:d} s")
+def step_soon(context, seconds):
+    world = context.nodes
+    start = world.rig.loop.now()
+    assert world.submit([step_fields(1)]).status == 200
+    world.wait_state("completed")
+    assert world.rig.loop.now() - start < seconds
+
+
 class CheckedClient(SimulatedClient):
     """Keeps the requests for reports, which the test answers."""
 
@@ -98,6 +115,31 @@
     world.agent.start(Start("e1", TASK, 2, "text", ""))
 
 
+@given("an agent that was heard of {seconds:d} s ago")
+def step_heard(context, seconds):
+    world = context.agent = AgentFixture(inherits=False)
+    world.client = CheckedClient()
+    world.agent = world.driver.agent = world.make_agent(inherits=False)
+    world.agent.renew_if_needed()
+    world.report()
+    world.timers.advance(seconds)
+
+
+@when("it is told to start run 1 of a task")
+def step_told_first(context):
+    context.agent.agent.start(Start("e1", TASK, 1, "text", ""))
+
+
+@then("the executor was asked {count:d} times for a report before that")
+def step_asked(context, count):
+    world = context.agent
+    assert len(world.client.asks) == count
+    assert world.client.orders == ([] if count else [("start", TASK, 1)])
+    if count:
+        step_answers(context)
+    assert world.client.orders == [("start", TASK, 1)]
+
+
 @given("it is told to start run 2 of another task")
 def step_told_other(context):
     world = context.agent
