Fail a job whose last lasting task is given up, also after steps that are done

What callers saw: nothing yet; found by reading. A job with finished steps and one lasting task would have stayed running for ever once that task was given up.

Cause: any task that is not given up counted as one that goes on, also those that are done. Only tasks of lasting steps count now.

Tests: a scenario in losses.feature, which failed before.

--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -412,7 +412,9 @@
             and not step.gang
             and any(
                 item is not task and item.phase is not Phase.EXHAUSTED
-                for item in self._tasks()
+                for state in self._steps.values()
+                for item in state.tasks
+                if state.step.lasting
             )
         )
 
--- a/tests/jobs/losses.feature
+++ b/tests/jobs/losses.feature
@@ -106,3 +106,7 @@
       | 7000  | 100      |
       | 7000  | 5        |
       | 10000 | 100      |
+
+  Scenario: a job fails with its only lasting task, though the task of another step is done
+    When three executors crash under the only lasting task of a job with a step that is done
+    Then that job has failed
--- a/tests/steps/jobs_losses.py
+++ b/tests/steps/jobs_losses.py
@@ -2,9 +2,11 @@
 
 from behave import given, then, when
 
+from cardamomgrade.jobs.losses import CRASHES_MAX, Loss
+from cardamomgrade.jobs.progress import JobProgress
 from cardamomgrade.jobs.records import decode_progress, encode, JobState
 from cardamomgrade.jobs.reports import Outcome
-from cardamomgrade.jobs.spec import Step
+from cardamomgrade.jobs.spec import JobSpec, Step
 from crashes import CrashWorld, LAPSE_MS
 
 STARTS_AFTER_CRASHES = 3  # a task must not start so often again
@@ -87,6 +89,29 @@
         world.run_for(LAPSE_MS + 500)
 
 
+@when(
+    "three executors crash under the only lasting task of a job with a step that is "
+    "done"
+)
+def step_mixed(context):
+    steps = (Step(1), Step(1, lasting=True, after=(0,)))
+    spec = JobSpec("00000000000000a1", "q", "s", "text", 0, steps, max_attempts=3)
+    job = context.progress = JobProgress(spec, 3)
+    job.open_due_occurrences(0)
+    ((first,),) = [state.tasks for state in job.ready_steps()]
+    job.place(first, "e1")
+    job.end(first, Outcome.DONE)
+    ((task,),) = [state.tasks for state in job.ready_steps()]
+    for _ in range(CRASHES_MAX):
+        job.place(task, "e1")
+        job.end(task, Outcome.LAPSED, loss=Loss(True, alone=True, settled=False))
+
+
+@then("that job has failed")
+def step_job_failed(context):
+    assert context.progress.state is JobState.FAILED
+
+
 @then("no task is suspected of a crash")
 def step_unsuspected(context):
     jobs = context.world.scheduler.jobs.values()
