--- a/review/11/case.py
+++ b/review/11/case.py
@@ -13,10 +13,10 @@
 EXECUTORS = 8
 CPU, MEM_MB = 16_000, 65_536
 TASK_S = 0.1
-WIDTH = 32  # tasks of one occurrence; the largest step of a small site has as many
-OCCURRENCES, FEW_OCCURRENCES = 500, 40
-INTERVAL_MS = 150
-WATCH_S, SHORT_WATCH_S = 80.0, 25.0
+STEPS, WIDTH = 5, 32  # the most of a job of the small site
+OCCURRENCES, FEW_OCCURRENCES = 90, 8
+INTERVAL_MS = 650
+WATCH_S, SHORT_WATCH_S = 94.0, 25.0
 CALM_S = 3.0 + 4.0  # the time for which a job may stand still, and the 4 s before
 STUCK_S = 12.0
 
@@ -41,7 +41,10 @@
         "repeatCount": occurrences,
         "startAtMs": int(time.time() * 1000),
         "intervalMs": INTERVAL_MS,
-        "steps": [{"count": WIDTH, "cpu": 50, "memMb": 16, "estimateMs": 100}],
+        "steps": [
+            {"count": WIDTH, "cpu": 50, "memMb": 16, "estimateMs": 100}
+            for _ in range(STEPS)
+        ],
     }
 
 
@@ -56,7 +59,7 @@
 async def run(record, platform, client, nodes, trouble):
     occurrences = OCCURRENCES if trouble else FEW_OCCURRENCES
     job = await client.submit(f"/{SCHEDULED}/", scheduled(occurrences))
-    record.note(f"job {job} with {occurrences} x {WIDTH} tasks accepted")
+    record.note(f"job {job} with {occurrences} x {STEPS * WIDTH} tasks accepted")
     began, refused_at, later = record.now(), None, {}
     watch_s = WATCH_S if trouble else SHORT_WATCH_S
     while record.now() - began < watch_s:
