--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -32,6 +32,7 @@
 STORE_ANSWER_S = 0.004
 ENDS_PER_ANSWER = 500
 KEYS_PER_PAGE = 500
+ID_DIGITS = 28  # ids of executors are random, as those of instances usually are
 PAGE_BYTES = 1_000_000
 HEARTBEAT_S = 1.5
 MAX_HOLD_MS = 10_000
@@ -605,7 +606,7 @@
 
     async def add_executor(self, machine, service, cpu, mem_mb, rack, plan):
         self._lives += 1
-        name = f"i-{self._lives:010x}"
+        name = f"i-{self._lives:04x}{random.getrandbits(4 * ID_DIGITS):0{ID_DIGITS}x}"
         executor = Executor(self, name, service, cpu, mem_mb, rack, machine, plan)
         self.executors[name] = executor
         self.machines[machine] = {
@@ -966,7 +967,7 @@
                 await case.prepare(platform)
                 nodes = await start_nodes(platform, temporary, case.nodes)
                 client = Client(record, nodes)
-                async with asyncio.timeout(104):
+                async with asyncio.timeout(100):
                     await case.run(record, platform, client, nodes, trouble)
                 if os.environ.get("KEEP_LOGS"):
                     for node in nodes:
