--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -391,6 +391,8 @@
         self.sequence = 0
         self.up = False
         self.draining = False
+        self.draining_since = None
+        self.is_late = False
         self._clock0 = time.monotonic() - random.uniform(10, 500)
         self._changed = asyncio.Event()
         self._tasks = []
@@ -423,6 +425,13 @@
         }
         self.platform.store.put("keyed.servers", self.name, entry)
 
+    def drain(self):
+        """Report to the store that this executor drains."""
+        self.draining = True
+        self.register()
+        self.draining_since = self.record.now()
+        self.record.line(self.name, "drains")
+
     def crash(self):
         """End at once, as if the machine lost power: all runs are gone."""
         self.up = False
@@ -479,7 +488,9 @@
 
     def _carry_out_late(self, path, fields):
         if self.up:
+            self.is_late = True
             status, _ = self._order(path, fields)
+            self.is_late = False
             self.record.line(self.name, f"late {status} {path} {_brief(fields)}")
 
     def _is_fenced(self, fields):
