--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,7 @@
-"""A scheduled job grows until the store refuses its progress; then nothing starts."""
+"""A start reaches the next life of an executor, which is then cut off: it runs twice."""
 
 import asyncio
+import random
 import sys
 import time
 from pathlib import Path
@@ -9,92 +10,115 @@
 
 import standins
 
-SCHEDULED, QUEUE, SERVICE = "nightly", "portal", "letters"
-EXECUTORS = 8
+QUEUE, SERVICE = "reports", "planner"
+EXECUTORS = 6
 CPU, MEM_MB = 16_000, 65_536
-TASK_S = 0.1
-STEPS, WIDTH = 5, 32  # the most of a job of the small site
-OCCURRENCES, FEW_OCCURRENCES = 60, 8
-INTERVAL_MS = 650
-WATCH_S, SHORT_WATCH_S = 94.0, 25.0
-CALM_S = 3.0 + 4.0  # the time for which a job may stand still, and the 4 s before
-STUCK_S = 12.0
+TASK_S = (0.4, 12.0)  # most tasks are short, some are long
+LONG_SHARE = 0.35
+DOWN_S = 0.6
+CUT_S = 5.0
+ROUNDS = 8
+REST_S = 3.0
+REGISTERS_AFTER_S = 0.8
+JOB = {
+    "spec": "reports",
+    "steps": [{"count": 4, "cpu": 500, "memMb": 256, "estimateMs": 1000}],
+}
 
 nodes = 2
 
 
 async def prepare(platform):
-    routes = [standins.route(QUEUE, SERVICE), standins.route(SCHEDULED, SERVICE, 3, 1)]
+    routes = [standins.route(QUEUE, SERVICE, 4)]
     platform.store.put("keyed.op", "config", standins.config(routes, [SERVICE]))
+    durations = {}
 
     def plan(run):
-        return TASK_S, "done"
+        # A task takes as long on each executor.
+        if run.task not in durations:
+            is_long = random.random() < LONG_SHARE
+            durations[run.task] = TASK_S[1] if is_long else TASK_S[0]
+        return durations[run.task], "done"
 
     for number in range(EXECUTORS):
-        rack = f"r{number // 4 + 1}"
-        await platform.add_executor(f"m-{number}", SERVICE, CPU, MEM_MB, rack, plan)
-
-
-def scheduled(occurrences):
-    return {
-        "spec": "a batch of letters",
-        "repeatCount": occurrences,
-        "startAtMs": int(time.time() * 1000),
-        "intervalMs": INTERVAL_MS,
-        "steps": [
-            {"count": WIDTH, "cpu": 50, "memMb": 16, "estimateMs": 100}
-            for _ in range(STEPS)
-        ],
-    }
-
-
-def plain():
-    return {"spec": "plain", "steps": [{"count": 2, "cpu": 500, "estimateMs": 100}]}
+        machine, rack = f"m-{number}", f"r{number // 4 + 1}"
+        executor = await platform.add_executor(
+            machine, SERVICE, CPU, MEM_MB, rack, plan
+        )
+        executor.born = int(time.time() * 1000)
+        executor.register()
 
 
-def starts_of(platform, job):
-    return sum(item[2].startswith(job) for item in platform.starts)
+def runs_now(platform, task):
+    return [
+        (executor.name, item.run)
+        for executor in platform.executors.values()
+        for item in executor.runs.values()
+        if executor.up and item.task == task and not item.stopping
+    ]
 
 
 async def run(record, platform, client, nodes, trouble):
-    occurrences = OCCURRENCES if trouble else FEW_OCCURRENCES
-    job = await client.submit(f"/{SCHEDULED}/", scheduled(occurrences))
-    record.note(f"job {job} with {occurrences} x {STEPS * WIDTH} tasks accepted")
-    began, refused_at, later = record.now(), None, {}
-    watch_s = WATCH_S if trouble else SHORT_WATCH_S
-    while record.now() - began < watch_s:
-        if refused_at is None and platform.store.refused_sizes:
-            refused_at = record.now()
-            size = platform.store.refused_sizes[0]
-            record.note(f"the store has refused a record of {size} bytes")
-        if refused_at is not None and record.now() - refused_at > STUCK_S + CALM_S:
+    twice = {}
+
+    async def watch():
+        while True:
+            for executor in list(platform.executors.values()):
+                for task in list(executor.runs):
+                    runs = runs_now(platform, task)
+                    if len(runs) > 1 and task not in twice:
+                        twice[task] = runs
+                        record.note(f"{task} runs twice at one time: {runs}")
+            await asyncio.sleep(0.02)
+
+    async def traffic():
+        while True:
+            asyncio.create_task(client.submit(f"/{QUEUE}/", JOB))
+            await asyncio.sleep(0.12)
+
+    watcher = asyncio.create_task(watch())
+    sender = asyncio.create_task(traffic())
+    await asyncio.sleep(3)
+    for number in range(ROUNDS if trouble else 1):
+        if not trouble:
+            await asyncio.sleep(20)
             break
-        name = await client.submit(f"/{QUEUE}/", plain())
-        if name and refused_at is not None:
-            later[name] = record.now()
-        await standins.until(lambda: starts_of(platform, name) >= 2, 2)
-        running = sum(len(item.runs) for item in platform.executors.values())
-        record.note(
-            f"plain job {name}: {starts_of(platform, name)} of 2 started; "
-            f"{starts_of(platform, job)} starts of the scheduled job; "
-            f"{running} runs on all executors"
-        )
-        await asyncio.sleep(1.0)
-    if refused_at is None:
-        return
-    record.note(f"scheduled job: {await client.state(f'/{SCHEDULED}/', job)}")
-    still = [name for name in later if not starts_of(platform, name)]
-    for name in still:
-        record.note(f"plain job {name}: {await client.state(f'/{QUEUE}/', name)}")
-    still = [name for name in still if not starts_of(platform, name)]
-    waited = max((record.now() - later[name] for name in still), default=0.0)
-    if len(still) == len(later) and waited > STUCK_S:
-        running = sum(len(item.runs) for item in platform.executors.values())
-        record.breaks(
-            "LOST",
-            f"none of the {len(later)} jobs accepted since has had anything running, "
-            f"the first for {waited:.1f} s; {running} runs on {EXECUTORS} executors",
+        recent = standins.Counter(
+            name for at, name, *_ in platform.starts if at > record.now() - 1
         )
+        name = recent.most_common(1)[0][0]
+        record.note(f"{name} crashes, and starts again after {DOWN_S} s")
+        former = platform.executors[name]
+        former.crash(dark=True)
+        await asyncio.sleep(DOWN_S)
+        former.server.close()
+        life = platform.next_life(former)
+        started = asyncio.Event()
+
+        def on_start(item, life=life, started=started):
+            life.is_cut = True  # from here on, so that its answer is lost
+            started.set()
+
+        life.on_start = on_start
+        await life.begin(platform.host, former.server.port, register=False)
+        await standins.until(started.is_set, REGISTERS_AFTER_S)
+        life.on_start = lambda item: None
+        if not life.is_cut:
+            life.register()
+            record.note("no start came before its registration")
+        else:
+            record.note(f"cut off for {CUT_S} s, with {len(life.runs)} runs")
+            await asyncio.sleep(CUT_S)
+            life.is_cut = False
+            life.register()
+        await asyncio.sleep(REST_S)
+        if twice:
+            break
+    sender.cancel()
+    await asyncio.sleep(1)
+    watcher.cancel()
+    if twice:
+        record.breaks("TWICE", f"{len(twice)} tasks ran twice at one time: {twice}")
 
 
 if __name__ == "__main__":
--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -157,9 +157,9 @@
         self._writers = set()
         self.host = self.port = None
 
-    async def listen(self, host):
+    async def listen(self, host, port=0):
         self.host = host
-        self._server = await asyncio.start_server(self._serve, host, 0, limit=2**22)
+        self._server = await asyncio.start_server(self._serve, host, port, limit=2**22)
         self.port = self._server.sockets[0].getsockname()[1]
         return f"{host}:{self.port}"
 
@@ -393,23 +393,33 @@
         self.draining = False
         self.draining_since = None
         self.is_late = False
+        self.born = 0  # of executors that may start again under their id
+        self.is_cut = False
         self._clock0 = time.monotonic() - random.uniform(10, 500)
         self._changed = asyncio.Event()
         self._tasks = []
 
+    def restart_clock(self):
+        """Let the clock start anew, and tell the start of this life."""
+        self._clock0 = time.monotonic()
+        self.born = int(time.time() * 1000)
+
     def clock_ms(self):
         return int((time.monotonic() - self._clock0) * 1000)
 
-    async def begin(self, host):
-        self.address = await self.server.listen(host)
+    async def begin(self, host, port=0, register=True):
+        self.address = await self.server.listen(host, port)
         self.up = True
-        self.register()
+        if register:
+            self.register()
         self._tasks = [
             asyncio.create_task(self._beat()),
             asyncio.create_task(self._watch_lease()),
         ]
 
     def register(self):
+        if self.is_cut:
+            return
         self.sequence += 1
         entry = {
             "service": self.service,
@@ -422,9 +432,13 @@
             "capacity": {"cpu": self.cpu, "memMb": self.mem_mb},
             "labels": ["a", self.rack],
             "clockMs": self.clock_ms(),
+            **self._born_fields(),
         }
         self.platform.store.put("keyed.servers", self.name, entry)
 
+    def _born_fields(self):
+        return {"born": self.born} if self.born else {}
+
     def drain(self):
         """Report to the store that this executor drains."""
         self.draining = True
@@ -432,10 +446,14 @@
         self.draining_since = self.record.now()
         self.record.line(self.name, "drains")
 
-    def crash(self):
-        """End at once, as if the machine lost power: all runs are gone."""
+    def crash(self, dark=False):
+        """End at once, as if the machine lost power: all runs are gone.
+
+        If ``dark``, its connections stay open and nothing answers any more.
+        """
         self.up = False
-        self.server.close()
+        if not dark:
+            self.server.close()
         for task in self._tasks:
             task.cancel()
         for item in self.runs.values():
@@ -474,6 +492,8 @@
     async def _handle(self, request):
         if request.headers.get("x-expect-instance") != self.name:
             return 421, {}
+        if self.is_cut or not self.up:
+            return None
         fields = request.json()
         delay = self.swallow(request.target, fields)
         if delay is not None:
@@ -483,8 +503,11 @@
             )
             return None
         if request.target == "/api/hold":
-            return await self._hold(fields)
-        return self._order(request.target, fields)
+            answer = await self._hold(fields)
+        else:
+            answer = self._order(request.target, fields)
+        # A cut holds back the answers to what has arrived before.
+        return None if self.is_cut else answer
 
     def _carry_out_late(self, path, fields):
         if self.up:
@@ -579,6 +602,7 @@
             "clockMs": self.clock_ms(),
             "running": rows,
             "finished": finished,
+            **self._born_fields(),
         }
 
 
@@ -632,6 +656,22 @@
         await executor.begin(self.host)
         return executor
 
+    def next_life(self, executor):
+        """Return the next life of an executor that has crashed, under the same id."""
+        life = Executor(
+            self,
+            executor.name,
+            executor.service,
+            executor.cpu,
+            executor.mem_mb,
+            executor.rack,
+            executor.machine,
+            executor.plan,
+        )
+        life.restart_clock()
+        self.executors[executor.name] = life
+        return life
+
     def crash(self, executor):
         """An executor crashes and its machine stays down."""
         executor.crash()
