--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,7 +1,6 @@
 """A start reaches the next life of an executor, which is then cut off: it runs twice."""
 
 import asyncio
-import random
 import sys
 import time
 from pathlib import Path
@@ -13,16 +12,16 @@
 QUEUE, SERVICE = "reports", "planner"
 EXECUTORS = 6
 CPU, MEM_MB = 16_000, 65_536
-TASK_S = (0.4, 12.0)  # most tasks are short, some are long
-LONG_SHARE = 0.35
+TASK_S = 8.0
 DOWN_S = 0.6
 CUT_S = 5.0
 ROUNDS = 8
-REST_S = 3.0
+REST_S = 2.0
+LIMIT_S = 75.0
 REGISTERS_AFTER_S = 0.8
 JOB = {
     "spec": "reports",
-    "steps": [{"count": 4, "cpu": 500, "memMb": 256, "estimateMs": 1000}],
+    "steps": [{"count": 4, "cpu": 250, "memMb": 256, "estimateMs": 8000}],
 }
 
 nodes = 2
@@ -31,14 +30,9 @@
 async def prepare(platform):
     routes = [standins.route(QUEUE, SERVICE, 4)]
     platform.store.put("keyed.op", "config", standins.config(routes, [SERVICE]))
-    durations = {}
 
     def plan(run):
-        # A task takes as long on each executor.
-        if run.task not in durations:
-            is_long = random.random() < LONG_SHARE
-            durations[run.task] = TASK_S[1] if is_long else TASK_S[0]
-        return durations[run.task], "done"
+        return TASK_S, "done"
 
     for number in range(EXECUTORS):
         machine, rack = f"m-{number}", f"r{number // 4 + 1}"
@@ -58,6 +52,16 @@
     ]
 
 
+def recent_starts(platform, record):
+    """Return a Counter of the executors that have started runs in the last second."""
+    began = record.now() - 1
+    return standins.Counter(
+        name
+        for at, name, *_ in platform.starts
+        if at > began and platform.executors[name].up
+    )
+
+
 async def run(record, platform, client, nodes, trouble):
     twice = {}
 
@@ -74,7 +78,7 @@
     async def traffic():
         while True:
             asyncio.create_task(client.submit(f"/{QUEUE}/", JOB))
-            await asyncio.sleep(0.12)
+            await asyncio.sleep(0.15)
 
     watcher = asyncio.create_task(watch())
     sender = asyncio.create_task(traffic())
@@ -83,21 +87,37 @@
         if not trouble:
             await asyncio.sleep(20)
             break
-        recent = standins.Counter(
-            name for at, name, *_ in platform.starts if at > record.now() - 1
-        )
+        if record.now() > LIMIT_S:
+            break
+        await standins.until(lambda: recent_starts(platform, record), 10)
+        recent = recent_starts(platform, record)
+        if not recent:
+            break
         name = recent.most_common(1)[0][0]
-        record.note(f"{name} crashes, and starts again after {DOWN_S} s")
+        record.note(f"{name} crashes at its next start, and starts again after {DOWN_S} s")
         former = platform.executors[name]
-        former.crash(dark=True)
+        crashed = asyncio.Event()
+
+        def crash(path, fields, former=former, crashed=crashed):
+            """Crash as a start is on its way."""
+            if path != "/api/run-start" or crashed.is_set():
+                return None
+            former.crash(dark=True)
+            crashed.set()
+            return 0.0
+
+        former.swallow = crash
+        if not await standins.until(crashed.is_set, 10):
+            break
         await asyncio.sleep(DOWN_S)
         former.server.close()
         life = platform.next_life(former)
         started = asyncio.Event()
 
         def on_start(item, life=life, started=started):
-            life.is_cut = True  # from here on, so that its answer is lost
-            started.set()
+            if not life.has_answered:
+                life.is_cut = True  # from here on, so that its answer is lost
+                started.set()
 
         life.on_start = on_start
         await life.begin(platform.host, former.server.port, register=False)
@@ -105,7 +125,7 @@
         life.on_start = lambda item: None
         if not life.is_cut:
             life.register()
-            record.note("no start came before its registration")
+            record.note("noticed, or no start came, before its registration")
         else:
             record.note(f"cut off for {CUT_S} s, with {len(life.runs)} runs")
             await asyncio.sleep(CUT_S)
--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -395,6 +395,7 @@
         self.is_late = False
         self.born = 0  # of executors that may start again under their id
         self.is_cut = False
+        self.has_answered = False
         self._clock0 = time.monotonic() - random.uniform(10, 500)
         self._changed = asyncio.Event()
         self._tasks = []
@@ -506,8 +507,11 @@
             answer = await self._hold(fields)
         else:
             answer = self._order(request.target, fields)
-        # A cut holds back the answers to what has arrived before.
-        return None if self.is_cut else answer
+        # A cut or a crash holds back the answers to what has arrived before.
+        if self.is_cut or not self.up:
+            return None
+        self.has_answered = True
+        return answer
 
     def _carry_out_late(self, path, fields):
         if self.up:
