--- a/review/11/case.py
+++ b/review/11/case.py
@@ -94,7 +94,9 @@
         if not recent:
             break
         name = recent.most_common(1)[0][0]
-        record.note(f"{name} crashes at its next start, and starts again after {DOWN_S} s")
+        record.note(
+            f"{name} crashes at its next start, and starts again after {DOWN_S} s"
+        )
         former = platform.executors[name]
         crashed = asyncio.Event()
 
--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -869,7 +869,9 @@
     async def start(self):
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         command = deploy["roles"]["jobs"]["run"].split()
-        env = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
+        env = {
+            name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
+        }
         env["PYTHONPATH"] = str(LIBRARIES)
         env["PYTHONDONTWRITEBYTECODE"] = "1"
         env["CARDAMOMGRADE_BOOT"] = str(self._settings)
@@ -909,7 +911,7 @@
     async def send(self, method, prefix, job="", body=None):
         """Send a request to one node after another until an answer is final."""
         answer = 0, b""
-        for attempt in range(5):
+        for _ in range(5):
             node = self._nodes[self._turn % len(self._nodes)]
             self._turn += 1
             headers = [
@@ -1027,7 +1029,9 @@
                 if os.environ.get("KEEP_LOGS"):
                     for node in nodes:
                         text = (Path(temporary) / f"{node.name}.log").read_text()
-                        (Path(os.environ["KEEP_LOGS"]) / f"{node.name}.log").write_text(text)
+                        (Path(os.environ["KEEP_LOGS"]) / f"{node.name}.log").write_text(
+                            text
+                        )
             finally:
                 for node in nodes:
                     await node.end()
