--- a/review/11/case.py
+++ b/review/11/case.py
@@ -5,12 +5,12 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins-3"))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-import standins
+import standin3 as standins
 
 QUEUE, SERVICE = "reports", "planner"
-EXECUTORS = 6
+EXECUTORS = 7
 CPU, MEM_MB = 16_000, 65_536
 TASK_S = 8.0
 DOWN_S = 0.6
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -4,12 +4,12 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins-3"))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-import standins
+import standin3 as standins
 
 QUEUE, SERVICE = "plans", "planner"
-EXECUTORS = 6
+EXECUTORS = 12
 GANG = 8
 ATTEMPTS = 2
 CPU, MEM_MB = 64_000, 131_072
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -6,9 +6,9 @@
 from collections import deque
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins-3"))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-import standins
+import standin3 as standins
 
 QUEUE, FILLING, SERVICE = "watch", "archive", "planner"
 EXECUTORS = 2
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 set -e
 cd "$(dirname "$0")/.."
 test -d target/deps || { echo "run the build of deploy/system.toml first" >&2; exit 1; }
-for file in review/standins-3/*.py review/1[1-5]/*.py; do
+for file in review/standin3.py review/1[1-5]/*.py; do
     [ -e "$file" ] || continue
     python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
--- a/review/standins-3/standins.py
+++ b/review/standin3.py
@@ -25,7 +25,7 @@
 from pathlib import Path
 from urllib.parse import parse_qsl, urlsplit
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 LIBRARIES = ROOT / "target" / "deps"
 RECORD_BYTES = 262_144
 CALL_BYTES = 2_097_152
