Log which attempt of a start had no answer, and how it was sent

It now has `attempt` and `detail`: whether an order without an answer was sent at all, how long it had waited for its connection, and whether that had answered before.

--- a/src/cardamomgrade/client.py
+++ b/src/cardamomgrade/client.py
@@ -13,11 +13,13 @@
 class Failure:
     """The result of a request that got no complete response; falsy.
 
-    ``sent`` tells whether any byte of the request was written to a connection.
+    ``sent`` tells whether any byte of the request was written to a connection;
+    ``sending`` says when and over which one, for logs.
     """
 
     sent: bool
     detail: str
+    sending: str = ""
 
     def __bool__(self):
         return False
@@ -169,7 +171,8 @@
         reported when it has passed. If bytes of the answer arrived in that time it
         starts anew, until ``limit`` seconds have passed since this call.
         """
-        call = _Call(req, on_done, timeout, self._loop.now() + limit)
+        now = self._loop.now()
+        call = _Call(req, on_done, timeout, now, now + limit)
         call.timer = self._loop.call_later(timeout, lambda: self._expire(call))
         self._queue.append(call)
         self._next()
@@ -225,7 +228,9 @@
 
     def _send(self, call):
         call.sent = True
+        call.sent_at = self._loop.now()
         call.received_bytes = self._conn.received_bytes
+        call.is_first = not call.received_bytes
         self._conn.send(call.req, lambda result: self._finish(call, result))
 
     def _expire(self, call):
@@ -257,6 +262,8 @@
             self._current = None
         if not call.done:
             call.drop()
+            if isinstance(result, Failure):
+                result = attrs.evolve(result, sending=call.describe())
             call.on_done(result)
         self._next()
 
@@ -282,19 +289,31 @@
 class _Call:
     """A request that is queued or in flight.
 
-    ``received_bytes`` are those of its connection when the timeout began.
+    ``received_bytes`` are those of its connection when the timeout began. ``is_first``
+    is whether its connection had answered nothing when it was sent.
     """
 
     req: object
     on_done: object
     timeout: float
+    made_at: float
     limit_at: float
+    sent_at: float = 0.0
+    is_first: bool = False
     received_bytes: int = 0
     timer: object = None
     sent: bool = False
     expiring: bool = False
     done: bool = False
 
+    def describe(self):
+        """Return when it was sent and over which connection, as text."""
+        if not self.sent:
+            return "not sent"
+        conn = "a new" if self.is_first else "an answered"
+        queued_ms = int((self.sent_at - self.made_at) * 1000)
+        return f"sent after {queued_ms} ms over {conn} connection"
+
     def drop(self):
         """Report no result from now on."""
         self.done = True
--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -53,13 +53,19 @@
 
 @event(607)
 class OrderAnswered:
-    """An executor refused a start order, or gave no answer to it."""
+    """An executor refused a start order, or gave no answer to it.
+
+    ``attempt`` counts the times that the order was sent, or was about to be; ``detail``
+    says how one without an answer was sent.
+    """
 
     executor: str
     order: str
     task: str
     run: int
     result: str
+    attempt: int
+    detail: str
 
 
 @event(608)
@@ -631,6 +637,7 @@
                 self._on_started(pending, answer)
 
         pending.attempt_ended_at = None
+        pending.attempts += 1
         self._client.start(order, pending.deadline_ms, done)
 
     def _must_check(self, pending):
@@ -704,8 +711,10 @@
         is_first = not pending.maybe_received
         if result is OrderResult.NO_ANSWER and not (pending.reported and is_first):
             pending.give_up_attempt(now)
+        run = (order.task, order.run)
+        attempt, detail = pending.attempts, answer.detail
         log_event(
-            OrderAnswered(self.name, "start", order.task, order.run, result.value)
+            OrderAnswered(self.name, "start", *run, result.value, attempt, detail)
         )
         if result is OrderResult.FENCED:
             self._driver.on_fenced(self.name)
--- a/src/cardamomgrade/jobs/reports.py
+++ b/src/cardamomgrade/jobs/reports.py
@@ -67,11 +67,15 @@
 
 @attrs.frozen
 class OrderAnswer:
-    """An OrderResult and the executor's clock in ms, or 0 if the answer had none."""
+    """An OrderResult and the executor's clock in ms, or 0 if the answer had none.
+
+    ``detail`` says how an order without an answer was sent.
+    """
 
     result: OrderResult
     clock_ms: int = 0
     born: int = 0
+    detail: str = attrs.field(default="", eq=False)
 
 
 @attrs.frozen
--- a/src/cardamomgrade/jobs/starts.py
+++ b/src/cardamomgrade/jobs/starts.py
@@ -20,6 +20,7 @@
     set while ``accepted_at`` is no answer to the latest attempt, which may yet arrive.
     ``checked`` is set if the executor answered right before the order and has not shown
     since that it lacks the run, ``confirmed`` once the driver was told that it began.
+    ``attempts`` counts the times that this agent sent it.
     """
 
     order: object
@@ -33,6 +34,7 @@
     assumed: bool = False
     checked: bool = False
     confirmed: bool = False
+    attempts: int = 0
 
     @property
     def is_unanswered(self):
--- a/src/cardamomgrade/platform/executor.py
+++ b/src/cardamomgrade/platform/executor.py
@@ -51,7 +51,8 @@
 
 def _order_answer(res):
     if isinstance(res, Failure):
-        return OrderAnswer(OrderResult.NO_ANSWER if res.sent else OrderResult.NOT_DONE)
+        result = OrderResult.NO_ANSWER if res.sent else OrderResult.NOT_DONE
+        return OrderAnswer(result, detail=f"{res.detail}, {res.sending}")
     fields = _parse_object(res.body)
     if res.status == 421:
         return OrderAnswer(OrderResult.WRONG_LIFE)
--- a/tests/client.feature
+++ b/tests/client.feature
@@ -67,3 +67,11 @@
     And the server has 2 open connections
     When a request for /c is sent
     Then the server has 2 open connections
+
+  Scenario: a request that fails says when it was sent, and over which connection
+    Given a server that answers when the test says so
+    When a request for /a is sent
+    And the server answers /a
+    And a request for /b times out after 0.2 s, and one for /c that waits for it after 0.4 s
+    Then the request for /b was sent over an answered connection
+    And the request for /c was sent 0.2 s later or more over a new connection
--- a/tests/steps/client.py
+++ b/tests/steps/client.py
@@ -1,5 +1,6 @@
 """Steps for a Requester; its server answers each request when the test says so."""
 
+import re
 import time
 
 from behave import given, then, when
@@ -195,3 +196,35 @@
     context.client.requester = RequesterPool(
         rig.loop, rig.net, context.client.address, count
     )
+
+
+@when(
+    "a request for {first} times out after {first_s:g} s, and one for {second} that "
+    "waits for it after {second_s:g} s"
+)
+def step_two_time_out(context, first, first_s, second, second_s):
+    world = context.client
+    world.results.clear()
+    world.request(first, first_s)
+    world.request(second, second_s)
+    world.rig.run_until(lambda: len(world.results) == 2)
+
+
+def sending(context, path):
+    """Return (ms until it was sent, which connection) of a request that failed."""
+    text = dict(context.client.results)[path].sending
+    ms, conn = re.fullmatch(r"sent after (\d+) ms over (.*) connection", text).groups()
+    return int(ms), conn
+
+
+@then("the request for {path} was sent over an answered connection")
+def step_sent_answered(context, path):
+    assert sending(context, path)[1] == "an answered"
+
+
+@then(
+    "the request for {path} was sent {seconds:g} s later or more over a new connection"
+)
+def step_sent_new(context, path, seconds):
+    queued_ms, conn = sending(context, path)
+    assert conn == "a new" and queued_ms >= seconds * 1000, (queued_ms, conn)
