Send starts only to the incarnation that they are for

The run counted as lapsed after 4.2 s and started elsewhere, while the first one had a lease of 10 s.

Cause: a start went to whoever accepted the connection when its turn came. A check when an order is queued is too early, and one before each repetition does not reach the first attempt.

Change: a Requester with a PeerCheck asks on each new connection which process answers, before the first request that needs to know; starts need it. A connection that was opened within 50 ms of the sending of a request that the incarnation answered needs no question. If another incarnation answers, the agent hears of it at once. If nobody does, the order is `not-sent`: its task is placed elsewhere, and the executor is not paused. Runs that no attempt can have begun no longer follow an executor into its next incarnation.

--- a/src/cardamomgrade/client.py
+++ b/src/cardamomgrade/client.py
@@ -14,12 +14,14 @@
     """The result of a request that got no complete response; falsy.
 
     ``sent`` tells whether any byte of the request was written to a connection;
-    ``sending`` says when and over which one, for logs.
+    ``sending`` says when and over which one, for logs. ``check`` is the HttpResponse
+    or Failure of the PeerCheck for want of which it was not sent, or None.
     """
 
     sent: bool
     detail: str
     sending: str = ""
+    check: object = None
 
     def __bool__(self):
         return False
@@ -30,7 +32,8 @@
 
     ``on_idle_close`` is called when it closes while no request is in flight.
     ``received_bytes`` counts all bytes received. ``keeps_open`` is whether the latest
-    answer, if any, allows further requests.
+    answer, if any, allows further requests. ``verified`` is whether a PeerCheck has
+    shown that the expected process is behind it.
     """
 
     def __init__(self, conn, body_limit=BODY_LIMIT_BYTES):
@@ -43,6 +46,7 @@
         self._size = 0
         self.received_bytes = 0
         self.keeps_open = True
+        self.verified = False
         self.on_idle_close = None
         conn.on_data = self._on_data
         conn.on_close = self._on_close
@@ -129,10 +133,14 @@
 
 
 class Requester:
-    """Sends requests to one server one after another over one connection."""
+    """Sends requests to one server one after another over one connection.
 
-    def __init__(self, loop, net, address, body_limit=BODY_LIMIT_BYTES):
+    ``check`` is the PeerCheck for requests to one process only.
+    """
+
+    def __init__(self, loop, net, address, body_limit=BODY_LIMIT_BYTES, check=None):
         self._loop = loop
+        self._check = check
         self._net = net
         self._host, self._port = parse_address(address)
         self._limit = body_limit
@@ -164,16 +172,20 @@
                 self._conn.abort()
         self._next()
 
-    def request(self, req, on_done, timeout, limit=0.0):
+    def request(self, req, on_done, timeout, limit=0.0, verify=False):
         """Send a request; call ``on_done(HttpResponse | Failure)`` once.
 
         The ``timeout`` in seconds includes the wait in the queue; a Failure is
         reported when it has passed. If bytes of the answer arrived in that time it
         starts anew, until ``limit`` seconds have passed since this call.
+
+        With ``verify``, it is sent only over a connection whose peer has passed the
+        check. The check has a timeout of its own, and if it fails the request counts as
+        not sent.
         """
         now = self._loop.now()
-        call = _Call(req, on_done, timeout, now, now + limit)
-        call.timer = self._loop.call_later(timeout, lambda: self._expire(call))
+        call = _Call(req, on_done, timeout, now, now + limit, verify)
+        call.restart_timer(self._loop, self._expire)
         self._queue.append(call)
         self._next()
 
@@ -190,6 +202,11 @@
         """
         return self._has_conn() and self._conn.received_bytes > 0
 
+    @property
+    def verified(self):
+        """Whether the next request goes over a connection whose peer was verified."""
+        return self._has_conn() and self._conn.verified
+
     @property
     def keeps_open(self):
         """Whether the server left the connection open after its latest answer."""
@@ -218,6 +235,8 @@
                 conn.abort()
                 return
             self._conn = ClientConn(conn, self._limit)
+            if self._check is not None:
+                self._conn.verified = self._check.is_recent(self._loop.boot_now())
             if not call.done:
                 self._send(call)
 
@@ -227,11 +246,43 @@
         self._net.dial(self._host, self._port, opened, failed)
 
     def _send(self, call):
+        if call.verify and not self._conn.verified and call.req is not self._check.req:
+            self._send_check(call)
+            return
+        conn, sent_at = self._conn, self._loop.boot_now()
+
+        def done(result):
+            if self._check is not None and call.req is self._check.req:
+                self._verify(conn, result, sent_at)
+            self._finish(call, result)
+
         call.sent = True
         call.sent_at = self._loop.now()
-        call.received_bytes = self._conn.received_bytes
+        call.received_bytes = conn.received_bytes
         call.is_first = not call.received_bytes
-        self._conn.send(call.req, lambda result: self._finish(call, result))
+        conn.send(call.req, done)
+
+    def _send_check(self, call):
+        conn, sent_at = self._conn, self._loop.boot_now()
+
+        def done(result):
+            self._verify(conn, result, sent_at)
+            if not conn.verified:
+                detail = "another process answers" if result else result.detail
+                self._finish(call, Failure(False, detail, check=result))
+            elif conn.usable:
+                call.restart_timer(self._loop, self._expire)
+                self._send(call)
+            else:
+                # A server that closes each connection has to be reached again in time.
+                self._dial(call)
+
+        conn.send(self._check.req, done)
+
+    def _verify(self, conn, result, sent_at):
+        conn.verified = self._check.accepts(result)
+        if conn.verified:
+            self._check.record_answer(sent_at)
 
     def _expire(self, call):
         if not call.expiring:
@@ -245,9 +296,12 @@
             wait_s = min(call.timeout, call.limit_at - self._loop.now())
             call.timer = self._loop.call_later(wait_s, lambda: self._expire(call))
             return
-        if call.sent and self._conn is not None:
+        if self._current is call and self._conn is not None:
             self._conn.abort()
-        self._finish(call, Failure(call.sent, "timed out"))
+        result = Failure(call.sent, "timed out")
+        if call.verify and not call.sent:
+            result = attrs.evolve(result, check=result)
+        self._finish(call, result)
 
     def _is_arriving(self, call):
         return (
@@ -271,18 +325,22 @@
 class RequesterPool:
     """Sends requests to one server over several connections, in no fixed order."""
 
-    def __init__(self, loop, net, address, connections):
-        self._requesters = [Requester(loop, net, address) for _ in range(connections)]
+    def __init__(self, loop, net, address, connections, check=None):
+        self._requesters = [
+            Requester(loop, net, address, check=check) for _ in range(connections)
+        ]
 
     def close(self):
         """Close all connections and drop all requests, without reporting results."""
         for requester in self._requesters:
             requester.close()
 
-    def request(self, req, on_done, timeout):
+    def request(self, req, on_done, timeout, verify=False):
         """Send a request over the connection with the fewest; see Requester."""
-        least_busy = min(self._requesters, key=lambda item: item.unanswered)
-        least_busy.request(req, on_done, timeout)
+        least_busy = min(
+            self._requesters, key=lambda item: (item.unanswered, not item.verified)
+        )
+        least_busy.request(req, on_done, timeout, verify=verify)
 
 
 @attrs.define(eq=False)
@@ -298,6 +356,7 @@
     timeout: float
     made_at: float
     limit_at: float
+    verify: bool = False
     sent_at: float = 0.0
     is_first: bool = False
     received_bytes: int = 0
@@ -314,6 +373,13 @@
         queued_ms = int((self.sent_at - self.made_at) * 1000)
         return f"sent after {queued_ms} ms over {conn} connection"
 
+    def restart_timer(self, loop, on_expire):
+        """Let ``on_expire`` get this call after its timeout from now on."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.expiring = False
+        self.timer = loop.call_later(self.timeout, lambda: on_expire(self))
+
     def drop(self):
         """Report no result from now on."""
         self.done = True
--- a/src/cardamomgrade/emulator/server.py
+++ b/src/cardamomgrade/emulator/server.py
@@ -42,6 +42,7 @@
 class _Instance:
     """An executor with its server; a ``silent`` one answers no request.
 
+    One that ``loses_answers`` carries requests out, but its answers do not arrive.
     ``clock_offset_ms`` is that of its clock to the loop's, and ``entry`` its
     registration. ``requests`` has the path and fields of every call. Calls in
     ``stale_sessions``, connections of before a loss of power, are reset.
@@ -51,6 +52,7 @@
     server: object
     port: int
     silent: bool = False
+    loses_answers: bool = False
     calls: int = 0
     clock_offset_ms: float = CLOCK_OFFSET_MS
     entry: dict = attrs.field(factory=dict)
@@ -295,6 +297,8 @@
         self._respond(instance, exchange, reason, {})
 
     def _respond(self, instance, exchange, reason, fields):
+        if instance.loses_answers:
+            return
         body = {"clockMs": int(self._clock_ms(instance)), **fields}
         if reason:
             body["reason"] = reason
--- a/src/cardamomgrade/jobs/agent.py
+++ b/src/cardamomgrade/jobs/agent.py
@@ -206,7 +206,7 @@
         return self._inherited | {
             run
             for run, pending in self._starts.items()
-            if not pending.is_settled(self._proven_at, now)
+            if not (pending.is_unreceived or pending.is_settled(self._proven_at, now))
         }
 
     def succeed(self, other):
@@ -733,7 +733,8 @@
             self._loop.call_later(START_RETRY_S, lambda: self._send_start(pending))
         elif self._starts.pop((order.task, order.run), None) is not None:
             self._driver.on_run_withdrawn(self.name, order.task, order.run)
-            self._driver.on_start_refused(self.name)
+            if result is not OrderResult.NOT_SENT:
+                self._driver.on_start_refused(self.name)
 
     def stop(self, task, run):
         """Stop a run; repeat the order until its end is reported."""
--- a/src/cardamomgrade/jobs/reports.py
+++ b/src/cardamomgrade/jobs/reports.py
@@ -49,8 +49,9 @@
     ``TAKEN``: accepted; ``FENCED``: the executor has received a newer epoch;
     ``OUTDATED``: the task already runs there, or this run of it is over; ``LATE``: the
     lease deadline in the order has passed; ``WRONG_LIFE``: another incarnation answers
-    at the address; ``NOT_DONE``: not carried out, now or later; ``NO_ANSWER``: may have
-    been carried out, or may still be.
+    at the address; ``NOT_DONE``: not carried out, now or later; ``NOT_SENT``: not sent,
+    as the executor gave no answer right before; ``NO_ANSWER``: may have been carried
+    out, or may still be.
     """
 
     TAKEN = "taken"
@@ -60,6 +61,7 @@
     NO_ROOM = "no-room"
     BAD_TICKET = "bad-ticket"
     NOT_DONE = "not-done"
+    NOT_SENT = "not-sent"
     WRONG_LIFE = "wrong-life"
     REJECTED = "rejected"
     NO_ANSWER = "no-answer"
--- a/src/cardamomgrade/jobs/starts.py
+++ b/src/cardamomgrade/jobs/starts.py
@@ -51,6 +51,12 @@
             or self.reported
         )
 
+    @property
+    def is_unreceived(self):
+        """Whether each attempt was refused or not sent: no incarnation has the run."""
+        is_in_flight = self.attempts > 0 and self.attempt_ended_at is None
+        return not (is_in_flight or self.may_have_begun)
+
     def give_up_attempt(self, now):
         """Note that the latest attempt had no answer; it may be carried out late."""
         self.maybe_received = True
--- a/src/cardamomgrade/platform/executor.py
+++ b/src/cardamomgrade/platform/executor.py
@@ -2,6 +2,8 @@
 
 import json
 
+import attrs
+
 from ..client import Failure, Requester, RequesterPool
 from ..jobs.reports import (
     EndedTask,
@@ -11,6 +13,7 @@
     Outcome,
     RunningTask,
 )
+from ..peer import PeerCheck
 from ..wire import HttpRequest
 from .checks import born_ms, is_int, is_number, is_text, parse_object
 
@@ -21,6 +24,7 @@
 ANSWER_LIMIT_BYTES = 4 * 1024 * 1024  # well above a report of 500 ends and all runs
 ENDS_PER_REPORT = 500  # a report with as many may leave out later ones
 TASK_LIMIT_CHARS = 100  # an id of a task has at most 16 digits and three numbers
+HOLD = "/api/hold"
 MS = 1000
 _CONFLICTS = {
     "fence": OrderResult.FENCED,
@@ -50,6 +54,8 @@
 
 
 def _order_answer(res):
+    if isinstance(res, Failure) and res.check is not None:
+        return _unsent_answer(res)
     if isinstance(res, Failure):
         result = OrderResult.NO_ANSWER if res.sent else OrderResult.NOT_DONE
         return OrderAnswer(result, detail=f"{res.detail}, {res.sending}")
@@ -66,6 +72,17 @@
     return OrderAnswer(result, _clock_ms(fields), born_ms(fields))
 
 
+def _unsent_answer(res):
+    """Return the answer to an order that was not sent as the PeerCheck failed."""
+    detail = f"{res.detail}, {res.sending}"
+    if isinstance(res.check, Failure):
+        return OrderAnswer(OrderResult.NOT_SENT, detail=detail)
+    answer = _order_answer(res.check)
+    if answer.result not in (OrderResult.FENCED, OrderResult.WRONG_LIFE):
+        answer = attrs.evolve(answer, result=OrderResult.NOT_DONE)
+    return attrs.evolve(answer, detail=detail)
+
+
 def _check_run(task, run):
     if not is_text(task) or len(task) > TASK_LIMIT_CHARS or not is_int(run, low=0):
         raise ValueError("no task and run")
@@ -120,18 +137,25 @@
 class ExecutorClient:
     """Calls to one incarnation of an executor, with a fencing token.
 
-    The executor refuses calls with a lower token than the highest it has received.
+    The executor refuses calls with a lower token than the highest it has received. The
+    next incarnation under its id knows none, so that starts are sent only over
+    connections over which this one has told its ``born``.
     """
 
     def __init__(self, loop, net, entry, token):
-        self._renewals = Requester(loop, net, entry.address, ANSWER_LIMIT_BYTES)
-        self._orders = RequesterPool(loop, net, entry.address, ORDER_CONNECTIONS)
+        self._loop = loop
         self._token = token
         self._headers = (
             (b"host", entry.address.encode()),
             (b"content-type", b"application/json"),
             (b"x-expect-instance", entry.executor.encode()),
         )
+        self._born = entry.born
+        self._check = PeerCheck(self._request(HOLD, {"ackIndex": 0}), self._is_same)
+        self._renewals = Requester(loop, net, entry.address, ANSWER_LIMIT_BYTES)
+        self._orders = RequesterPool(
+            loop, net, entry.address, ORDER_CONNECTIONS, self._check
+        )
 
     def close(self):
         """Drop the connections; calls in flight make no callback."""
@@ -148,16 +172,27 @@
         """Whether the executor left the connection open after its last answer."""
         return self._renewals.keeps_open
 
-    def _send(self, requester, path, fields, on_done, timeout):
+    def _request(self, path, fields):
         body = json.dumps({**fields, "fencingToken": self._token}).encode()
-        req = HttpRequest("POST", path, self._headers, body)
-        requester.request(req, on_done, timeout)
+        return HttpRequest("POST", path, self._headers, body)
+
+    def _report(self, res):
+        report = _lease_report(res)
+        # Where the registration lacks ``born``, the first report has it.
+        self._born = self._born or report.born
+        return report
+
+    def _is_same(self, res):
+        """Return whether a report is of this incarnation, if reports tell it."""
+        report = self._report(res)
+        return isinstance(report, LeaseReport) and report.born in (0, self._born)
 
-    def _order(self, path, fields, on_done):
+    def _order(self, path, fields, on_done, verify=False):
         def done(res):
             on_done(_order_answer(res))
 
-        self._send(self._orders, path, fields, done, ORDER_TIMEOUT_S)
+        req = self._request(path, fields)
+        self._orders.request(req, done, ORDER_TIMEOUT_S, verify)
 
     def ask(self, on_done):
         """Request a report beside a renewal that may wait for its answer.
@@ -166,12 +201,15 @@
         """
 
         def done(res):
-            on_done(_lease_report(res))
+            on_done(self._report(res))
 
-        self._send(self._orders, "/api/hold", {"ackIndex": 0}, done, ORDER_TIMEOUT_S)
+        self._orders.request(self._check.req, done, ORDER_TIMEOUT_S)
 
     def start(self, order, deadline_ms, on_done):
-        """Start a run; ``deadline_ms`` is the lease's end on the executor's clock."""
+        """Start a run; ``deadline_ms`` is the lease's end on the executor's clock.
+
+        It is not sent if this incarnation does not answer, or another one does.
+        """
         fields = {
             "task": order.task,
             "run": order.run,
@@ -182,7 +220,7 @@
             fields["checkpoint"] = order.checkpoint
         if order.ticket:
             fields["ticket"] = order.ticket
-        self._order("/api/run-start", fields, on_done)
+        self._order("/api/run-start", fields, on_done, verify=self._born > 0)
 
     def stop(self, order, on_done):
         """Stop a run, also one whose start has not arrived yet."""
@@ -209,8 +247,12 @@
             fields["waitMs"] = wait_ms
         slack_s = FIRST_ANSWER_SLACK_S if is_first else ANSWER_SLACK_S
         timeout = wait_ms / MS + slack_s
+        sent_at = self._loop.boot_now()
 
         def done(res):
-            on_done(_lease_report(res))
+            report = self._report(res)
+            if isinstance(report, LeaseReport) and report.born == self._born:
+                self._check.record_answer(sent_at)
+            on_done(report)
 
-        self._send(self._renewals, "/api/hold", fields, done, timeout)
+        self._renewals.request(self._request(HOLD, fields), done, timeout)
--- a/tests/jobs/unnoticed_restarts.feature
+++ b/tests/jobs/unnoticed_restarts.feature
@@ -33,6 +33,17 @@
     When 8 s pass after its start
     Then run 2 is started on the executor that is left
 
+  Scenario: a start to an executor that went down does not run on its next incarnation
+    Guards against TWICE: a start without an answer was repeated until the next incarnation
+    took it. That was cut off before it had answered, so that its lease was the longest
+    one, but counted as lapsed like that of the former incarnation.
+    Given 1 nodes on an emulated platform with an executor born at 1000
+    And another executor born at 1000
+    And each has run a task
+    When one of them goes dark as a job of 4 tasks of 9 s comes
+    And it starts again 0.6 s later, but none of its answers arrive for 6 s
+    Then no task ever ran twice at a time
+
   Scenario Outline: no task runs twice while executors are cut off before their registration
     Guards against runs on an incarnation that the scheduler does not know: its lease is
     the longest one, and counts as lapsed like that of the former incarnation.
--- a/tests/steps/jobs_restarts.py
+++ b/tests/steps/jobs_restarts.py
@@ -213,3 +213,42 @@
         state = world.state(node)
     assert state == "failed", (state, world.platform.trace)
     assert context.seen < 3 + 3, world.platform.trace
+
+
+@given("each has run a task")
+def step_warm_up(context):
+    world = context.nodes
+    steps = [step_fields(2, cpu=4000)]
+    assert world.submit(steps, job="00000000000000b1").status == 200
+    world.wait_state("completed", job="00000000000000b1")
+    assert {row[1] for row in world.platform.trace} == {NAME, SECOND}
+
+
+@when("one of them goes dark as a job of {tasks:d} tasks of {seconds:d} s comes")
+def step_dark(context, tasks, seconds):
+    world = context.nodes
+    world.task_ms = seconds * 1000
+    world.platform.lose_power(NAME)
+    calls = world.platform.instances[NAME].calls
+    assert world.submit([step_fields(tasks)]).status == 200
+    world.rig.run_until(lambda: world.platform.instances[NAME].calls > calls)
+
+
+@when(
+    "it starts again {dark_s:g} s later, but none of its answers arrive for "
+    "{seconds:d} s"
+)
+def step_cut_off(context, dark_s, seconds):
+    world = context.nodes
+    world.rig.run_for(dark_s)
+    instance = world.platform.instances[NAME]
+    instance.silent, instance.loses_answers = False, True
+    restart(world, NAME, 2000, register=False)
+    world.rig.run_for(seconds)
+    instance.loses_answers = False
+    world.platform.register_executor(NAME)
+
+
+@then("no task ever ran twice at a time")
+def step_never_twice(context):
+    check_runs(context.nodes)
