Count a failed run of a gang once

Cause: JobProgress._count_failure raised the failures of all members for each end `failed`, whatever its run.

Change: each member keeps the run of its gang that was counted last, and a further end of that run counts nothing: in another report, from another executor, after the run was taken for lapsed, or at the next scheduler, since it is stored as long as it is the latest run. Each run of which any member failed still counts, so that a hopeless gang is given up as before.

Related paths, by reading: quarantine counts distinct jobs, losses go by each member's own runs, and failed_on holds each member's own ends; nothing else is counted once a member.

--- a/src/cardamomgrade/jobs/progress.py
+++ b/src/cardamomgrade/jobs/progress.py
@@ -34,7 +34,8 @@
     ``copied`` is set once it has had a copy that was not lost. ``losses`` counts the
     executors that crashed under it, ``suspicions`` are the Suspicions of those that may
     have crashed. ``begun_run`` is the newest of its runs that is known to have begun,
-    or whose executor answered right before its start was sent.
+    or whose executor answered right before its start was sent. ``failed_run`` is the
+    newest run of its gang that was counted as a failure, 0 for a task of no gang.
     """
 
     id: TaskId
@@ -52,6 +53,7 @@
     losses: int = 0
     suspicions: tuple = ()
     begun_run: int = 0
+    failed_run: int = 0
     name: str = attrs.field(init=False)
 
     @name.default
@@ -78,16 +80,17 @@
                 executor,
                 self.failures,
                 self.checkpoint,
-                *self._loss_fields(),
+                *self._last_fields(),
             )
             for run, phase, executor in (*others, stored_run(self))
         ]
 
-    def _loss_fields(self):
+    def _last_fields(self):
         """Return the last fields of its TaskRecords, without those not needed."""
         suspicions = tuple(map(attrs.astuple, self.suspicions))
         begun_run = self.begun_run if self.begun_run > 1 else 0
-        fields = [self.losses, begun_run, suspicions]
+        failed_run = self.failed_run if self.failed_run == self.run else 0
+        fields = [self.losses, begun_run, suspicions, failed_run]
         while fields and not fields[-1]:
             fields.pop()
         return fields
@@ -154,6 +157,7 @@
             task.run, task.executor = item.run, item.executor
             task.failures, task.checkpoint = item.failures, item.checkpoint
             task.losses, task.begun_run = item.losses, item.begun_run
+            task.failed_run = item.failed_run
             task.suspicions = tuple(Suspicion(*row) for row in item.suspicions)
             job._set_phase(task, Phase(item.phase))
             job._placed = True
@@ -484,9 +488,14 @@
     def _count_failure(self, task, step):
         task.failed_on.append(task.executor)
         failures = task.failures + 1
-        members = step.tasks if step.step.gang else [task]
-        for member in members:
-            member.failures = failures
+        if step.step.gang:
+            # A run of a gang fails once, however many of its members say so.
+            if task.failed_run == task.run:
+                return
+            for member in step.tasks:
+                member.failures, member.failed_run = failures, task.run
+        else:
+            task.failures = failures
         # The other run of a task may still be done, whatever the number of failures.
         if not (step.step.lasting or task.others) and failures >= self.max_attempts:
             self._exhaust(task)
--- a/src/cardamomgrade/jobs/records.py
+++ b/src/cardamomgrade/jobs/records.py
@@ -75,7 +75,8 @@
 
     ``losses`` counts the executors that crashed under it, ``begun_run`` is the newest
     run that is known to have begun, 0 if that is the first or none, and ``suspicions``
-    has the fields of each Suspicion.
+    has the fields of each Suspicion. ``failed_run`` is ``run`` if that is a gang's and
+    counted as a failure, else 0.
     """
 
     occurrence: int
@@ -89,6 +90,7 @@
     losses: int = 0
     begun_run: int = 0
     suspicions: tuple = ()
+    failed_run: int = 0
 
 
 TASK_FIELDS = len(attrs.fields(TaskRecord))
@@ -290,9 +292,9 @@
             TASK_FIELDS_MIN <= len(row) <= TASK_FIELDS for row in record.rows
         )
         tails = [row[TASK_FIELDS_MIN:] for row in record.rows]
-        counts = [count for tail in tails for count in tail[:2]]
+        counts = [count for tail in tails for count in (*tail[:2], *tail[3:])]
         suspicions = [
-            tuple(map(type, item)) for tail in tails for item in sum(tail[2:], [])
+            tuple(map(type, item)) for tail in tails for item in sum(tail[2:3], [])
         ]
     except (TypeError, ValueError) as exc:
         raise RecordError(f"ProgressRecord: {exc}") from exc
