Halt a fill task again that a late order set to work

Cause: Pacer.decide ordered only changes of what it remembered, and an answer to a newer order made the pace known although the older one could still be carried out.

Change: a halted fill task that still uses cores beside a serving task near its target is halted again, at most once a second; a high tail for another reason leads to no orders. That also covers late orders of an earlier scheduler. Once an order without an answer can no longer be carried out, the pace is ordered again, so that a task that such an order slowed down does not stay so.

--- a/src/cardamomgrade/jobs/driver.py
+++ b/src/cardamomgrade/jobs/driver.py
@@ -43,7 +43,9 @@
 class PaceOrdered:
     """A fill task was ordered to run at ``percent`` of full speed.
 
-    Fill tasks use the capacity that serving tasks on the same executor leave.
+    Fill tasks use the capacity that serving tasks on the same executor leave. The same
+    pace is ordered again if the task works on although it was halted, and once an order
+    without an answer can no longer be carried out.
     """
 
     task: str
@@ -525,8 +527,8 @@
                 starting = starting or not ready
             if step.fills:
                 if self._scheduler.is_inherited(item.task, item.run):
-                    self._pacer.inherit(item.task, item.run)
-                fills.append((item.task, item.run))
+                    self._pacer.inherit(item.task, item.run, self._loop.now())
+                fills.append((item.task, item.run, item.load))
             elif step.target_ms:
                 serving.append((item.load, step.target_ms))
         if agent is None or not fills:
@@ -540,7 +542,7 @@
 
     def _on_pace_answer(self, order, answer):
         if answer.result is not OrderResult.TAKEN:
-            self._pacer.failed(order)
+            self._pacer.failed(order, self._loop.now())
 
     def _step_state_of(self, task_name):
         task_id = parse_task(task_name)
--- a/src/cardamomgrade/jobs/pace.py
+++ b/src/cardamomgrade/jobs/pace.py
@@ -5,10 +5,15 @@
 Load pattern: fill tasks slow the serving tasks down by amounts that change within
 seconds. A fill task is halted as soon as the tail latency of a serving task on its
 executor nears its target, and is sped up again in steps while latency stays low.
+
+An order that gets no answer may be carried out after later ones, so that the pace of a
+task may differ from the one that was ordered last.
 """
 
 import attrs
 
+from .former import LATE_CALL_S
+
 FULL_PERCENT = 100
 HALTED_PERCENT = 0
 STEP_PERCENT = 25
@@ -27,44 +32,54 @@
     percent: int
 
 
-class Pacer:
-    """Tracks the pace of each fill task, in percent, by (task, run).
+@attrs.define(eq=False)
+class _FillState:
+    """What is known of the pace of a fill task.
 
-    The pace is None where it is not known: after an order without an answer, and for a
-    run that an earlier scheduler may have paced.
+    ``percent`` was ordered last, at ``ordered_at``. It is None where the pace is not
+    known: after an order without an answer, and for a run that an earlier scheduler may
+    have paced. Such orders may be carried out until ``late_until``, which is None once
+    the pace was ordered again after it.
     """
 
+    percent: int | None = FULL_PERCENT
+    ordered_at: float = float("-inf")
+    late_until: float | None = None
+
+
+class Pacer:
+    """Tracks the pace of each fill task by (task, run)."""
+
     def __init__(self):
-        self._percents = {}
-        self._changed_at = {}
+        self._fills = {}
 
     def decide(self, executor, serving, fills, now):
         """Return the Pace orders for one executor.
 
         ``serving`` holds (tail latency, target latency) pairs of the serving tasks, in
-        ms, and ``fills`` the (task, run) pairs of the fill tasks. A target of 0 means
-        that the task has none.
+        ms, and ``fills`` has (task, run, cores in use) of each fill task. A target of 0
+        means that the task has none.
         """
         worst_ratio = max(
             (tail_ms / target for tail_ms, target in serving if target), default=None
         )
         orders = []
-        for task, run in fills:
-            percent = self._percents.get((task, run), FULL_PERCENT)
-            new_percent = self._next_percent(
-                percent, worst_ratio, now, self._changed_at.get((task, run))
-            )
-            if new_percent != percent:
-                self._percents[task, run] = new_percent
-                self._changed_at[task, run] = now
-                orders.append(Pace(executor, task, run, new_percent))
+        for task, run, used_cores in fills:
+            fill = self._fills.setdefault((task, run), _FillState())
+            percent = self._next_percent(fill, worst_ratio, now)
+            if percent is None:
+                continue
+            is_new = percent != fill.percent
+            if is_new or self._may_differ(fill, worst_ratio, used_cores, now):
+                fill.percent, fill.ordered_at = percent, now
+                orders.append(Pace(executor, task, run, percent))
         return orders
 
-    def _next_percent(self, percent, worst_ratio, now, changed_at):
+    def _next_percent(self, fill, worst_ratio, now):
+        percent = fill.percent
         if worst_ratio is not None and worst_ratio >= HALT_RATIO:
             return HALTED_PERCENT
-        may_step = changed_at is None or now - changed_at >= STEP_INTERVAL_S
-        if not may_step:
+        if now - fill.ordered_at < STEP_INTERVAL_S:
             return percent
         if percent is None and worst_ratio is None:
             return FULL_PERCENT
@@ -72,10 +87,23 @@
             return min(FULL_PERCENT, (percent or HALTED_PERCENT) + STEP_PERCENT)
         return percent
 
-    def inherit(self, task, run):
+    def _may_differ(self, fill, worst_ratio, used_cores, now):
+        """Return whether a late order may have changed the pace that was ordered."""
+        if fill.late_until is not None and now >= fill.late_until:
+            fill.late_until = None
+            return True
+        is_halted = fill.percent == HALTED_PERCENT and used_cores == 0
+        disturbs = worst_ratio is not None and worst_ratio >= HALT_RATIO
+        is_measured = now - fill.ordered_at >= STEP_INTERVAL_S
+        return disturbs and is_measured and not is_halted
+
+    def inherit(self, task, run, now):
         """Note that an earlier scheduler may have paced a run."""
-        self._percents.setdefault((task, run), None)
-
-    def failed(self, order):
-        """Note that a Pace order failed, which may have been carried out even so."""
-        self._percents[order.task, order.run] = None
+        if (task, run) not in self._fills:
+            late_until = now + LATE_CALL_S
+            self._fills[task, run] = _FillState(None, late_until=late_until)
+
+    def failed(self, order, now):
+        """Note that a Pace order failed, which may be carried out even so."""
+        fill = self._fills[order.task, order.run]
+        fill.percent, fill.late_until = None, now + LATE_CALL_S
--- a/tests/steps/jobs_urgency.py
+++ b/tests/steps/jobs_urgency.py
@@ -134,7 +134,7 @@
 
 def pace(context, tail_ms):
     serving = [(tail_ms, context.target)]
-    return context.pacer.decide("e", serving, [("f", 1)], context.now)
+    return context.pacer.decide("e", serving, [("f", 1, 0)], context.now)
 
 
 @when("the tail latency is {tail_ms:d} ms")
@@ -150,13 +150,13 @@
 
 @given("an earlier scheduler started the fill task")
 def step_inherited_fill(context):
-    context.pacer.inherit("f", 1)
+    context.pacer.inherit("f", 1, context.now)
 
 
 @when("that pace order gets no answer")
 def step_pace_lost(context):
     (order,) = context.orders
-    context.pacer.failed(order)
+    context.pacer.failed(order, context.now)
 
 
 @then("the fill task is paced to {percent:d}")
