Pacer: tell the reasons of an order apart

The predicate on late orders also changed the state that it read. Now each reason for an order stands by itself, and the state changes where the order is made; a changed pace after the time of late orders counts as the repetition.

--- a/src/cardamomgrade/jobs/pace.py
+++ b/src/cardamomgrade/jobs/pace.py
@@ -38,13 +38,19 @@
 
     ``percent`` was ordered last, at ``ordered_at``. It is None where the pace is not
     known: after an order without an answer, and for a run that an earlier scheduler may
-    have paced. Such orders may be carried out until ``late_until``, which is None once
-    the pace was ordered again after it.
+    have paced. Such orders may be carried out until ``late_until``, which is infinite
+    once the pace was ordered again after it.
     """
 
     percent: int | None = FULL_PERCENT
     ordered_at: float = float("-inf")
-    late_until: float | None = None
+    late_until: float = float("inf")
+
+    def order(self, percent, now):
+        """Note that the pace is ordered now."""
+        self.percent, self.ordered_at = percent, now
+        if now >= self.late_until:
+            self.late_until = float("inf")
 
 
 class Pacer:
@@ -69,9 +75,12 @@
             percent = self._next_percent(fill, worst_ratio, now)
             if percent is None:
                 continue
-            is_new = percent != fill.percent
-            if is_new or self._may_differ(fill, worst_ratio, used_cores, now):
-                fill.percent, fill.ordered_at = percent, now
+            if (
+                percent != fill.percent
+                or now >= fill.late_until
+                or self._works_on(fill, worst_ratio, used_cores, now)
+            ):
+                fill.order(percent, now)
                 orders.append(Pace(executor, task, run, percent))
         return orders
 
@@ -87,15 +96,12 @@
             return min(FULL_PERCENT, (percent or HALTED_PERCENT) + STEP_PERCENT)
         return percent
 
-    def _may_differ(self, fill, worst_ratio, used_cores, now):
-        """Return whether a late order may have changed the pace that was ordered."""
-        if fill.late_until is not None and now >= fill.late_until:
-            fill.late_until = None
-            return True
-        is_halted = fill.percent == HALTED_PERCENT and used_cores == 0
+    def _works_on(self, fill, worst_ratio, used_cores, now):
+        """Return whether a task that was halted works on and disturbs."""
         disturbs = worst_ratio is not None and worst_ratio >= HALT_RATIO
         is_measured = now - fill.ordered_at >= STEP_INTERVAL_S
-        return disturbs and is_measured and not is_halted
+        is_halted = fill.percent == HALTED_PERCENT
+        return disturbs and is_measured and is_halted and used_cores > 0
 
     def inherit(self, task, run, now):
         """Note that an earlier scheduler may have paced a run."""
