--- a/scripts/verdict.py
+++ b/scripts/verdict.py
@@ -54,7 +54,9 @@
     for feature in report:
         for element in feature.get("elements", []):
             if element["type"] != "background":
-                yield f"{feature['name']}: {element['name']}", element["status"]
+                # Names of examples of an outline end with a space.
+                name = f"{feature['name']}: {element['name']}".strip()
+                yield name, element["status"]
 
 
 def run_feature(path, arguments):
